Add the design, the build and the wire and token libraries

Cause: the repository was empty; the other modules need fixed codecs and a design to build against. Ruled out: libtirpc's xdr_callmsg for the packet path, because it allocates for each credential.

--- /dev/null
+++ b/lib/declaration/include/kf/declaration.h
@@ -0,0 +1,145 @@
+#ifndef KF_DECLARATION_H
+#define KF_DECLARATION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "kf/addr.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_declaration - services, upstreams and selectors of one revision
+ *
+ * DESCRIPTION
+ *	An immutable document parsed from INI text.  Identifiers are hashes
+ *	of names, so that they are equal on every VM and in every revision;
+ *	two names with one identifier are refused.
+ */
+
+enum {
+	KF_NAME_BYTES = 64,
+	KF_MAX_LABELS = 8,
+	KF_MAX_PROCEDURES = 32,
+	KF_SHARE_POINTS = 65536,
+};
+
+typedef enum kf_class {
+	KF_CLASS_URGENT = 0,
+	KF_CLASS_NORMAL,
+	KF_CLASS_BULK,
+	KF_CLASS_COUNT
+} kf_class_t;
+
+typedef enum kf_zone_preference {
+	KF_ZONE_LOCAL = 0, /* own availability zone first */
+	KF_ZONE_ANY,
+} kf_zone_preference_t;
+
+typedef struct kf_label {
+	char key[32];
+	char value[32];
+} kf_label_t;
+
+typedef struct kf_procedure {
+	uint32_t number;
+	bool idempotent;
+	kf_class_t cls;
+} kf_procedure_t;
+
+typedef struct kf_service {
+	uint32_t id;
+	char name[KF_NAME_BYTES];
+	kf_addr_t addr;
+	kf_class_t cls;
+	int64_t deadline_ms;
+	uint32_t procedure_count;
+	kf_procedure_t procedures[KF_MAX_PROCEDURES];
+	uint32_t first_selector; /* selectors of a service are adjacent */
+	uint32_t selector_count;
+} kf_service_t;
+
+typedef struct kf_upstream {
+	uint32_t id;
+	char name[KF_NAME_BYTES];
+	uint32_t service; /* index into services */
+	uint32_t zone;	  /* kf_name_id of the zone's name */
+	char zone_name[KF_NAME_BYTES];
+	kf_addr_t addr;
+	uint32_t slots;
+	bool draining;
+	uint32_t label_count;
+	kf_label_t labels[KF_MAX_LABELS];
+} kf_upstream_t;
+
+typedef struct kf_selector {
+	char name[KF_NAME_BYTES];
+	uint32_t service; /* index into services */
+	uint32_t match_count;
+	kf_label_t match[KF_MAX_LABELS];
+	double share_percent;
+	double ramp_from_percent;
+	int64_t ramp_start_s;
+	int64_t ramp_s; /* 0: no ramp */
+	kf_zone_preference_t zone_preference;
+	uint32_t upstream_count;
+	uint32_t *upstreams; /* indexes of matching upstreams */
+} kf_selector_t;
+
+typedef struct kf_declaration {
+	uint32_t revision;
+	uint64_t digest; /* xxh64 of the text */
+	uint32_t service_count;
+	uint32_t upstream_count;
+	uint32_t selector_count;
+	kf_service_t *services;
+	kf_upstream_t *upstreams;
+	kf_selector_t *selectors;
+	uint32_t *upstreams_by_id; /* indexes ordered by id */
+} kf_declaration_t;
+
+/*
+ * Receives every error of a document: file name, line (0 if none), text.
+ */
+typedef void kf_error_fn(
+    void *ctx, const char *file, int line, const char *text);
+
+/*
+ * Parses and validates text.  Returns NULL after reporting every error;
+ * a document with an error is refused whole.
+ */
+kf_declaration_t *kf_declaration_parse(const char *file, const char *text,
+    size_t len, kf_error_fn *on_error, void *ctx);
+void kf_declaration_delete(kf_declaration_t *decl);
+
+/* Hash of a name; never 0. */
+uint32_t kf_name_id(const char *name);
+
+const kf_service_t *kf_declaration_service_at(
+    const kf_declaration_t *decl, kf_addr_t addr);
+const kf_service_t *kf_declaration_service(
+    const kf_declaration_t *decl, uint32_t id);
+const kf_upstream_t *kf_declaration_upstream(
+    const kf_declaration_t *decl, uint32_t id);
+
+/* The procedure's entry; unlisted procedures are not idempotent. */
+kf_procedure_t kf_service_procedure(
+    const kf_service_t *service, uint32_t number);
+
+/* Effective share in percent at wall_ms, ramp included. */
+double kf_selector_share(const kf_selector_t *selector, int64_t wall_ms);
+
+bool kf_selector_matches(
+    const kf_selector_t *selector, const kf_upstream_t *upstream);
+
+const char *kf_class_name(kf_class_t cls);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/wire/peer_msg.x
@@ -0,0 +1,96 @@
+/*
+ * Datagrams between balancers.  Each is one kf_peer_msg, followed by an
+ * 8-byte MAC over the encoded message under a key the platform publishes.
+ */
+
+const KF_PEER_MAX_DIGESTS = 64;
+const KF_PEER_MAX_PAYLOAD = 65000;
+
+enum kf_peer_type {
+	KF_PEER_HEARTBEAT = 1,
+	KF_PEER_FORWARD = 2,
+	KF_PEER_INTENT = 3,
+	KF_PEER_INTENT_ACK = 4,
+	KF_PEER_INTENT_NACK = 5,
+	KF_PEER_DONE = 6
+};
+
+/* A VM and the start time of its process in milliseconds. */
+struct kf_peer_id {
+	unsigned int vm;
+	unsigned hyper incarnation;
+};
+
+/* State of one upstream as its owner sees it. */
+struct kf_peer_digest {
+	unsigned int upstream;
+	unsigned hyper incarnation;
+	unsigned int load;
+	unsigned int flags;
+};
+
+struct kf_peer_doc_version {
+	unsigned int revision;
+	unsigned hyper platform_version;
+};
+
+struct kf_peer_heartbeat {
+	unsigned int sequence;
+	unsigned int addr;
+	unsigned int port;
+	unsigned int shards;
+	unsigned int zone;
+	unsigned int leaving;
+	kf_peer_doc_version declaration;
+	kf_peer_doc_version keys;
+	kf_peer_digest digests<KF_PEER_MAX_DIGESTS>;
+};
+
+/* A caller's datagram handed to the VM that owns its flow. */
+struct kf_peer_forward {
+	unsigned int caller_ip;
+	unsigned int caller_port;
+	unsigned int service_ip;
+	unsigned int service_port;
+	unsigned int fabric_ip;
+	unsigned int fabric_port;
+	unsigned int to_backup;
+	opaque token<256>;
+	opaque datagram<KF_PEER_MAX_PAYLOAD>;
+};
+
+struct kf_peer_intent {
+	unsigned hyper flow;
+	unsigned int xid;
+	unsigned int generation;
+	unsigned int upstream;
+};
+
+struct kf_peer_done {
+	unsigned hyper flow;
+	unsigned int xid;
+	unsigned int generation;
+	unsigned int verdict;
+	opaque reply<KF_PEER_MAX_PAYLOAD>;
+};
+
+union kf_peer_body switch (kf_peer_type type) {
+case KF_PEER_HEARTBEAT:
+	kf_peer_heartbeat heartbeat;
+case KF_PEER_FORWARD:
+	kf_peer_forward forward;
+case KF_PEER_INTENT:
+	kf_peer_intent intent;
+case KF_PEER_INTENT_ACK:
+	kf_peer_intent ack;
+case KF_PEER_INTENT_NACK:
+	kf_peer_intent nack;
+case KF_PEER_DONE:
+	kf_peer_done done;
+};
+
+struct kf_peer_msg {
+	unsigned int key;
+	kf_peer_id from;
+	kf_peer_body body;
+};
