--- a/lib/token/include/kf/keyring.h
+++ b/lib/token/include/kf/keyring.h
@@ -46,12 +46,18 @@
 kf_status_t kf_keyring_current(
     const kf_keyring_t *ring, int64_t now_s, uint32_t *id);
 
+/* End of a key's validity; 0 if the key is not known. */
+int64_t kf_keyring_not_after_s(const kf_keyring_t *ring, uint32_t id);
+
 /* Computes the MAC of two byte strings in a row under key id. */
 kf_status_t kf_keyring_mac(kf_keyring_t *ring, uint32_t id, int64_t now_s,
     const uint8_t *data, size_t len, const uint8_t *extra, size_t extra_len,
     uint8_t mac[KF_MAC_BYTES]);
 
-/* Compares in constant time; KF_ERR_AUTH if the MAC does not match. */
+/*
+ * Compares in constant time.  KF_ERR_AUTH: the MAC does not match.
+ * KF_ERR_NOT_FOUND: the key is not in this ring; another VM may have it.
+ */
 kf_status_t kf_keyring_check(kf_keyring_t *ring, uint32_t id, int64_t now_s,
     const uint8_t *data, size_t len, const uint8_t *extra, size_t extra_len,
     const uint8_t mac[KF_MAC_BYTES]);
--- a/lib/token/include/kf/token.h
+++ b/lib/token/include/kf/token.h
@@ -28,6 +28,12 @@
 	KF_TOKEN_VERIFIER_BYTES = 8 + KF_TOKEN_BYTES,
 };
 
+/*
+ * A token expires this long before its key, so that a copy of a call that was
+ * sent in time can still be checked when it arrives.
+ */
+enum { KF_TOKEN_KEY_MARGIN_S = 120 };
+
 typedef struct kf_vm_id {
 	uint32_t vm;
 	uint64_t incarnation; /* start time of the process in ms */
@@ -48,13 +54,17 @@
 	uint32_t gid;
 } kf_token_t;
 
-/* Writes the token with a MAC under the newest valid key. */
+/*
+ * Writes the token with a MAC under the newest valid key.  Its expiry is
+ * shortened to KF_TOKEN_KEY_MARGIN_S before the key's.
+ */
 kf_status_t kf_token_seal(const kf_token_t *token, kf_keyring_t *ring,
     int64_t now_s, uint32_t caller_ip, uint8_t buf[KF_TOKEN_BYTES]);
 
 /*
  * Checks and reads a token.  KF_ERR_AUTH: forged, truncated or issued to
- * another caller.  KF_ERR_EXPIRED: past its expiry or its key's; *token is
+ * another caller.  KF_ERR_NOT_FOUND: under a key this ring does not have.
+ * KF_ERR_EXPIRED: past its expiry or its key's; *token is
  * filled in if the MAC could be checked.
  */
 kf_status_t kf_token_open(const uint8_t *buf, size_t len, kf_keyring_t *ring,
--- a/lib/token/keyring.c
+++ b/lib/token/keyring.c
@@ -132,6 +132,14 @@
 	return KF_OK;
 }
 
+int64_t
+kf_keyring_not_after_s(const kf_keyring_t *ring, uint32_t id)
+{
+	const entry_t *entry = keyring_find(ring, id);
+
+	return entry == NULL ? 0 : entry->key.not_after_s;
+}
+
 kf_status_t
 kf_keyring_mac(kf_keyring_t *ring, uint32_t id, int64_t now_s,
     const uint8_t *data, size_t len, const uint8_t *extra, size_t extra_len,
@@ -142,7 +150,8 @@
 
 	entry = keyring_find(ring, id);
 	if (entry == NULL)
-		return kf_status_set(KF_ERR_AUTH, "key %u is not known", id);
+		return kf_status_set(
+		    KF_ERR_NOT_FOUND, "key %u is not known", id);
 	if (now_s >= entry->key.not_after_s)
 		return kf_status_set(KF_ERR_EXPIRED, "key %u has expired", id);
 	if (!EVP_MAC_init(entry->ctx, NULL, 0, NULL) ||
--- a/lib/token/token.c
+++ b/lib/token/token.c
@@ -49,6 +49,8 @@
 kf_token_seal(const kf_token_t *token, kf_keyring_t *ring, int64_t now_s,
     uint32_t caller_ip, uint8_t buf[KF_TOKEN_BYTES])
 {
+	kf_token_t limited = *token;
+	int64_t latest_s;
 	uint8_t ip[4];
 	uint32_t key_id;
 	kf_status_t status;
@@ -56,7 +58,10 @@
 	status = kf_keyring_current(ring, now_s, &key_id);
 	if (status != KF_OK)
 		return status;
-	token_write(token, key_id, buf);
+	latest_s = kf_keyring_not_after_s(ring, key_id) - KF_TOKEN_KEY_MARGIN_S;
+	if (limited.expiry_s > latest_s)
+		limited.expiry_s = latest_s;
+	token_write(&limited, key_id, buf);
 	kf_put_u32(ip, caller_ip);
 	return kf_keyring_mac(ring, key_id, now_s, buf, KF_TOKEN_BODY_BYTES, ip,
 	    sizeof(ip), buf + KF_TOKEN_BODY_BYTES);
--- /dev/null
+++ b/lib/traffic/ingress.c
@@ -0,0 +1,266 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "traffic_internal.h"
+
+/* Fills in uid and gid of a call without a token. */
+static void
+ingress_identity(const packet_t *pkt, kf_token_t *token)
+{
+	kf_rpc_sys_t sys;
+
+	if (kf_rpc_sys_parse(&pkt->call.cred, &sys) != KF_OK)
+		return;
+	token->uid = sys.uid;
+	token->gid = sys.gid;
+}
+
+static void
+ingress_placed(kf_traffic_t *t, const packet_t *pkt, const placement_t *place)
+{
+	kf_decision_t decision = {
+		.event = KF_EVENT_PLACE,
+		.service = pkt->service->name,
+		.selector = place->selector->name,
+		.upstream = t->view->decl->upstreams[place->upstream].name,
+		.caller = pkt->route.caller,
+		.flow = pkt->token.flow,
+		.xid = pkt->call.xid,
+		.proc = pkt->call.proc,
+		.revision = t->view->decl->revision,
+	};
+
+	kf_counters_add(&t->counters, KF_COUNT_FLOWS_PLACED, 1);
+	t->config.ops.decision(t->config.ops.ctx, &decision);
+}
+
+/* Answers procedure 0, which establishes a flow or renews its token. */
+static void
+ingress_null(kf_traffic_t *t, packet_t *pkt)
+{
+	kf_liveness_t liveness;
+	placement_t place;
+
+	if (pkt->has_token && !pkt->expired) {
+		liveness = kf_view_liveness(t->view, pkt->token.owner);
+		if (liveness <= KF_VM_SUSPECT &&
+		    place_still_valid(t, pkt->service, &pkt->token)) {
+			place_renew(t, &pkt->token);
+			reply_null(t, pkt, &pkt->token);
+			return;
+		}
+	}
+	if (place_new(t, pkt->service, KF_VIEW_NONE, &place) != KF_OK ||
+	    (ingress_identity(pkt, &pkt->token),
+		place_token(t, pkt->service, &place, &pkt->token)) != KF_OK) {
+		packet_refuse(t, pkt, KF_REASON_NO_UPSTREAM);
+		return;
+	}
+	ingress_placed(t, pkt, &place);
+	reply_null(t, pkt, &pkt->token);
+}
+
+/*
+ * Identity of a call without a token: copies of it get the same flow id on
+ * every VM.
+ */
+static uint64_t
+ingress_flow_hash(const packet_t *pkt)
+{
+	uint32_t key[4] = { pkt->route.caller.ip, pkt->route.caller.port,
+		pkt->call.xid, pkt->service->id };
+	uint64_t hash = XXH3_64bits(key, sizeof(key));
+
+	return hash == 0 ? 1 : hash;
+}
+
+/* Places an idempotent call without a token by a hash of its identity. */
+static bool
+ingress_place(kf_traffic_t *t, packet_t *pkt)
+{
+	placement_t place;
+	uint64_t flow = ingress_flow_hash(pkt);
+
+	if (place_hash(t, pkt->service, flow, &place) != KF_OK ||
+	    place_token(t, pkt->service, &place, &pkt->token) != KF_OK) {
+		packet_refuse(t, pkt, KF_REASON_NO_UPSTREAM);
+		return false;
+	}
+	pkt->token.flow = flow;
+	ingress_identity(pkt, &pkt->token);
+	if (kf_token_seal(&pkt->token, t->view->keys, t->now.wall_ms / 1000,
+		pkt->route.caller.ip, pkt->token_bytes) != KF_OK) {
+		packet_drop(t, pkt, KF_REASON_NO_CONFIG);
+		return false;
+	}
+	pkt->has_token = true;
+	pkt->new_flow = true;
+	ingress_placed(t, pkt, &place);
+	return true;
+}
+
+static int64_t
+gone_for_us(const kf_traffic_t *t, kf_vm_id_t id)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+
+	if (vm == NULL || vm->liveness != KF_VM_GONE)
+		return 0;
+	return t->now.mono_us - vm->gone_since_us;
+}
+
+/* Neither owner nor backup can say what became of the request. */
+static void
+ingress_orphan(kf_traffic_t *t, packet_t *pkt)
+{
+	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
+
+	if (pkt->proc.idempotent) {
+		if (pkt->hops == 0 && ingress_place(t, pkt))
+			ingress_route(t, pkt);
+		return;
+	}
+	if (gone_for_us(t, pkt->token.owner) >= horizon_us &&
+	    (pkt->token.backup.vm == 0 ||
+		gone_for_us(t, pkt->token.backup) >= horizon_us))
+		packet_refuse(t, pkt, KF_REASON_OWNER_LOST);
+	else
+		packet_unknown(t, pkt, KF_REASON_OWNER_LOST);
+}
+
+static bool
+is_self(const kf_traffic_t *t, kf_vm_id_t id)
+{
+	return id.vm == t->config.self.vm &&
+	    id.incarnation == t->config.self.incarnation;
+}
+
+/* Sends the packet to a VM, or to the right shard of this one. */
+static void
+ingress_send(
+    kf_traffic_t *t, packet_t *pkt, const kf_view_vm_t *vm, bool to_backup)
+{
+	if (pkt->hops >= FORWARD_HOPS_MAX) {
+		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+		return;
+	}
+	peer_forward(t, pkt, vm, to_backup);
+}
+
+static void
+ingress_to_backup(kf_traffic_t *t, packet_t *pkt)
+{
+	const kf_view_vm_t *vm;
+	kf_liveness_t liveness;
+
+	if (pkt->token.backup.vm == 0) {
+		ingress_orphan(t, pkt);
+		return;
+	}
+	vm = kf_view_vm(t->view, pkt->token.backup);
+	if (is_self(t, pkt->token.backup) &&
+	    kf_view_shard(vm, pkt->token.upstream) == t->config.shard) {
+		backup_takeover(t, pkt);
+		return;
+	}
+	liveness = kf_view_liveness(t->view, pkt->token.backup);
+	if (liveness >= KF_VM_DEAD)
+		ingress_orphan(t, pkt);
+	else if (vm == NULL || vm->peer_addr.port == 0)
+		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+	else
+		ingress_send(t, pkt, vm, true);
+}
+
+/* Routes a packet with a token to the VM that may decide about it. */
+void
+ingress_route(kf_traffic_t *t, packet_t *pkt)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, pkt->token.owner);
+	kf_liveness_t liveness;
+
+	if (is_self(t, pkt->token.owner) &&
+	    kf_view_shard(vm, pkt->token.upstream) == t->config.shard) {
+		owner_handle(t, pkt);
+		return;
+	}
+	liveness = kf_view_liveness(t->view, pkt->token.owner);
+	if (liveness < KF_VM_DEAD && vm != NULL && vm->peer_addr.port != 0) {
+		ingress_send(t, pkt, vm, false);
+		return;
+	}
+	/*
+	 * An idempotent request needs no record of the old owner, so it is
+	 * placed at once.  An owner not heard yet may still be alive.
+	 */
+	if (pkt->proc.idempotent && liveness >= KF_VM_DEAD)
+		ingress_orphan(t, pkt);
+	else
+		ingress_to_backup(t, pkt);
+}
+
+/*
+ * Drops or refuses what exceeds the ingress limit.  A non-idempotent request
+ * with a token is dropped: a copy of it may have been dispatched, so that "not
+ * run" might be false.
+ */
+static void
+ingress_limited(kf_traffic_t *t, packet_t *pkt)
+{
+	if (pkt->has_token && !pkt->proc.idempotent)
+		packet_drop(t, pkt, KF_REASON_OVERLOAD);
+	else
+		packet_refuse(t, pkt, KF_REASON_OVERLOAD);
+}
+
+static void
+ingress_call(kf_traffic_t *t, packet_t *pkt)
+{
+	if (!kf_admission_ingress(
+		t->admission, t->now.mono_us, pkt->proc.cls)) {
+		ingress_limited(t, pkt);
+		return;
+	}
+	if (pkt->call.proc == 0) {
+		ingress_null(t, pkt);
+		return;
+	}
+	if (pkt->has_token) {
+		ingress_route(t, pkt);
+		return;
+	}
+	if (!pkt->proc.idempotent)
+		packet_refuse(t, pkt, KF_REASON_NO_FLOW);
+	else if (ingress_place(t, pkt))
+		ingress_route(t, pkt);
+}
+
+void
+kf_traffic_on_caller(kf_traffic_t *t, kf_time_t now, const kf_route_t *route,
+    const uint8_t *data, size_t len)
+{
+	packet_t pkt = { .route = *route, .data = data, .len = len };
+	kf_reason_t reason;
+
+	t->now = now;
+	kf_counters_add(&t->counters, KF_COUNT_CALLER_PACKETS, 1);
+	if (t->view == NULL || !t->view->settled) {
+		packet_drop(t, &pkt, KF_REASON_NO_CONFIG);
+		return;
+	}
+	reason = packet_parse(t, &pkt);
+	switch (reason) {
+	case KF_REASON_NONE:
+		ingress_call(t, &pkt);
+		break;
+	case KF_REASON_TOKEN_BAD:
+	case KF_REASON_TOKEN_SERVICE:
+	case KF_REASON_TOKEN_EXPIRED:
+		packet_refuse(t, &pkt, reason);
+		break;
+	default:
+		packet_drop(t, &pkt, reason);
+		break;
+	}
+}
--- /dev/null
+++ b/lib/traffic/owner.c
@@ -0,0 +1,280 @@
+#include <string.h>
+
+#include "traffic_internal.h"
+
+/*
+ * Whether requests under this token may be dispatched without an
+ * acknowledgement: there is no backup, or it ended before it could have fenced
+ * this VM.
+ */
+bool
+owner_alone(const kf_traffic_t *t, const kf_token_t *token)
+{
+	const kf_view_vm_t *vm;
+
+	if (token->backup.vm == 0)
+		return true;
+	vm = kf_view_vm(t->view, token->backup);
+	return vm != NULL && vm->liveness == KF_VM_GONE &&
+	    vm->cannot_have_fenced;
+}
+
+/* Sends the stored outcome of a request to the sender of a copy of it. */
+void
+owner_send_stored(
+    kf_traffic_t *t, const packet_t *pkt, const uint8_t *stored, size_t len)
+{
+	packet_t moved = *pkt;
+	const kf_view_vm_t *vm;
+
+	if (len < 1 || pkt->hops > FORWARD_HOPS_MAX) {
+		packet_drop(t, pkt, KF_REASON_DUPLICATE);
+		return;
+	}
+	kf_counters_add(&t->counters, KF_COUNT_REPLAYED, 1);
+	if (stored[0] == STORED_REPLY) {
+		t->config.ops.send_caller(
+		    t->config.ops.ctx, &pkt->route, stored + 1, len - 1);
+		return;
+	}
+	if (packet_set_token(t, &moved, stored + 1, len - 1) !=
+	    KF_REASON_NONE) {
+		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
+		return;
+	}
+	vm = kf_view_vm(t->view, moved.token.owner);
+	if (vm == NULL || vm->peer_addr.port == 0)
+		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
+	else
+		peer_forward(t, &moved, vm, false);
+}
+
+/*
+ * Classifies a non-idempotent request by the flow's records.  Returns true if
+ * it is new and may go on.
+ */
+static bool
+owner_check_record(kf_traffic_t *t, const packet_t *pkt)
+{
+	kf_request_id_t id = {
+		.flow = pkt->token.flow,
+		.xid = pkt->call.xid,
+		.generation = pkt->token.generation,
+	};
+	const uint8_t *stored;
+	size_t len;
+
+	switch (kf_flow_begin(t->flows, t->now.mono_us, &id, &stored, &len)) {
+	case KF_FLOW_NEW:
+		return true;
+	case KF_FLOW_ANSWERED:
+		owner_send_stored(t, pkt, stored, len);
+		return false;
+	case KF_FLOW_REFUSED:
+		packet_refuse(t, pkt, kf_flow_reason(t->flows, &id));
+		return false;
+	case KF_FLOW_IN_DOUBT:
+	case KF_FLOW_STALE:
+		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
+		return false;
+	case KF_FLOW_FULL:
+		packet_drop(t, pkt, KF_REASON_OVERLOAD);
+		return false;
+	default:
+		packet_drop(t, pkt, KF_REASON_DUPLICATE);
+		return false;
+	}
+}
+
+/* Ends the record of a request that there is no memory for. */
+static void
+owner_forget(kf_traffic_t *t, const packet_t *pkt)
+{
+	kf_request_id_t id = {
+		.flow = pkt->token.flow,
+		.xid = pkt->call.xid,
+		.generation = pkt->token.generation,
+	};
+
+	if (!pkt->proc.idempotent)
+		kf_flow_finish(t->flows, t->now.mono_us, &id, KF_MAY_HAVE_RUN,
+		    KF_REASON_OVERLOAD, NULL, 0);
+}
+
+/* Handles a request whose token names this VM as the owner of its flow. */
+void
+owner_handle(kf_traffic_t *t, packet_t *pkt)
+{
+	request_t *req;
+
+	req = request_find(t, pkt->token.flow, pkt->call.xid);
+	if (req != NULL &&
+	    (pkt->proc.idempotent || req->state != REQUEST_ABANDONED)) {
+		packet_drop(t, pkt, KF_REASON_DUPLICATE);
+		return;
+	}
+	if (!pkt->proc.idempotent && !owner_check_record(t, pkt))
+		return;
+	req = request_new(t, pkt);
+	if (req == NULL) {
+		owner_forget(t, pkt);
+		packet_drop(t, pkt, KF_REASON_OVERLOAD);
+		return;
+	}
+	req->recorded = !pkt->proc.idempotent;
+	req->alone = pkt->proc.idempotent || owner_alone(t, &pkt->token);
+	if (!req->alone)
+		peer_intent(t, req);
+	if (pkt->expired && req->recorded)
+		owner_refuse(t, req, KF_REASON_TOKEN_EXPIRED);
+	else
+		owner_start(t, req);
+}
+
+/* Sends a request to its upstream's queue, or to the upstream's owner. */
+void
+owner_start(kf_traffic_t *t, request_t *req)
+{
+	const kf_service_t *service;
+	const kf_view_vm_t *vm;
+	const kf_view_upstream_t *vu;
+	kf_token_t token = req->token;
+	uint32_t index;
+
+	service = kf_declaration_service(t->view->decl, req->service);
+	if (service == NULL) {
+		owner_refuse(t, req, KF_REASON_NO_SERVICE);
+		return;
+	}
+	if (!place_still_valid(t, service, &req->token)) {
+		owner_replace(t, req, KF_VIEW_NONE);
+		return;
+	}
+	index = place_index(t, req->upstream);
+	vu = &t->view->upstreams[index];
+	vm = &t->view->vms[vu->owner];
+	if ((vu->owner == t->view->self_index &&
+		kf_view_shard(vm, req->upstream) == t->config.shard) ||
+	    req->hops >= FORWARD_HOPS_MAX) {
+		owner_admit(t, req);
+		return;
+	}
+	place_renew(t, &token);
+	owner_move(t, req, &token);
+}
+
+/* Gives the request and its flow to another upstream. */
+void
+owner_replace(kf_traffic_t *t, request_t *req, uint32_t exclude)
+{
+	const kf_service_t *service;
+	const kf_view_upstream_t *vu;
+	kf_token_t token = req->token;
+	placement_t place;
+
+	service = kf_declaration_service(t->view->decl, req->service);
+	if (service == NULL ||
+	    place_point(t, service, req->token.share_point, exclude, &place) !=
+		KF_OK ||
+	    place_token(t, service, &place, &token) != KF_OK) {
+		owner_refuse(t, req, KF_REASON_NO_UPSTREAM);
+		return;
+	}
+	kf_counters_add(&t->counters, KF_COUNT_FLOWS_MOVED, 1);
+	vu = &t->view->upstreams[place.upstream];
+	if ((vu->owner == t->view->self_index &&
+		kf_view_shard(&t->view->vms[vu->owner], token.upstream) ==
+		    t->config.shard) ||
+	    req->hops >= FORWARD_HOPS_MAX) {
+		req->upstream = token.upstream;
+		req->reply_token = token;
+		request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, NULL);
+		owner_admit(t, req);
+	} else
+		owner_move(t, req, &token);
+}
+
+/*
+ * Hands the request to the VM that owns its upstream, under a new flow.  A
+ * recorded request counts as dispatched from here, so the backup has to know
+ * of it first.
+ */
+void
+owner_move(kf_traffic_t *t, request_t *req, const kf_token_t *token)
+{
+	req->reply_token = *token;
+	if (req->alone || req->acked)
+		request_moved(t, req, token);
+	else
+		req->state = REQUEST_MOVING;
+}
+
+void
+owner_admit(kf_traffic_t *t, request_t *req)
+{
+	kf_admission_request_t offer = {
+		.upstream = req->upstream,
+		.cls = req->cls,
+		.deadline_us = req->deadline_us,
+		.bytes = (uint32_t)(sizeof(*req) + req->args_len),
+		.request = req,
+	};
+	serving_t *s;
+
+	s = serving_get(t, place_index(t, req->upstream));
+	if (s == NULL) {
+		owner_refuse(t, req, KF_REASON_NO_UPSTREAM);
+		return;
+	}
+	if (req->attempts == 0)
+		kf_admission_first_try(t->admission);
+	req->state = REQUEST_QUEUED;
+	switch (kf_admission_offer(t->admission, t->now.mono_us, &offer)) {
+	case KF_ADMIT_DISPATCH:
+		dispatch_start(t, req);
+		break;
+	case KF_ADMIT_QUEUED:
+		break;
+	case KF_ADMIT_DEADLINE:
+		owner_refuse(t, req, KF_REASON_DEADLINE);
+		break;
+	default:
+		owner_refuse(t, req, KF_REASON_OVERLOAD);
+		break;
+	}
+}
+
+/*
+ * Refuses a request as not run.  The backup has to know first: without a
+ * record it would run a late copy after it has fenced this VM.
+ */
+void
+owner_refuse(kf_traffic_t *t, request_t *req, kf_reason_t reason)
+{
+	if (req->alone || req->acked) {
+		request_refuse_now(t, req, reason);
+		return;
+	}
+	req->refuse_reason = reason;
+	req->state = REQUEST_REFUSING;
+}
+
+/* The backup has recorded the request, or need not. */
+void
+owner_acked(kf_traffic_t *t, request_t *req)
+{
+	req->acked = true;
+	switch (req->state) {
+	case REQUEST_WAIT_ACK:
+		dispatch_send(t, req);
+		break;
+	case REQUEST_MOVING:
+		request_moved(t, req, &req->reply_token);
+		break;
+	case REQUEST_REFUSING:
+		request_refuse_now(t, req, req->refuse_reason);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/lib/traffic/peer_link.c
@@ -0,0 +1,254 @@
+#include <string.h>
+
+#include "traffic_internal.h"
+
+/* Adds the MAC and sends a message to a shard of another VM. */
+static void
+peer_send(kf_traffic_t *t, kf_addr_t to, kf_peer_msg *msg)
+{
+	size_t len;
+
+	msg->from.vm = t->config.self.vm;
+	msg->from.incarnation = t->config.self.incarnation;
+	if (kf_peer_seal(msg, t->view->keys, t->now.wall_ms / 1000, t->peer_buf,
+		sizeof(t->peer_buf), &len) == KF_OK)
+		t->config.ops.send_peer(
+		    t->config.ops.ctx, to, t->peer_buf, len);
+}
+
+static void
+forward_decision(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm)
+{
+	kf_decision_t decision = {
+		.event = KF_EVENT_FORWARD,
+		.service = pkt->service->name,
+		.vm = vm->name,
+		.caller = pkt->route.caller,
+		.flow = pkt->token.flow,
+		.xid = pkt->call.xid,
+		.proc = pkt->call.proc,
+		.revision = t->view->decl->revision,
+	};
+
+	t->config.ops.decision(t->config.ops.ctx, &decision);
+}
+
+static void
+forward_fill(kf_peer_forward *f, const kf_route_t *route, uint8_t *token,
+    uint8_t *data, size_t len)
+{
+	f->caller_ip = route->caller.ip;
+	f->caller_port = route->caller.port;
+	f->service_ip = route->service.ip;
+	f->service_port = route->service.port;
+	f->fabric_ip = route->fabric.ip;
+	f->fabric_port = route->fabric.port;
+	f->token.token_val = (char *)token;
+	f->token.token_len = KF_TOKEN_BYTES;
+	f->datagram.datagram_val = (char *)data;
+	f->datagram.datagram_len = (u_int)len;
+}
+
+/* Sends a caller's datagram with its token to the VM that decides. */
+void
+peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm,
+    bool to_backup)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_FORWARD };
+	kf_peer_forward *f = &msg.body.kf_peer_body_u.forward;
+	uint8_t token[KF_TOKEN_BYTES];
+
+	memcpy(token, pkt->token_bytes, sizeof(token));
+	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
+	f->to_backup = to_backup;
+	f->hops = pkt->hops + 1;
+	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
+	forward_decision(t, pkt, vm);
+	peer_send(t, kf_view_shard_addr(vm, pkt->token.upstream), &msg);
+}
+
+/* Sends a request this VM holds to the owner that token names. */
+void
+peer_forward_request(kf_traffic_t *t, const request_t *req,
+    const kf_token_t *token, const kf_view_vm_t *vm)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_FORWARD };
+	kf_peer_forward *f = &msg.body.kf_peer_body_u.forward;
+	uint8_t sealed[KF_TOKEN_BYTES];
+	kf_rpc_call_t call = {
+		.xid = req->id.xid,
+		.prog = req->prog,
+		.vers = req->vers,
+		.proc = req->proc,
+		.args = req->args,
+		.args_len = req->args_len,
+	};
+	size_t len;
+
+	if (kf_token_seal(token, t->view->keys, t->now.wall_ms / 1000,
+		req->route.caller.ip, sealed) != KF_OK)
+		return;
+	if (!req->new_flow) {
+		call.cred.flavor = KF_RPC_AUTH_SHORT;
+		call.cred.len = KF_TOKEN_BYTES;
+		call.cred.body = sealed;
+	}
+	len = kf_rpc_call_write(&call, t->buf, DATAGRAM_MAX_BYTES);
+	if (len == 0)
+		return;
+	forward_fill(f, &req->route, sealed, t->buf, len);
+	f->hops = req->hops + 1;
+	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
+	peer_send(t, kf_view_shard_addr(vm, token->upstream), &msg);
+}
+
+/* Asks the backup to record that this VM may dispatch the request. */
+void
+peer_intent(kf_traffic_t *t, request_t *req)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_INTENT };
+	kf_peer_intent *intent = &msg.body.kf_peer_body_u.intent;
+	const kf_view_vm_t *vm = kf_view_vm(t->view, req->token.backup);
+
+	req->intent_us = t->now.mono_us;
+	if (vm == NULL || vm->peer_addr.port == 0)
+		return;
+	intent->flow = req->id.flow;
+	intent->xid = req->id.xid;
+	intent->generation = req->id.generation;
+	intent->upstream = req->token.upstream;
+	kf_counters_add(&t->counters, KF_COUNT_INTENTS_SENT, 1);
+	peer_send(t, kf_view_shard_addr(vm, req->token.upstream), &msg);
+}
+
+void
+peer_intent_answer(
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack)
+{
+	kf_peer_msg msg = {
+		.body.type = ack ? KF_PEER_INTENT_ACK : KF_PEER_INTENT_NACK,
+	};
+	const kf_view_vm_t *vm = kf_view_vm(t->view, to);
+
+	if (vm == NULL || vm->peer_addr.port == 0)
+		return;
+	if (ack)
+		msg.body.kf_peer_body_u.ack = *intent;
+	else
+		msg.body.kf_peer_body_u.nack = *intent;
+	peer_send(t, kf_view_shard_addr(vm, intent->upstream), &msg);
+}
+
+void
+peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
+    kf_reason_t reason, const uint8_t *stored, size_t len)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_DONE };
+	kf_peer_done *done = &msg.body.kf_peer_body_u.done;
+	const kf_view_vm_t *vm = kf_view_vm(t->view, req->token.backup);
+
+	if (vm == NULL || vm->peer_addr.port == 0 || vm->liveness == KF_VM_GONE)
+		return;
+	done->flow = req->id.flow;
+	done->xid = req->id.xid;
+	done->generation = req->id.generation;
+	done->verdict = (u_int)verdict;
+	done->reason = (u_int)reason;
+	/* Without its reply the backup answers a copy as may have run. */
+	if (len <= KF_PEER_MAX_PAYLOAD) {
+		done->reply.reply_val = (char *)stored;
+		done->reply.reply_len = (u_int)len;
+	}
+	peer_send(t, kf_view_shard_addr(vm, req->token.upstream), &msg);
+}
+
+static bool
+same_vm(kf_vm_id_t id, const kf_peer_id *peer)
+{
+	return id.vm == peer->vm && id.incarnation == peer->incarnation;
+}
+
+static void
+on_intent_answer(kf_traffic_t *t, const kf_peer_msg *msg, bool ack)
+{
+	const kf_peer_intent *intent = ack ? &msg->body.kf_peer_body_u.ack
+					   : &msg->body.kf_peer_body_u.nack;
+	request_t *req;
+
+	req = request_find(t, intent->flow, intent->xid);
+	if (req == NULL || req->alone || req->acked ||
+	    req->state == REQUEST_ABANDONED ||
+	    !same_vm(req->token.backup, &msg->from))
+		return;
+	if (ack)
+		owner_acked(t, req);
+	else if (req->state != REQUEST_QUEUED)
+		request_silent(t, req, KF_REASON_FENCED);
+	/* A queued request is asked about again when it gets its slot. */
+}
+
+static void
+on_forward(kf_traffic_t *t, const kf_peer_forward *f)
+{
+	packet_t pkt = {
+		.route = {
+			.caller = { f->caller_ip, (uint16_t)f->caller_port },
+			.service = { f->service_ip, (uint16_t)f->service_port },
+			.fabric = { f->fabric_ip, (uint16_t)f->fabric_port },
+		},
+		.data = (const uint8_t *)f->datagram.datagram_val,
+		.len = f->datagram.datagram_len,
+		.hops = f->hops,
+		.to_backup = f->to_backup != 0,
+	};
+	kf_reason_t reason;
+
+	reason = packet_parse(t, &pkt);
+	if (pkt.service != NULL)
+		reason = packet_set_token(t, &pkt,
+		    (const uint8_t *)f->token.token_val, f->token.token_len);
+	if (reason != KF_REASON_NONE)
+		packet_drop(t, &pkt, reason);
+	else
+		ingress_route(t, &pkt);
+}
+
+void
+kf_traffic_on_peer(kf_traffic_t *t, kf_time_t now, kf_addr_t from,
+    const uint8_t *data, size_t len)
+{
+	kf_peer_msg msg;
+	kf_vm_id_t id;
+
+	(void)from;
+	t->now = now;
+	kf_counters_add(&t->counters, KF_COUNT_PEER_PACKETS, 1);
+	if (t->view == NULL)
+		return;
+	if (kf_peer_open(data, len, t->view->keys, now.wall_ms / 1000, &msg) !=
+	    KF_OK) {
+		kf_counters_add(&t->counters, KF_COUNT_PEER_REJECTED, 1);
+		return;
+	}
+	id = (kf_vm_id_t){ msg.from.vm, msg.from.incarnation };
+	switch (msg.body.type) {
+	case KF_PEER_FORWARD:
+		on_forward(t, &msg.body.kf_peer_body_u.forward);
+		break;
+	case KF_PEER_INTENT:
+		backup_on_intent(t, id, &msg.body.kf_peer_body_u.intent);
+		break;
+	case KF_PEER_INTENT_ACK:
+		on_intent_answer(t, &msg, true);
+		break;
+	case KF_PEER_INTENT_NACK:
+		on_intent_answer(t, &msg, false);
+		break;
+	case KF_PEER_DONE:
+		backup_on_done(t, id, &msg.body.kf_peer_body_u.done);
+		break;
+	default:
+		break;
+	}
+	kf_peer_free(&msg);
+}
--- /dev/null
+++ b/lib/traffic/traffic.c
@@ -0,0 +1,163 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <xxhash.h>
+
+#include "traffic_internal.h"
+
+static const char *const event_names[KF_EVENT_COUNT] = {
+	[KF_EVENT_PLACE] = "place",
+	[KF_EVENT_MOVE] = "move",
+	[KF_EVENT_FORWARD] = "forward",
+	[KF_EVENT_DISPATCH] = "dispatch",
+	[KF_EVENT_RETRY] = "retry",
+	[KF_EVENT_ANSWER] = "answer",
+	[KF_EVENT_REFUSE] = "refuse",
+	[KF_EVENT_UNKNOWN] = "unknown",
+	[KF_EVENT_DROP] = "drop",
+	[KF_EVENT_REPLAY] = "replay",
+	[KF_EVENT_TAKEOVER] = "takeover",
+	[KF_EVENT_EJECT] = "eject",
+	[KF_EVENT_RESTORE] = "restore",
+	[KF_EVENT_PATH_REPLACED] = "path_replaced",
+};
+
+const char *
+kf_event_name(kf_event_t event)
+{
+	if ((unsigned)event >= KF_EVENT_COUNT)
+		return "unknown_event";
+	return event_names[event];
+}
+
+static unsigned int
+hash_key(const char *key, apr_ssize_t *len)
+{
+	return (unsigned int)XXH3_64bits(key, (size_t)*len);
+}
+
+static void
+on_queue_refused(void *ctx, void *request, kf_reason_t reason)
+{
+	kf_traffic_t *t = ctx;
+	request_t *req = request;
+
+	owner_refuse(t, req, reason);
+}
+
+static kf_status_t
+traffic_init(kf_traffic_t *t)
+{
+	if (apr_pool_create(&t->pool, NULL) != APR_SUCCESS)
+		return KF_ERR_NO_MEMORY;
+	t->by_id = apr_hash_make_custom(t->pool, hash_key);
+	t->by_xid = apr_hash_make_custom(t->pool, hash_key);
+	t->serving = apr_hash_make_custom(t->pool, hash_key);
+	t->random.state = t->config.seed;
+	t->balance =
+	    kf_balance_new(t->config.policy, kf_random_next(&t->random));
+	kf_share_sequence_init(&t->shares, &t->random);
+	t->next_xid = (uint32_t)kf_random_next(&t->random);
+	t->config.admission.on_refused = on_queue_refused;
+	t->config.admission.ctx = t;
+	t->admission = kf_admission_new(&t->config.admission);
+	t->flows = kf_flow_table_new(&t->config.flow_limits);
+	if (t->balance == NULL || t->admission == NULL || t->flows == NULL)
+		return KF_ERR_NO_MEMORY;
+	return KF_OK;
+}
+
+kf_traffic_t *
+kf_traffic_new(const kf_traffic_config_t *config)
+{
+	kf_traffic_t *t;
+
+	t = calloc(1, sizeof(*t));
+	if (t == NULL)
+		return NULL;
+	t->config = *config;
+	if (traffic_init(t) != KF_OK) {
+		kf_traffic_delete(t);
+		return NULL;
+	}
+	return t;
+}
+
+void
+kf_traffic_delete(kf_traffic_t *t)
+{
+	apr_hash_index_t *hi;
+
+	if (t == NULL)
+		return;
+	while (t->requests != NULL)
+		request_delete(t, t->requests);
+	if (t->pool != NULL) {
+		for (hi = apr_hash_first(t->pool, t->serving); hi != NULL;
+		     hi = apr_hash_next(hi))
+			serving_delete(apr_hash_this_val(hi));
+		apr_pool_destroy(t->pool);
+	}
+	kf_balance_delete(t->balance);
+	kf_admission_delete(t->admission);
+	kf_flow_table_delete(t->flows);
+	kf_view_release(t->view);
+	free(t->candidates);
+	free(t);
+}
+
+void
+kf_traffic_on_view(kf_traffic_t *t, kf_time_t now, kf_view_t *view)
+{
+	bool new_decl = t->view == NULL || t->view->decl != view->decl;
+	kf_candidate_t *candidates;
+
+	t->now = now;
+	if (new_decl) {
+		candidates =
+		    calloc(view->decl->upstream_count + 1, sizeof(*candidates));
+		if (candidates == NULL ||
+		    kf_balance_resize(t->balance, view->decl) != KF_OK) {
+			/* Keeps the old view; the next one is tried again. */
+			free(candidates);
+			return;
+		}
+		free(t->candidates);
+		t->candidates = candidates;
+	}
+	kf_view_retain(view);
+	kf_view_release(t->view);
+	t->view = view;
+	serving_update(t);
+}
+
+void
+kf_traffic_on_tick(kf_traffic_t *t, kf_time_t now)
+{
+	t->now = now;
+	kf_admission_tick(t->admission, now.mono_us);
+	dispatch_timeouts(t);
+	kf_flow_expire(t->flows, now.mono_us);
+	if (t->view != NULL)
+		serving_tick(t);
+	t->last_tick_us = now.mono_us;
+}
+
+uint32_t
+kf_traffic_in_progress(const kf_traffic_t *t)
+{
+	return t->request_count;
+}
+
+const kf_counters_t *
+kf_traffic_counters(const kf_traffic_t *t)
+{
+	return &t->counters;
+}
+
+kf_flow_stats_t
+kf_traffic_flow_stats(const kf_traffic_t *t)
+{
+	return kf_flow_table_stats(t->flows);
+}
--- /dev/null
+++ b/lib/traffic/traffic_internal.h
@@ -0,0 +1,235 @@
+#ifndef KF_TRAFFIC_INTERNAL_H
+#define KF_TRAFFIC_INTERNAL_H
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+
+#include "kf/call_info.h"
+#include "kf/peer_seal.h"
+#include "kf/rpc.h"
+#include "kf/traffic.h"
+#include "kf/upstream.h"
+
+enum {
+	DATAGRAM_MAX_BYTES = 65507,
+	FORWARD_HOPS_MAX = 2,
+	/* Interval at which an unacknowledged INTENT is sent again. */
+	INTENT_RETRY_US = 50000,
+	ATTEMPTS_MAX = 3,
+};
+
+/* A caller's datagram, parsed and matched to its service. */
+typedef struct packet {
+	kf_route_t route;
+	const uint8_t *data;
+	size_t len;
+	kf_rpc_call_t call;
+	const kf_service_t *service;
+	kf_procedure_t proc;
+	uint8_t token_bytes[KF_TOKEN_BYTES];
+	kf_token_t token;
+	bool has_token;
+	bool expired;	/* the token is past its expiry */
+	bool new_flow;	/* the call came without a token */
+	uint32_t hops;	/* times forwarded */
+	bool to_backup; /* the sender holds the owner for dead */
+} packet_t;
+
+typedef enum request_state {
+	REQUEST_NEW = 0,
+	REQUEST_QUEUED,	    /* in the admission queue */
+	REQUEST_WAIT_ACK,   /* has a slot, needs the backup's INTENT_ACK */
+	REQUEST_DISPATCHED, /* sent to the upstream */
+	REQUEST_MOVING,	    /* needs the INTENT_ACK to go to another owner */
+	REQUEST_REFUSING,   /* needs the INTENT_ACK to be refused */
+	REQUEST_ABANDONED,  /* ended for the caller; the slot is held */
+} request_state_t;
+
+/* A request this VM is responsible for. */
+typedef struct request {
+	struct request *next;
+	struct request *prev;
+	kf_request_id_t id; /* key of by_id */
+	request_state_t state;
+	kf_route_t route;
+	kf_token_t token;	/* as it came with the request */
+	kf_token_t reply_token; /* of the reply, before renewal */
+	uint32_t hops;
+	uint32_t service; /* id */
+	uint32_t prog;
+	uint32_t vers;
+	uint32_t proc;
+	kf_class_t cls;
+	bool idempotent;
+	bool recorded; /* in the flow table */
+	bool alone;    /* the backup need not acknowledge */
+	bool acked;    /* the backup has acknowledged */
+	bool new_flow;
+	bool has_slot;
+	bool deleted; /* freed at the end of the sweep */
+	kf_reason_t refuse_reason;
+	uint32_t upstream; /* id */
+	uint32_t path;
+	uint32_t attempts;
+	uint32_t upstream_xid; /* key of by_xid */
+	int64_t deadline_us;
+	int64_t sent_us;
+	int64_t slot_us; /* when the slot was taken */
+	int64_t intent_us;
+	size_t args_len;
+	uint8_t args[];
+} request_t;
+
+/* What this shard keeps of an upstream it sends requests to. */
+typedef struct serving {
+	uint32_t id;
+	uint32_t index; /* into the declaration, or KF_VIEW_NONE */
+	kf_addr_t addr;
+	kf_upstream_state_t *state;
+	bool ejected;	    /* as last logged */
+	uint32_t active;    /* slots held */
+	uint32_t probe_xid; /* of the last probe sent */
+	int probe_path;
+} serving_t;
+
+struct kf_traffic {
+	kf_traffic_config_t config;
+	kf_view_t *view;
+	kf_balance_t *balance;
+	kf_admission_t *admission;
+	kf_flow_table_t *flows;
+	kf_share_sequence_t shares;
+	kf_random_t random;
+	uint32_t next_xid;
+	int64_t last_tick_us;
+	kf_time_t now; /* of the event being handled */
+	apr_pool_t *pool;
+	apr_hash_t *by_id;   /* request_t by id.flow and id.xid */
+	apr_hash_t *by_xid;  /* request_t by upstream_xid */
+	apr_hash_t *serving; /* serving_t by id */
+	request_t *requests;
+	request_t *deleted; /* unlinked during a sweep */
+	bool sweeping;
+	uint32_t request_count;
+	kf_candidate_t *candidates; /* scratch, one per upstream */
+	kf_counters_t counters;
+	uint8_t buf[DATAGRAM_MAX_BYTES + 1024];
+	uint8_t peer_buf[DATAGRAM_MAX_BYTES + 1024];
+};
+
+/* packet.c */
+kf_reason_t packet_parse(kf_traffic_t *t, packet_t *pkt);
+kf_reason_t packet_set_token(
+    kf_traffic_t *t, packet_t *pkt, const uint8_t *token, size_t len);
+void packet_drop(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
+void packet_refuse(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
+void packet_unknown(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
+
+/* place.c */
+typedef struct placement {
+	uint32_t upstream; /* index */
+	const kf_selector_t *selector;
+	uint32_t point;
+} placement_t;
+
+kf_status_t place_new(kf_traffic_t *t, const kf_service_t *service,
+    uint32_t exclude, placement_t *out);
+kf_status_t place_point(kf_traffic_t *t, const kf_service_t *service,
+    uint32_t point, uint32_t exclude, placement_t *out);
+kf_status_t place_hash(kf_traffic_t *t, const kf_service_t *service,
+    uint64_t flow, placement_t *out);
+bool place_still_valid(
+    kf_traffic_t *t, const kf_service_t *service, const kf_token_t *token);
+kf_status_t place_token(kf_traffic_t *t, const kf_service_t *service,
+    const placement_t *place, kf_token_t *token);
+void place_renew(kf_traffic_t *t, kf_token_t *token);
+uint64_t place_flow_id(kf_traffic_t *t);
+uint32_t place_index(const kf_traffic_t *t, uint32_t upstream_id);
+
+/* reply.c */
+void reply_denied(
+    kf_traffic_t *t, const kf_route_t *route, uint32_t xid, kf_reason_t reason);
+void reply_unknown(kf_traffic_t *t, const kf_route_t *route, uint32_t xid);
+void reply_null(kf_traffic_t *t, const packet_t *pkt, const kf_token_t *token);
+size_t reply_build(kf_traffic_t *t, const request_t *req,
+    const kf_rpc_reply_t *upstream_reply, const kf_token_t *token);
+
+/* ingress.c */
+void ingress_route(kf_traffic_t *t, packet_t *pkt);
+
+/* owner.c */
+void owner_handle(kf_traffic_t *t, packet_t *pkt);
+void owner_admit(kf_traffic_t *t, request_t *req);
+void owner_move(kf_traffic_t *t, request_t *req, const kf_token_t *token);
+void owner_replace(kf_traffic_t *t, request_t *req, uint32_t exclude);
+void owner_start(kf_traffic_t *t, request_t *req);
+void owner_acked(kf_traffic_t *t, request_t *req);
+void owner_refuse(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void owner_send_stored(
+    kf_traffic_t *t, const packet_t *pkt, const uint8_t *stored, size_t len);
+bool owner_alone(const kf_traffic_t *t, const kf_token_t *token);
+
+/* backup.c */
+void backup_takeover(kf_traffic_t *t, packet_t *pkt);
+void backup_on_intent(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_intent *intent);
+void backup_on_done(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_done *done);
+
+/* dispatch.c */
+void dispatch_start(kf_traffic_t *t, request_t *req);
+void dispatch_send(kf_traffic_t *t, request_t *req);
+void dispatch_pump(kf_traffic_t *t, uint32_t upstream);
+void dispatch_release(kf_traffic_t *t, request_t *req, int64_t service_us);
+void dispatch_timeouts(kf_traffic_t *t);
+void dispatch_cancel(kf_traffic_t *t, const request_t *req);
+void dispatch_not_run(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void dispatch_lost(kf_traffic_t *t, request_t *req);
+
+/* serving.c */
+serving_t *serving_get(kf_traffic_t *t, uint32_t index);
+serving_t *serving_find(kf_traffic_t *t, uint32_t id);
+void serving_update(kf_traffic_t *t);
+void serving_tick(kf_traffic_t *t);
+void serving_on_probe(
+    kf_traffic_t *t, serving_t *s, const kf_rpc_reply_t *reply);
+void serving_failed(kf_traffic_t *t, serving_t *s, uint32_t path,
+    kf_upstream_failure_t failure);
+void serving_delete(serving_t *s);
+bool serving_owned(const kf_traffic_t *t, const serving_t *s);
+bool serving_usable(const kf_traffic_t *t, const serving_t *s);
+
+/* request.c */
+request_t *request_new(kf_traffic_t *t, const packet_t *pkt);
+request_t *request_find(const kf_traffic_t *t, uint64_t flow, uint32_t xid);
+void request_delete(kf_traffic_t *t, request_t *req);
+void request_sweep_begin(kf_traffic_t *t);
+void request_sweep_end(kf_traffic_t *t);
+void request_answer(
+    kf_traffic_t *t, request_t *req, const kf_rpc_reply_t *reply);
+void request_moved(kf_traffic_t *t, request_t *req, const kf_token_t *token);
+void request_refuse_now(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void request_unknown(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void request_silent(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void request_record(kf_traffic_t *t, request_t *req, kf_verdict_t verdict,
+    kf_reason_t reason, const uint8_t *stored, size_t len);
+void request_decision(kf_traffic_t *t, const request_t *req, kf_event_t event,
+    kf_reason_t reason, const char *vm);
+
+/* peer_link.c */
+void peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm,
+    bool to_backup);
+void peer_forward_request(kf_traffic_t *t, const request_t *req,
+    const kf_token_t *token, const kf_view_vm_t *vm);
+void peer_intent(kf_traffic_t *t, request_t *req);
+void peer_intent_answer(
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
+void peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
+    kf_reason_t reason, const uint8_t *stored, size_t len);
+
+/* Stored outcome of a request: what a copy of it gets. */
+enum {
+	STORED_REPLY = 1, /* an RPC reply follows */
+	STORED_MOVED = 2, /* the token of the new flow follows */
+};
+
+#endif
--- /dev/null
+++ b/lib/view/view.c
@@ -0,0 +1,241 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/placement.h"
+#include "kf/view.h"
+
+struct kf_declref {
+	uint32_t refs; /* atomic */
+	kf_declaration_t *decl;
+};
+
+kf_declref_t *
+kf_declref_new(kf_declaration_t *decl)
+{
+	kf_declref_t *ref;
+
+	ref = calloc(1, sizeof(*ref));
+	if (ref == NULL)
+		return NULL;
+	ref->refs = 1;
+	ref->decl = decl;
+	return ref;
+}
+
+kf_declref_t *
+kf_declref_retain(kf_declref_t *ref)
+{
+	__atomic_fetch_add(&ref->refs, 1, __ATOMIC_ACQ_REL);
+	return ref;
+}
+
+void
+kf_declref_release(kf_declref_t *ref)
+{
+	if (ref == NULL ||
+	    __atomic_fetch_sub(&ref->refs, 1, __ATOMIC_ACQ_REL) != 1)
+		return;
+	kf_declaration_delete(ref->decl);
+	free(ref);
+}
+
+const kf_declaration_t *
+kf_declref_get(const kf_declref_t *ref)
+{
+	return ref->decl;
+}
+
+static int
+vm_compare(const void *a, const void *b)
+{
+	const kf_view_vm_t *x = a, *y = b;
+
+	if (x->id.vm != y->id.vm)
+		return x->id.vm < y->id.vm ? -1 : 1;
+	return (x->id.incarnation > y->id.incarnation) -
+	    (x->id.incarnation < y->id.incarnation);
+}
+
+static bool
+vm_may_own(const kf_view_vm_t *vm)
+{
+	return !vm->leaving &&
+	    (vm->liveness == KF_VM_ALIVE || vm->liveness == KF_VM_SUSPECT);
+}
+
+/* The two best scores seen so far. */
+typedef struct top_two {
+	uint32_t first;
+	uint32_t second;
+	uint64_t first_score;
+	uint64_t second_score;
+} top_two_t;
+
+static void
+top_two_add(top_two_t *top, uint32_t index, uint64_t score)
+{
+	if (top->first == KF_VIEW_NONE || score > top->first_score) {
+		top->second = top->first;
+		top->second_score = top->first_score;
+		top->first = index;
+		top->first_score = score;
+	} else if (top->second == KF_VIEW_NONE || score > top->second_score) {
+		top->second = index;
+		top->second_score = score;
+	}
+}
+
+static void
+view_assign(kf_view_t *view, uint32_t index)
+{
+	const kf_upstream_t *upstream = &view->decl->upstreams[index];
+	top_two_t local = { .first = KF_VIEW_NONE, .second = KF_VIEW_NONE };
+	top_two_t any = local;
+	uint64_t score;
+	uint32_t i;
+
+	for (i = 0; i < view->vm_count; i++) {
+		const kf_view_vm_t *vm = &view->vms[i];
+
+		if (!vm_may_own(vm))
+			continue;
+		score = kf_rendezvous_score(
+		    vm->id.vm, vm->id.incarnation, upstream->id);
+		top_two_add(&any, i, score);
+		if (vm->zone == upstream->zone)
+			top_two_add(&local, i, score);
+	}
+	if (local.first == KF_VIEW_NONE)
+		local = any;
+	/* A lone VM of a zone takes its backup from another zone. */
+	if (local.second == KF_VIEW_NONE)
+		local.second =
+		    any.first == local.first ? any.second : any.first;
+	view->upstreams[index].owner = local.first;
+	view->upstreams[index].backup = local.second;
+}
+
+static kf_status_t
+view_fill(kf_view_t *view, const kf_view_input_t *input)
+{
+	const kf_view_digest_t *digest;
+	uint32_t i;
+
+	view->decl_ref = kf_declref_retain(input->decl);
+	view->decl = kf_declref_get(input->decl);
+	view->keys = kf_keyring_copy(input->keys);
+	view->vms = calloc(input->vm_count + 1, sizeof(*view->vms));
+	view->upstreams =
+	    calloc(view->decl->upstream_count + 1, sizeof(*view->upstreams));
+	if (view->keys == NULL || view->vms == NULL || view->upstreams == NULL)
+		return KF_ERR_NO_MEMORY;
+	memcpy(view->vms, input->vms, input->vm_count * sizeof(*view->vms));
+	view->vm_count = input->vm_count;
+	qsort(view->vms, view->vm_count, sizeof(*view->vms), vm_compare);
+	view->self_index = KF_VIEW_NONE;
+	for (i = 0; i < view->vm_count; i++) {
+		if (view->vms[i].id.vm == view->self.vm &&
+		    view->vms[i].id.incarnation == view->self.incarnation)
+			view->self_index = i;
+	}
+	if (view->self_index == KF_VIEW_NONE)
+		return kf_status_set(
+		    KF_ERR_INVALID, "this VM is not in its own view");
+	view->leaving = view->vms[view->self_index].leaving;
+	for (i = 0; i < view->decl->upstream_count; i++) {
+		view_assign(view, i);
+		digest = input->digest == NULL
+		    ? NULL
+		    : input->digest(input->ctx, view->decl->upstreams[i].id);
+		if (digest != NULL)
+			view->upstreams[i].digest = *digest;
+	}
+	return KF_OK;
+}
+
+kf_view_t *
+kf_view_new(const kf_view_input_t *input)
+{
+	kf_view_t *view;
+
+	view = calloc(1, sizeof(*view));
+	if (view == NULL)
+		return NULL;
+	view->refs = 1;
+	view->self = input->self;
+	view->settled = input->settled;
+	view->declaration_version = input->declaration_version;
+	if (view_fill(view, input) != KF_OK) {
+		kf_view_release(view);
+		return NULL;
+	}
+	return view;
+}
+
+kf_view_t *
+kf_view_retain(kf_view_t *view)
+{
+	__atomic_fetch_add(&view->refs, 1, __ATOMIC_ACQ_REL);
+	return view;
+}
+
+void
+kf_view_release(kf_view_t *view)
+{
+	if (view == NULL ||
+	    __atomic_fetch_sub(&view->refs, 1, __ATOMIC_ACQ_REL) != 1)
+		return;
+	kf_declref_release(view->decl_ref);
+	kf_keyring_delete(view->keys);
+	free(view->vms);
+	free(view->upstreams);
+	free(view);
+}
+
+const kf_view_vm_t *
+kf_view_vm(const kf_view_t *view, kf_vm_id_t id)
+{
+	kf_view_vm_t key = { .id = id };
+
+	return bsearch(
+	    &key, view->vms, view->vm_count, sizeof(*view->vms), vm_compare);
+}
+
+kf_liveness_t
+kf_view_liveness(const kf_view_t *view, kf_vm_id_t id)
+{
+	const kf_view_vm_t *vm;
+	uint32_t low = 0, high = view->vm_count, mid;
+
+	vm = kf_view_vm(view, id);
+	if (vm != NULL)
+		return vm->liveness;
+	/* The last entry of this VM, if there is one, is its newest. */
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (view->vms[mid].id.vm <= id.vm)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low > 0 && view->vms[low - 1].id.vm == id.vm &&
+	    view->vms[low - 1].id.incarnation > id.incarnation)
+		return KF_VM_GONE;
+	return KF_VM_UNKNOWN;
+}
+
+uint32_t
+kf_view_shard(const kf_view_vm_t *vm, uint32_t upstream_id)
+{
+	/* Identifiers are hashes already. */
+	return vm->shards > 1 ? upstream_id % vm->shards : 0;
+}
+
+kf_addr_t
+kf_view_shard_addr(const kf_view_vm_t *vm, uint32_t upstream_id)
+{
+	kf_addr_t addr = vm->peer_addr;
+
+	addr.port = (uint16_t)(addr.port + kf_view_shard(vm, upstream_id));
+	return addr;
+}
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -55,6 +55,7 @@
 	unsigned int fabric_ip;
 	unsigned int fabric_port;
 	unsigned int to_backup;
+	unsigned int hops;
 	opaque token<256>;
 	opaque datagram<KF_PEER_MAX_PAYLOAD>;
 };
@@ -71,6 +72,7 @@
 	unsigned int xid;
 	unsigned int generation;
 	unsigned int verdict;
+	unsigned int reason;
 	opaque reply<KF_PEER_MAX_PAYLOAD>;
 };
 
