--- /dev/null
+++ b/lib/declaration/draft.c
@@ -0,0 +1,469 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "draft.h"
+
+enum {
+	/*
+	 * Callers give up after 120 s, so a longer deadline would run
+	 * requests nobody waits for.
+	 */
+	KF_DEADLINE_MAX_MS = 120000,
+	KF_PROGRAM_FIRST = 0x20000000,
+	KF_PROGRAM_LAST = 0x3fffffff,
+	KF_SLOTS_MAX = 65535,
+	KF_RAMP_MAX_S = 366 * 86400,
+};
+
+/* The latest second whose milliseconds can be computed without overflow. */
+#define KF_TIME_MAX_S (INT64_MAX / 2000)
+
+static const char *const class_choices[] = { "urgent", "normal", "bulk", NULL };
+static const char *const state_choices[] = { "live", "draining", NULL };
+static const char *const zone_choices[] = { "local", "any", NULL };
+static const char *const reserved_labels[] = { "service", "zone", "name" };
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static const kf_field_t declaration_fields[] = {
+	{ .section = "declaration",
+	    .key = "revision",
+	    .type = KF_FIELD_U32,
+	    .min = 1,
+	    .max = UINT32_MAX,
+	    .offset = offsetof(kf_draft_t, revision),
+	    .text = "the higher revision is in force" },
+};
+
+static const kf_field_t service_fields[] = {
+	{ .section = "service",
+	    .key = "address",
+	    .type = KF_FIELD_ADDR,
+	    .offset = offsetof(kf_service_draft_t, service.addr),
+	    .text = "address callers send to" },
+	{ .section = "service",
+	    .key = "program",
+	    .type = KF_FIELD_U32,
+	    .min = KF_PROGRAM_FIRST,
+	    .max = KF_PROGRAM_LAST,
+	    .fallback = "",
+	    .offset = offsetof(kf_service_draft_t, service.program),
+	    .text = "ONC RPC program; absent: any" },
+	{ .section = "service",
+	    .key = "class",
+	    .type = KF_FIELD_CHOICE,
+	    .choices = class_choices,
+	    .fallback = "normal",
+	    .offset = offsetof(kf_service_draft_t, service.cls),
+	    .text = "class of procedures that state none" },
+	{ .section = "service",
+	    .key = "deadline_ms",
+	    .type = KF_FIELD_I64,
+	    .unit = "ms",
+	    .min = 1,
+	    .max = KF_DEADLINE_MAX_MS,
+	    .fallback = "2000",
+	    .offset = offsetof(kf_service_draft_t, service.deadline_ms),
+	    .text = "time from arrival to refusal" },
+};
+
+static kf_status_t
+set_labels(void *object, const char *value)
+{
+	kf_upstream_t *upstream = &((kf_upstream_draft_t *)object)->upstream;
+	kf_status_t status;
+	uint32_t i;
+	size_t k;
+
+	status = kf_labels_parse(
+	    value, KF_MAX_LABELS, upstream->labels, &upstream->label_count);
+	for (i = 0; status == KF_OK && i < upstream->label_count; i++) {
+		for (k = 0; k < COUNT(reserved_labels); k++) {
+			if (strcmp(upstream->labels[i].key,
+				reserved_labels[k]) == 0)
+				status = kf_status_set(KF_ERR_CONFLICT,
+				    "'%s' is reserved", reserved_labels[k]);
+		}
+	}
+	return status;
+}
+
+static kf_status_t
+set_match(void *object, const char *value)
+{
+	kf_selector_t *selector = &((kf_selector_draft_t *)object)->selector;
+
+	return kf_labels_parse(
+	    value, KF_MAX_LABELS, selector->match, &selector->match_count);
+}
+
+static const kf_field_t upstream_fields[] = {
+	{ .section = "upstream",
+	    .key = "service",
+	    .type = KF_FIELD_NAME,
+	    .offset = offsetof(kf_upstream_draft_t, ref.service),
+	    .text = "service it belongs to" },
+	{ .section = "upstream",
+	    .key = "zone",
+	    .type = KF_FIELD_NAME,
+	    .offset = offsetof(kf_upstream_draft_t, upstream.zone_name),
+	    .text = "availability zone" },
+	{ .section = "upstream",
+	    .key = "address",
+	    .type = KF_FIELD_ADDR,
+	    .offset = offsetof(kf_upstream_draft_t, upstream.addr),
+	    .text = "address requests go to" },
+	{ .section = "upstream",
+	    .key = "slots",
+	    .type = KF_FIELD_U32,
+	    .unit = "requests",
+	    .min = 1,
+	    .max = KF_SLOTS_MAX,
+	    .offset = offsetof(kf_upstream_draft_t, upstream.slots),
+	    .text = "concurrent requests" },
+	{ .section = "upstream",
+	    .key = "state",
+	    .type = KF_FIELD_CHOICE,
+	    .choices = state_choices,
+	    .fallback = "live",
+	    .offset = offsetof(kf_upstream_draft_t, state),
+	    .text = "draining: no new requests" },
+	{ .section = "upstream",
+	    .key = "labels",
+	    .type = KF_FIELD_CUSTOM,
+	    .set = set_labels,
+	    .unit = "key=value ...",
+	    .fallback = "",
+	    .text = "what selectors match" },
+};
+
+static const kf_field_t selector_fields[] = {
+	{ .section = "selector",
+	    .key = "service",
+	    .type = KF_FIELD_NAME,
+	    .offset = offsetof(kf_selector_draft_t, ref.service),
+	    .text = "service whose share it takes" },
+	{ .section = "selector",
+	    .key = "match",
+	    .type = KF_FIELD_CUSTOM,
+	    .set = set_match,
+	    .unit = "key=value ...",
+	    .fallback = "",
+	    .text = "labels an upstream must have, all of them" },
+	{ .section = "selector",
+	    .key = "share_percent",
+	    .type = KF_FIELD_PERCENT,
+	    .unit = "percent",
+	    .max = 100,
+	    .offset = offsetof(kf_selector_draft_t, selector.share_percent),
+	    .text = "share of the service's flows" },
+	{ .section = "selector",
+	    .key = "ramp_from_percent",
+	    .type = KF_FIELD_PERCENT,
+	    .unit = "percent",
+	    .max = 100,
+	    .fallback = "",
+	    .offset = offsetof(kf_selector_draft_t, ramp_from_percent),
+	    .text = "share before the ramp" },
+	{ .section = "selector",
+	    .key = "ramp_start_s",
+	    .type = KF_FIELD_I64,
+	    .unit = "s",
+	    .max = KF_TIME_MAX_S,
+	    .fallback = "",
+	    .offset = offsetof(kf_selector_draft_t, ramp_start_s),
+	    .text = "start of the ramp, UTC since 1970" },
+	{ .section = "selector",
+	    .key = "ramp_s",
+	    .type = KF_FIELD_I64,
+	    .unit = "s",
+	    .min = 1,
+	    .max = KF_RAMP_MAX_S,
+	    .fallback = "",
+	    .offset = offsetof(kf_selector_draft_t, selector.ramp_s),
+	    .text = "duration of the ramp" },
+	{ .section = "selector",
+	    .key = "zone_preference",
+	    .type = KF_FIELD_CHOICE,
+	    .choices = zone_choices,
+	    .fallback = "local",
+	    .offset = offsetof(kf_selector_draft_t, selector.zone_preference),
+	    .text = "local: upstreams of the own zone first" },
+};
+
+static void *
+declaration_begin(void *target, const char *name, int line)
+{
+	(void)name;
+	(void)line;
+	return target;
+}
+
+static void *
+service_begin(void *target, const char *name, int line)
+{
+	kf_service_draft_t *draft = &((kf_draft_t *)target)->service;
+
+	memset(draft, 0, sizeof(*draft));
+	memcpy(draft->service.name, name, strlen(name) + 1);
+	draft->line = line;
+	return draft;
+}
+
+static void *
+upstream_begin(void *target, const char *name, int line)
+{
+	kf_upstream_draft_t *draft = &((kf_draft_t *)target)->upstream;
+
+	memset(draft, 0, sizeof(*draft));
+	memcpy(draft->upstream.name, name, strlen(name) + 1);
+	draft->ref.line = line;
+	return draft;
+}
+
+static void *
+selector_begin(void *target, const char *name, int line)
+{
+	kf_selector_draft_t *draft = &((kf_draft_t *)target)->selector;
+
+	memset(draft, 0, sizeof(*draft));
+	memcpy(draft->selector.name, name, strlen(name) + 1);
+	draft->ref.line = line;
+	draft->ramp_from_percent = -1;
+	draft->ramp_start_s = -1;
+	return draft;
+}
+
+static void
+draft_append(kf_draft_t *draft, kf_array_t *objects, const void *object,
+    size_t size, kf_array_t *refs, const kf_ref_t *ref)
+{
+	void *place = kf_array_add(objects, size);
+	kf_ref_t *ref_place = kf_array_add(refs, sizeof(*ref));
+
+	if (place == NULL || ref_place == NULL) {
+		draft->no_memory = true;
+		return;
+	}
+	memcpy(place, object, size);
+	*ref_place = *ref;
+}
+
+static void
+service_end(void *target, void *object, bool bad)
+{
+	kf_draft_t *draft = target;
+	kf_service_draft_t *service = object;
+	kf_service_t *result = &service->service;
+	kf_ref_t ref = { .line = service->line, .bad = bad };
+	uint32_t i;
+
+	result->id = kf_name_id(result->name);
+	for (i = 0; i < result->procedure_count; i++) {
+		if (result->procedures[i].cls == KF_CLASS_COUNT)
+			result->procedures[i].cls = result->cls;
+	}
+	draft_append(draft, &draft->services, result, sizeof(*result),
+	    &draft->service_refs, &ref);
+}
+
+static void
+upstream_end(void *target, void *object, bool bad)
+{
+	kf_draft_t *draft = target;
+	kf_upstream_draft_t *upstream = object;
+	kf_upstream_t *result = &upstream->upstream;
+
+	result->id = kf_name_id(result->name);
+	result->zone = kf_name_id(result->zone_name);
+	result->draining = upstream->state == 1;
+	upstream->ref.bad = bad;
+	draft_append(draft, &draft->upstreams, result, sizeof(*result),
+	    &draft->upstream_refs, &upstream->ref);
+}
+
+/*
+ * Takes "service=NAME" out of the match; it can only repeat the service of
+ * the selector, because no request goes to another service's upstream.
+ */
+static bool
+match_service(kf_draft_t *draft, kf_selector_draft_t *draft_selector)
+{
+	kf_selector_t *selector = &draft_selector->selector;
+	uint32_t i;
+
+	for (i = 0; i < selector->match_count; i++) {
+		if (strcmp(selector->match[i].key, "service") == 0)
+			break;
+	}
+	if (i == selector->match_count)
+		return true;
+	if (strcmp(selector->match[i].value, draft_selector->ref.service) !=
+	    0) {
+		kf_reader_error(&draft->reader, draft_selector->ref.line,
+		    "selector %s: matches service '%s', but belongs to '%s'",
+		    selector->name, selector->match[i].value,
+		    draft_selector->ref.service);
+		return false;
+	}
+	selector->match_count--;
+	memmove(&selector->match[i], &selector->match[i + 1],
+	    (selector->match_count - i) * sizeof(selector->match[0]));
+	return true;
+}
+
+static void
+selector_end(void *target, void *object, bool bad)
+{
+	kf_draft_t *draft = target;
+	kf_selector_draft_t *selector = object;
+	kf_selector_t *result = &selector->selector;
+	bool from = selector->ramp_from_percent >= 0;
+	bool start = selector->ramp_start_s >= 0;
+	bool duration = result->ramp_s != 0;
+
+	if (!match_service(draft, selector))
+		bad = true;
+	if (!bad && (from != start || start != duration)) {
+		kf_reader_error(&draft->reader, selector->ref.line,
+		    "selector %s: ramp_from_percent, ramp_start_s and ramp_s "
+		    "are given together or not at all",
+		    result->name);
+		bad = true;
+	}
+	result->ramp_from_percent =
+	    from ? selector->ramp_from_percent : result->share_percent;
+	result->ramp_start_s = start ? selector->ramp_start_s : 0;
+	selector->ref.bad = bad;
+	draft_append(draft, &draft->selectors, result, sizeof(*result),
+	    &draft->selector_refs, &selector->ref);
+}
+
+static bool
+procedure_word(const char *word, size_t len, kf_procedure_t *procedure)
+{
+	int cls;
+
+	for (cls = 0; cls < KF_CLASS_COUNT; cls++) {
+		if (strlen(class_choices[cls]) == len &&
+		    memcmp(class_choices[cls], word, len) == 0) {
+			procedure->cls = (kf_class_t)cls;
+			return true;
+		}
+	}
+	procedure->idempotent =
+	    len == 10 && memcmp(word, "idempotent", 10) == 0;
+	return procedure->idempotent ||
+	    (len == 14 && memcmp(word, "non-idempotent", 14) == 0);
+}
+
+/* Parses "idempotent|non-idempotent [class]". */
+static kf_status_t
+procedure_parse(const char *value, kf_procedure_t *procedure)
+{
+	size_t first = strcspn(value, " \t");
+	const char *rest = value + first + strspn(value + first, " \t");
+
+	if ((*value != 'i' && *value != 'n') ||
+	    !procedure_word(value, first, procedure) ||
+	    procedure->cls != KF_CLASS_COUNT)
+		return kf_status_set(KF_ERR_INVALID,
+		    "'%.80s' does not start with idempotent or non-idempotent",
+		    value);
+	if (*rest != '\0' &&
+	    (!procedure_word(rest, strlen(rest), procedure) ||
+		procedure->cls == KF_CLASS_COUNT))
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%.80s' is not a class", rest);
+	return KF_OK;
+}
+
+static kf_status_t
+service_add_procedure(
+    kf_service_t *service, const char *number, const char *value)
+{
+	static const kf_field_t field = {
+		.type = KF_FIELD_U32,
+		.min = 1,
+		.max = UINT32_MAX,
+		.offset = offsetof(kf_procedure_t, number),
+	};
+	kf_procedure_t procedure = { .cls = KF_CLASS_COUNT };
+	kf_status_t status;
+	uint32_t i;
+
+	status = kf_field_parse(&field, &procedure, number);
+	if (status == KF_OK)
+		status = procedure_parse(value, &procedure);
+	if (status != KF_OK)
+		return status;
+	for (i = 0; i < service->procedure_count; i++) {
+		if (service->procedures[i].number == procedure.number)
+			return kf_status_set(KF_ERR_CONFLICT, "given twice");
+	}
+	if (service->procedure_count == KF_MAX_PROCEDURES)
+		return kf_status_set(
+		    KF_ERR_FULL, "more than %d procedures", KF_MAX_PROCEDURES);
+	service->procedures[service->procedure_count++] = procedure;
+	return KF_OK;
+}
+
+/* Handles "procedure.NUMBER". */
+static bool
+service_other(kf_reader_t *reader, void *object, const char *key,
+    const char *value, int line)
+{
+	static const char prefix[] = "procedure.";
+	kf_service_draft_t *service = object;
+	size_t len = sizeof(prefix) - 1;
+
+	if (strncmp(key, prefix, len) != 0)
+		return false;
+	if (service_add_procedure(&service->service, key + len, value) != KF_OK)
+		kf_reader_error(reader, line, "%s%.40s: %s", reader->label, key,
+		    kf_status_message());
+	return true;
+}
+
+const kf_section_t kf_draft_sections[] = {
+	{ .kind = "declaration",
+	    .fields = declaration_fields,
+	    .field_count = COUNT(declaration_fields),
+	    .begin = declaration_begin },
+	{ .kind = "service",
+	    .named = true,
+	    .fields = service_fields,
+	    .field_count = COUNT(service_fields),
+	    .begin = service_begin,
+	    .other = service_other,
+	    .end = service_end },
+	{ .kind = "upstream",
+	    .named = true,
+	    .fields = upstream_fields,
+	    .field_count = COUNT(upstream_fields),
+	    .begin = upstream_begin,
+	    .end = upstream_end },
+	{ .kind = "selector",
+	    .named = true,
+	    .fields = selector_fields,
+	    .field_count = COUNT(selector_fields),
+	    .begin = selector_begin,
+	    .end = selector_end },
+};
+
+const size_t kf_draft_section_count = COUNT(kf_draft_sections);
+
+void
+kf_draft_clear(kf_draft_t *draft)
+{
+	free(draft->services.items);
+	free(draft->service_refs.items);
+	free(draft->upstreams.items);
+	free(draft->upstream_refs.items);
+	free(draft->selectors.items);
+	free(draft->selector_refs.items);
+	free(draft->matches.items);
+	free(draft->services_by_id);
+}
--- a/lib/declaration/include/kf/declaration.h
+++ b/lib/declaration/include/kf/declaration.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "kf/addr.h"
+#include "kf/ini.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -57,6 +58,7 @@
 	kf_addr_t addr;
 	kf_class_t cls;
 	int64_t deadline_ms;
+	uint32_t program; /* ONC RPC program; 0: any */
 	uint32_t procedure_count;
 	kf_procedure_t procedures[KF_MAX_PROCEDURES];
 	uint32_t first_selector; /* selectors of a service are adjacent */
@@ -99,21 +101,24 @@
 	kf_service_t *services;
 	kf_upstream_t *upstreams;
 	kf_selector_t *selectors;
-	uint32_t *upstreams_by_id; /* indexes ordered by id */
+	uint32_t *upstreams_by_id;  /* indexes ordered by id */
+	uint32_t *services_by_id;   /* indexes ordered by id */
+	uint32_t *services_by_addr; /* indexes ordered by address */
+	uint32_t *matches;	    /* storage of every selector's upstreams */
 } kf_declaration_t;
 
-/*
- * Receives every error of a document: file name, line (0 if none), text.
- */
-typedef void kf_error_fn(
-    void *ctx, const char *file, int line, const char *text);
-
 /*
  * Parses and validates text.  Returns NULL after reporting every error;
- * a document with an error is refused whole.
+ * a document with an error is refused whole.  A document larger than
+ * KF_DOCUMENT_MAX_BYTES is refused.
  */
 kf_declaration_t *kf_declaration_parse(const char *file, const char *text,
     size_t len, kf_error_fn *on_error, void *ctx);
+
+/* The same with another size limit, for capacity measurements. */
+kf_declaration_t *kf_declaration_parse_sized(const char *file, const char *text,
+    size_t len, size_t max_bytes, kf_error_fn *on_error, void *ctx);
+
 void kf_declaration_delete(kf_declaration_t *decl);
 
 /* Hash of a name; never 0. */
--- /dev/null
+++ b/lib/declaration/ini.c
@@ -0,0 +1,150 @@
+#include <ini.h>
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "kf/ini.h"
+
+typedef struct source {
+	const char *p;
+	const char *end;
+	const kf_ini_handler_t *handler;
+	void *ctx;
+	int line;
+	bool expects_pair; /* the line given to libinih has to be a pair */
+} source_t;
+
+static pthread_once_t configured = PTHREAD_ONCE_INIT;
+
+/* The default limit of libinih, 200 bytes, is too short for label lists. */
+static void
+configure_inih(void)
+{
+	ini_use_stack = false;
+	ini_initial_alloc = KF_INI_LINE_BYTES;
+	ini_max_line = KF_INI_LINE_BYTES;
+}
+
+static void
+source_settle(source_t *s)
+{
+	if (s->expects_pair)
+		s->handler->malformed(
+		    s->ctx, "line is not 'key = value'", s->line);
+	s->expects_pair = false;
+}
+
+/* Returns the length of the line without its blanks and end. */
+static size_t
+source_trim(const char **line, size_t len)
+{
+	while (len > 0 && strchr(" \t", **line) != NULL && **line != '\0') {
+		(*line)++;
+		len--;
+	}
+	while (len > 0 && (*line)[len - 1] != '\0' &&
+	    strchr(" \t\r", (*line)[len - 1]) != NULL)
+		len--;
+	return len;
+}
+
+static void
+source_section(source_t *s, char *header)
+{
+	char *close, *name;
+
+	close = strchr(header, ']');
+	if (close == NULL) {
+		s->handler->malformed(
+		    s->ctx, "section header has no ']'", s->line);
+		return;
+	}
+	*close = '\0';
+	close += 1 + strspn(close + 1, " \t");
+	if (*close != '\0' && *close != ';' && *close != '#')
+		s->handler->malformed(
+		    s->ctx, "text after a section header", s->line);
+	header += strspn(header, " \t");
+	name = header + strcspn(header, " \t");
+	if (*name != '\0')
+		*name++ = '\0';
+	name += strspn(name, " \t");
+	name[strcspn(name, " \t")] = '\0';
+	s->handler->section(s->ctx, header, name, s->line);
+}
+
+/* Checks a line that fits into buf; returns false if libinih may not see it. */
+static bool
+source_accept(source_t *s, char *buf, size_t len)
+{
+	if (memchr(buf, '\0', len) != NULL) {
+		s->handler->malformed(s->ctx, "line holds a NUL byte", s->line);
+		return false;
+	}
+	if (buf[0] == '[') {
+		source_section(s, buf + 1);
+		return false;
+	}
+	s->expects_pair = len > 0 && buf[0] != ';' && buf[0] != '#';
+	return true;
+}
+
+/* Gives libinih one line at a time, like fgets. */
+static char *
+source_read(char *buf, int size, void *stream)
+{
+	source_t *s = stream;
+	const char *line, *eol;
+	size_t len;
+
+	source_settle(s);
+	if (s->p == s->end)
+		return NULL;
+	line = s->p;
+	eol = memchr(line, '\n', (size_t)(s->end - line));
+	s->p = eol != NULL ? eol + 1 : s->end;
+	s->line++;
+	len = source_trim(&line, (size_t)((eol != NULL ? eol : s->end) - line));
+	if (len >= (size_t)size) {
+		s->handler->malformed(s->ctx, "line is too long", s->line);
+		len = 0;
+	}
+	memcpy(buf, line, len);
+	buf[len] = '\0';
+	if (!source_accept(s, buf, len))
+		buf[0] = '\0';
+	return buf;
+}
+
+static int
+source_pair(void *ctx, const char *section, const char *key, const char *value)
+{
+	source_t *s = ctx;
+
+	(void)section;
+	s->expects_pair = false;
+	s->handler->pair(s->ctx, key, value, s->line);
+	return 1;
+}
+
+void
+kf_ini_parse(
+    const char *text, size_t len, const kf_ini_handler_t *handler, void *ctx)
+{
+	static const char bom[] = "\xef\xbb\xbf";
+	source_t s = {
+		.p = text,
+		.end = text + len,
+		.handler = handler,
+		.ctx = ctx,
+	};
+
+	pthread_once(&configured, configure_inih);
+	if (len >= 3 && memcmp(text, bom, 3) == 0)
+		s.p += 3;
+	if (ini_parse_stream(source_read, &s, source_pair, &s) == -2)
+		handler->malformed(ctx, "out of memory", 0);
+	source_settle(&s);
+}
