Add the settings of a balancer process

Cause: the daemon needs typed settings and must not start on an error.

One static table states section, key, type, unit, range and default of each setting; the reader of lib/declaration applies it. A hand-written parser for each key was ruled out, because range, default and page would drift apart. Socket addresses that share a UDP port, ports past 65535 and addresses that are not unicast are refused.

--- a/lib/declaration/field.c
+++ b/lib/declaration/field.c
@@ -9,6 +9,8 @@
 
 enum { ERROR_BYTES = 512 };
 
+static const uint32_t first_multicast_ip = 0xe0000000; /* 224.0.0.0 */
+
 static kf_status_t
 parse_integer(const kf_field_t *field, const char *value, int64_t *number)
 {
@@ -101,6 +103,22 @@
 	return status;
 }
 
+static kf_status_t
+parse_addr(const char *value, kf_addr_t *addr)
+{
+	kf_addr_t parsed;
+	kf_status_t status;
+
+	status = kf_addr_parse(value, &parsed);
+	if (status != KF_OK)
+		return status;
+	if (parsed.ip == 0 || parsed.ip >= first_multicast_ip)
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%s' is not a unicast address", value);
+	*addr = parsed;
+	return KF_OK;
+}
+
 kf_status_t
 kf_field_parse(const kf_field_t *field, void *object, const char *value)
 {
@@ -120,7 +138,7 @@
 	case KF_FIELD_TEXT:
 		return parse_text(field, value, place);
 	case KF_FIELD_ADDR:
-		return kf_addr_parse(value, place);
+		return parse_addr(value, place);
 	case KF_FIELD_CUSTOM:
 		return field->set(object, value);
 	}
--- /dev/null
+++ b/lib/settings/settings.c
@@ -0,0 +1,269 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/file.h"
+#include "kf/reader.h"
+#include "kf/settings.h"
+
+enum {
+	MIB = 1024 * 1024,
+	/* A longer wait keeps a watch on a platform that went silent. */
+	POLL_WAIT_MAX_MS = 60000,
+	TOKEN_LIFETIME_MIN_S = 60,
+	TOKEN_LIFETIME_MAX_S = 7 * 86400,
+	MAX_SECTIONS = 8,
+};
+
+static const char *const encapsulations[] = { "proxy-v2", "none", NULL };
+static const char *const levels[] = { "error", "warn", "info", "debug", NULL };
+
+static kf_status_t set_url(void *object, const char *value);
+static kf_status_t set_seeds(void *object, const char *value);
+
+#define PLACE(member) .offset = offsetof(kf_settings_t, member)
+
+static const kf_field_t fields[] = {
+	{ "vm", "name", KF_FIELD_NAME, PLACE(name),
+	    .text = "name of the VM in the platform's list" },
+	{ "vm", "zone", KF_FIELD_NAME, PLACE(zone_name),
+	    .text = "availability zone of the VM" },
+	{ "vm", "ingress_address", KF_FIELD_ADDR, PLACE(ingress_address),
+	    .unit = "ip:port", .text = "datagrams of the fabric, UDP" },
+	{ "vm", "peer_address", KF_FIELD_ADDR, PLACE(peer_address),
+	    .unit = "ip:port",
+	    .text = "peer datagrams, UDP; traffic thread i adds i" },
+	{ "vm", "control_address", KF_FIELD_ADDR, PLACE(control_address),
+	    .unit = "ip:port", .text = "heartbeats, UDP" },
+	{ "vm", "rpc_address", KF_FIELD_ADDR, PLACE(rpc_address),
+	    .unit = "ip:port", .text = "operator RPC, TCP" },
+	{ "vm", "traffic_threads", KF_FIELD_U32, PLACE(traffic_threads),
+	    .unit = "threads", .min = 1, .max = KF_SETTINGS_MAX_THREADS,
+	    .fallback = "1", .text = "traffic threads" },
+	{ "vm", "encapsulation", KF_FIELD_CHOICE, PLACE(encapsulation),
+	    .choices = encapsulations, .fallback = "proxy-v2",
+	    .text = "header between fabric and balancer" },
+	{ "platform", "url", KF_FIELD_CUSTOM, .set = set_url,
+	    .unit = "http URL", .text = "configuration service" },
+	{ "platform", "poll_wait_ms", KF_FIELD_I64, PLACE(poll_wait_ms),
+	    .unit = "ms", .min = 0, .max = POLL_WAIT_MAX_MS,
+	    .fallback = "10000", .text = "longest wait of a watch" },
+	{ "platform", "seeds", KF_FIELD_CUSTOM, .set = set_seeds,
+	    .unit = "ip:port ...", .fallback = "",
+	    .text = "control addresses of peers asked at the start" },
+	{ "limits", "max_flows", KF_FIELD_U32, PLACE(max_flows),
+	    .unit = "flows", .min = 1000, .max = 10000000, .fallback = "500000",
+	    .text = "at-most-once flow records" },
+	{ "limits", "max_reply_cache_bytes", KF_FIELD_I64,
+	    PLACE(max_reply_cache_bytes), .unit = "bytes", .min = MIB,
+	    .max = INT64_C(16384) * MIB, .fallback = "67108864",
+	    .text = "replies kept for retransmissions" },
+	{ "limits", "queue_bytes", KF_FIELD_I64, PLACE(queue_bytes),
+	    .unit = "bytes", .min = MIB, .max = INT64_C(16384) * MIB,
+	    .fallback = "16777216", .text = "queued requests" },
+	{ "limits", "token_lifetime_s", KF_FIELD_I64, PLACE(token_lifetime_s),
+	    .unit = "s", .min = TOKEN_LIFETIME_MIN_S,
+	    .max = TOKEN_LIFETIME_MAX_S, .fallback = "3600",
+	    .text = "validity of a token" },
+	{ "limits", "ingress_packets_per_s", KF_FIELD_U32,
+	    PLACE(ingress_packets_per_s), .unit = "packets/s", .min = 0,
+	    .max = 100000000, .fallback = "0",
+	    .text = "ingress limit; 0: none" },
+	{ "log", "level", KF_FIELD_CHOICE, PLACE(log_level), .choices = levels,
+	    .fallback = "info", .text = "least severe level written" },
+	{ "log", "decisions_per_s", KF_FIELD_U32, PLACE(decisions_per_s),
+	    .unit = "lines/s", .min = 0, .max = 1000000, .fallback = "200",
+	    .text = "limit of decision lines" },
+	{ "log", "file", KF_FIELD_TEXT, PLACE(log_file),
+	    .max = KF_SETTINGS_TEXT_BYTES - 1, .fallback = "stderr",
+	    .text = "path of the log, or stderr" },
+	{ "upstream", "paths", KF_FIELD_U32, PLACE(upstream_paths),
+	    .unit = "paths", .min = 1, .max = 64, .fallback = "4",
+	    .text = "UDP source ports per upstream" },
+};
+
+enum { FIELD_COUNT = sizeof(fields) / sizeof(fields[0]) };
+
+static kf_status_t
+set_url(void *object, const char *value)
+{
+	kf_settings_t *settings = object;
+	const char *host;
+
+	if (strncmp(value, "http://", 7) == 0)
+		host = value + 7;
+	else if (strncmp(value, "https://", 8) == 0)
+		host = value + 8;
+	else
+		return kf_status_set(KF_ERR_INVALID,
+		    "'%.80s' starts with neither http:// nor https://", value);
+	if (*host == '\0' || *host == '/' || strpbrk(value, " \t?#") != NULL)
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%.80s' is not a base URL", value);
+	if (strlen(value) >= sizeof(settings->platform_url))
+		return kf_status_set(KF_ERR_INVALID,
+		    "URL is longer than %zu bytes",
+		    sizeof(settings->platform_url) - 1);
+	memcpy(settings->platform_url, value, strlen(value) + 1);
+	return KF_OK;
+}
+
+static kf_status_t
+seeds_add(kf_settings_t *settings, const char *word, size_t len)
+{
+	char text[KF_ADDR_TEXT_BYTES];
+	kf_addr_t addr;
+	uint32_t i;
+
+	if (settings->seed_count == KF_SETTINGS_MAX_SEEDS)
+		return kf_status_set(
+		    KF_ERR_FULL, "more than %d seeds", KF_SETTINGS_MAX_SEEDS);
+	if (len >= sizeof(text))
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%.40s' is not an ip:port", word);
+	memcpy(text, word, len);
+	text[len] = '\0';
+	if (kf_addr_parse(text, &addr) != KF_OK)
+		return KF_ERR_INVALID;
+	for (i = 0; i < settings->seed_count; i++) {
+		if (kf_addr_equal(settings->seeds[i], addr))
+			return kf_status_set(
+			    KF_ERR_CONFLICT, "'%s' is given twice", text);
+	}
+	settings->seeds[settings->seed_count++] = addr;
+	return KF_OK;
+}
+
+static kf_status_t
+set_seeds(void *object, const char *value)
+{
+	kf_status_t status;
+	size_t len;
+
+	for (;;) {
+		value += strspn(value, " \t");
+		if (*value == '\0')
+			return KF_OK;
+		len = strcspn(value, " \t");
+		status = seeds_add(object, value, len);
+		if (status != KF_OK)
+			return status;
+		value += len;
+	}
+}
+
+static void *
+section_begin(void *target, const char *name, int line)
+{
+	(void)name;
+	(void)line;
+	return target;
+}
+
+/* Each run of equal section names in the table is a section. */
+static size_t
+build_sections(kf_section_t *sections)
+{
+	size_t i, count = 0;
+
+	for (i = 0; i < FIELD_COUNT && count < MAX_SECTIONS; i++) {
+		if (i == 0 ||
+		    strcmp(fields[i].section, fields[i - 1].section) != 0)
+			sections[count++] = (kf_section_t){
+				.kind = fields[i].section,
+				.fields = &fields[i],
+				.begin = section_begin,
+			};
+		sections[count - 1].field_count++;
+	}
+	return count;
+}
+
+static bool
+in_peer_range(const kf_settings_t *settings, kf_addr_t addr)
+{
+	return addr.ip == settings->peer_address.ip &&
+	    addr.port >= settings->peer_address.port &&
+	    addr.port < settings->peer_address.port + settings->traffic_threads;
+}
+
+/* Ingress, peer and control sockets are UDP and cannot share a port. */
+static void
+check_addresses(const kf_settings_t *settings, kf_reader_t *reader)
+{
+	if (settings->peer_address.port + settings->traffic_threads - 1 >
+	    UINT16_MAX)
+		kf_reader_error(reader, 0,
+		    "vm: peer_address: port %u and %u traffic_threads go past "
+		    "port 65535",
+		    settings->peer_address.port, settings->traffic_threads);
+	if (kf_addr_equal(settings->ingress_address, settings->control_address))
+		kf_reader_error(reader, 0,
+		    "vm: ingress_address and control_address are the same");
+	if (in_peer_range(settings, settings->ingress_address))
+		kf_reader_error(
+		    reader, 0, "vm: ingress_address is a port of peer_address");
+	if (in_peer_range(settings, settings->control_address))
+		kf_reader_error(
+		    reader, 0, "vm: control_address is a port of peer_address");
+}
+
+kf_settings_t *
+kf_settings_parse(const char *file, const char *text, size_t len,
+    kf_error_fn *on_error, void *ctx)
+{
+	kf_section_t sections[MAX_SECTIONS] = { 0 };
+	kf_reader_t reader = {
+		.file = file,
+		.on_error = on_error,
+		.ctx = ctx,
+		.sections = sections,
+	};
+	kf_settings_t *settings;
+
+	settings = calloc(1, sizeof(*settings));
+	if (settings == NULL) {
+		kf_reader_error(&reader, 0, "out of memory");
+		return NULL;
+	}
+	reader.section_count = build_sections(sections);
+	reader.target = settings;
+	kf_reader_run(&reader, text, len, KF_DOCUMENT_MAX_BYTES);
+	if (reader.error_count == 0)
+		check_addresses(settings, &reader);
+	if (reader.error_count > 0) {
+		kf_settings_delete(settings);
+		return NULL;
+	}
+	settings->vm_id = kf_name_id(settings->name);
+	settings->zone = kf_name_id(settings->zone_name);
+	return settings;
+}
+
+kf_settings_t *
+kf_settings_load(const char *path, kf_error_fn *on_error, void *ctx)
+{
+	kf_settings_t *settings;
+	char *text;
+	size_t len;
+
+	if (kf_file_read(path, KF_DOCUMENT_MAX_BYTES, &text, &len) != KF_OK) {
+		on_error(ctx, path, 0, kf_status_message());
+		return NULL;
+	}
+	settings = kf_settings_parse(path, text, len, on_error, ctx);
+	free(text);
+	return settings;
+}
+
+void
+kf_settings_delete(kf_settings_t *settings)
+{
+	free(settings);
+}
+
+const kf_field_t *
+kf_settings_fields(size_t *count)
+{
+	*count = FIELD_COUNT;
+	return fields;
+}
--- a/tests/unit/declaration_test.cc
+++ b/tests/unit/declaration_test.cc
@@ -147,6 +147,8 @@
 		    "address 127.0.1.1:2049 is already used at line 7" },
 		{ kGood + up + "address = 127.0.0.1:2049\n",
 		    "address 127.0.0.1:2049 is already used at line 3" },
+		{ kGood + up + "address = 0.0.0.0:1\n",
+		    "'0.0.0.0:1' is not a unicast address" },
 		{ kGood + up + "address = 127.0.1.9:1\nlabels = zone=z\n",
 		    "'zone' is reserved" },
 		{ kGood + up + "address = 127.0.1.9:1\nlabels = a=b a=c\n",
