Add lib/flow: at-most-once records of owner and backup

Cause: section 2 of the design needs records that keep a non-idempotent request from running twice across an owner and its backup.

--- /dev/null
+++ b/lib/flow/include/kf/flow.h
@@ -0,0 +1,155 @@
+#ifndef KF_FLOW_H
+#define KF_FLOW_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "kf/status.h"
+#include "kf/token.h"
+#include "kf/verdict.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_flow - at-most-once records of a flow's owner and of its backup
+ *
+ * DESCRIPTION
+ *	A flow keeps its KF_FLOW_RING most recent non-idempotent requests and
+ *	a floor.  Evicting a request raises the floor above its generation, so
+ *	that a late copy of it is KF_FLOW_STALE and is never run.  A request
+ *	in progress on this VM is never evicted.
+ *
+ *	A table serves both roles of a VM.  A flow belongs to the owner that
+ *	its token names; calls made for another owner never run the request.
+ *
+ *	The table keeps a not-run refusal true on this VM only.  An owner
+ *	must not send one before the backup has acknowledged INTENT or is
+ *	known to be gone: a backup without a record runs a late copy after
+ *	it has fenced the owner.  KF_FLOW_FULL leaves no record, hence it
+ *	must be dropped or answered as may have run, not as not run.
+ *
+ *	A reply pointer is valid until the next call with the same table.
+ */
+
+enum { KF_FLOW_RING = 8 };
+
+typedef struct kf_flow_limits {
+	uint32_t max_flows;
+	size_t max_reply_bytes; /* replies and their bookkeeping */
+	/*
+	 * At least the token lifetime plus KF_RETRANSMIT_HORIZON_S: the token
+	 * of every request in a dropped record has then expired.
+	 */
+	int64_t idle_expiry_us;
+	int64_t reply_expiry_us;
+} kf_flow_limits_t;
+
+typedef struct kf_request_id {
+	uint64_t flow;
+	uint32_t xid;
+	uint32_t generation; /* of the token that came with the request */
+} kf_request_id_t;
+
+typedef enum kf_flow_state {
+	KF_FLOW_NEW = 0, /* registered in progress; kf_flow_finish ends it */
+	KF_FLOW_IN_PROGRESS, /* drop the copy */
+	KF_FLOW_ANSWERED,    /* send the stored reply again */
+	KF_FLOW_IN_DOUBT,    /* may have run; never run it */
+	KF_FLOW_REFUSED,     /* not run; repeat the refusal */
+	KF_FLOW_STALE,	     /* no record left, may have run; never run it */
+	KF_FLOW_FULL,	     /* not registered; drop the packet */
+	KF_FLOW_STATE_COUNT
+} kf_flow_state_t;
+
+typedef struct kf_flow_stats {
+	uint32_t flows;
+	uint32_t replies;
+	size_t reply_bytes;
+	size_t memory_bytes;	/* of tables in use, without replies */
+	uint64_t evicted;	/* requests that raised a floor */
+	uint64_t replies_lost;	/* evicted by bytes or time */
+	uint64_t expired_flows; /* dropped when idle */
+	uint64_t full;		/* refused for want of room */
+	uint64_t stale;		/* below the floor */
+} kf_flow_stats_t;
+
+typedef struct kf_flow_table kf_flow_table_t;
+
+/* Returns NULL if the limits are invalid or memory is short. */
+kf_flow_table_t *kf_flow_table_new(const kf_flow_limits_t *limits);
+void kf_flow_table_delete(kf_flow_table_t *table);
+kf_flow_stats_t kf_flow_table_stats(const kf_flow_table_t *table);
+
+const char *kf_flow_state_name(kf_flow_state_t state);
+
+/*
+ * Owner: classifies a request and registers a new one as in progress.
+ * *reply is set for KF_FLOW_ANSWERED, and for KF_FLOW_REFUSED if a refusal was
+ * stored; else it is NULL.
+ */
+kf_flow_state_t kf_flow_begin(kf_flow_table_t *table, int64_t now_us,
+    const kf_request_id_t *id, const uint8_t **reply, size_t *len);
+
+/* Generation for the next token of the flow: above every known request's. */
+uint32_t kf_flow_generation(const kf_flow_table_t *table, uint64_t flow);
+
+/*
+ * Ends a request that kf_flow_begin or kf_flow_takeover registered.
+ * KF_NOT_RUN is kept as a refusal, so that no copy runs.  An answer that comes
+ * after KF_MAY_HAVE_RUN replaces it; any other second call is ignored.
+ */
+void kf_flow_finish(kf_flow_table_t *table, int64_t now_us,
+    const kf_request_id_t *id, kf_verdict_t verdict, kf_reason_t reason,
+    const uint8_t *reply, size_t len);
+
+/* Reason kept with a request; KF_REASON_NONE if there is no record. */
+kf_reason_t kf_flow_reason(
+    const kf_flow_table_t *table, const kf_request_id_t *id);
+
+/*
+ * Backup: records that owner may dispatch the request.  KF_ERR_CONFLICT
+ * (answer INTENT_NACK): the owner is fenced, or the flow is not the owner's.
+ * KF_ERR_FULL: send neither ACK nor NACK.
+ */
+kf_status_t kf_flow_record_intent(kf_flow_table_t *table, int64_t now_us,
+    kf_vm_id_t owner, const kf_request_id_t *id, uint32_t upstream);
+
+/*
+ * Backup: records the outcome of a recorded intent.  KF_NOT_RUN becomes a
+ * refusal and not permission to run a later copy: the owner may have told the
+ * caller that the request will not run.
+ */
+void kf_flow_record_done(kf_flow_table_t *table, int64_t now_us,
+    kf_vm_id_t owner, const kf_request_id_t *id, kf_verdict_t verdict,
+    const uint8_t *reply, size_t len);
+
+/*
+ * Refuses every later intent of this owner incarnation and of the VM's earlier
+ * ones.  A fence is never lifted, because a paused owner may resume at any
+ * time.  KF_ERR_NO_MEMORY: not fenced, so kf_flow_takeover runs nothing.
+ */
+kf_status_t kf_flow_fence(
+    kf_flow_table_t *table, int64_t now_us, kf_vm_id_t owner);
+bool kf_flow_fenced(const kf_flow_table_t *table, kf_vm_id_t owner);
+
+/*
+ * Backup: classifies a request of a fenced owner's flow and registers it as in
+ * progress here if the owner recorded no intent.  KF_FLOW_STALE if the owner is
+ * not fenced.
+ */
+kf_flow_state_t kf_flow_takeover(kf_flow_table_t *table, int64_t now_us,
+    kf_vm_id_t owner, const kf_request_id_t *id, const uint8_t **reply,
+    size_t *len);
+
+/* Drops a bounded number of expired replies and idle flows. */
+void kf_flow_expire(kf_flow_table_t *table, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
