--- /dev/null
+++ b/standin/upstream/server.c
@@ -0,0 +1,263 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "server.h"
+
+struct kf_sim_server {
+	kf_sim_loop_t *loop;
+	kf_ledger_t *ledger;
+	kf_sim_control_t *control;
+	kf_sim_upstream_t *upstreams[KF_SIM_MAX_UPSTREAMS];
+	size_t count;
+};
+
+static kf_status_t
+server_find(
+    kf_sim_server_t *server, const char *name, kf_sim_upstream_t **upstream)
+{
+	size_t i;
+
+	for (i = 0; i < server->count; i++) {
+		*upstream = server->upstreams[i];
+		if (strcmp(kf_sim_upstream_name(*upstream), name) == 0)
+			return KF_OK;
+	}
+	return kf_status_set(KF_ERR_NOT_FOUND, "no upstream '%s'", name);
+}
+
+static kf_status_t
+command_drain(void *ctx, int argc, char **argv, FILE *out)
+{
+	bool draining = strcmp(argv[0], "drain") == 0;
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+
+	(void)argc;
+	status = server_find(ctx, argv[1], &upstream);
+	if (status != KF_OK)
+		return status;
+	kf_sim_upstream_drain(upstream, draining);
+	fprintf(out, "upstream=%s draining=%d", argv[1], draining ? 1 : 0);
+	return KF_OK;
+}
+
+static kf_status_t
+command_freeze(void *ctx, int argc, char **argv, FILE *out)
+{
+	bool frozen = strcmp(argv[0], "freeze") == 0;
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+
+	(void)argc;
+	status = server_find(ctx, argv[1], &upstream);
+	if (status != KF_OK)
+		return status;
+	kf_sim_upstream_freeze(upstream, frozen);
+	fprintf(out, "upstream=%s frozen=%d", argv[1], frozen ? 1 : 0);
+	return KF_OK;
+}
+
+static kf_status_t
+command_slow(void *ctx, int argc, char **argv, FILE *out)
+{
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+	double factor;
+	char *end;
+
+	(void)argc;
+	status = server_find(ctx, argv[1], &upstream);
+	if (status != KF_OK)
+		return status;
+	factor = strtod(argv[2], &end);
+	if (end == argv[2] || *end != '\0' || !(factor > 0 && factor <= 1e6))
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%s' is not a factor", argv[2]);
+	kf_sim_upstream_slow(upstream, factor);
+	fprintf(out, "upstream=%s slow=%g", argv[1], factor);
+	return KF_OK;
+}
+
+static kf_status_t
+command_lie(void *ctx, int argc, char **argv, FILE *out)
+{
+	static const char *const names[] = { "off", "good", "bad" };
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+	int lie = 0;
+
+	(void)argc;
+	status = server_find(ctx, argv[1], &upstream);
+	if (status != KF_OK)
+		return status;
+	while (lie < 3 && strcmp(names[lie], argv[2]) != 0)
+		lie++;
+	if (lie == 3)
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%s' is not good, bad or off", argv[2]);
+	kf_sim_upstream_lie(upstream, (kf_sim_lie_t)lie);
+	fprintf(out, "upstream=%s lie=%s", argv[1], argv[2]);
+	return KF_OK;
+}
+
+static kf_status_t
+command_restart(void *ctx, int argc, char **argv, FILE *out)
+{
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+
+	(void)argc;
+	status = server_find(ctx, argv[1], &upstream);
+	if (status != KF_OK)
+		return status;
+	kf_sim_upstream_restart(upstream);
+	kf_sim_upstream_print(upstream, out);
+	return KF_OK;
+}
+
+static kf_status_t
+command_silence(void *ctx, int argc, char **argv, FILE *out)
+{
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+	uint64_t port = 0;
+
+	(void)argc;
+	status = server_find(ctx, argv[1], &upstream);
+	if (status == KF_OK && strcmp(argv[2], "ANY") != 0) {
+		status = kf_sim_parse_u64(argv[2], UINT16_MAX, &port);
+		if (status == KF_OK && port == 0)
+			status = kf_status_set(
+			    KF_ERR_INVALID, "port 0 has no sender");
+	}
+	if (status == KF_OK)
+		status = kf_sim_upstream_silence(upstream, (uint16_t)port);
+	if (status == KF_OK)
+		fprintf(out, "upstream=%s silenced=%s", argv[1], argv[2]);
+	return status;
+}
+
+static void
+server_print_totals(const kf_sim_server_t *server, FILE *out)
+{
+	fprintf(out, "upstreams=%zu executions=%llu repeated=%llu",
+	    server->count,
+	    (unsigned long long)kf_ledger_executions(server->ledger),
+	    (unsigned long long)kf_ledger_repeated(server->ledger));
+}
+
+static kf_status_t
+command_stats(void *ctx, int argc, char **argv, FILE *out)
+{
+	kf_sim_server_t *server = ctx;
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+
+	if (argc == 1) {
+		server_print_totals(server, out);
+		return KF_OK;
+	}
+	status = server_find(server, argv[1], &upstream);
+	if (status == KF_OK)
+		kf_sim_upstream_print(upstream, out);
+	return status;
+}
+
+static kf_status_t
+command_quit(void *ctx, int argc, char **argv, FILE *out)
+{
+	kf_sim_server_t *server = ctx;
+
+	(void)argc;
+	(void)argv;
+	kf_sim_loop_stop(server->loop);
+	fputs("quit=1", out);
+	return KF_OK;
+}
+
+static const kf_sim_command_t commands[] = {
+	{ "drain", 1, 1, "NAME", command_drain },
+	{ "undrain", 1, 1, "NAME", command_drain },
+	{ "freeze", 1, 1, "NAME", command_freeze },
+	{ "thaw", 1, 1, "NAME", command_freeze },
+	{ "slow", 2, 2, "NAME FACTOR", command_slow },
+	{ "lie", 2, 2, "NAME good|bad|off", command_lie },
+	{ "restart", 1, 1, "NAME", command_restart },
+	{ "silence", 2, 2, "NAME PORT|ANY", command_silence },
+	{ "stats", 0, 1, "[NAME]", command_stats },
+	{ "quit", 0, 0, "", command_quit },
+	{ NULL, 0, 0, NULL, NULL },
+};
+
+static kf_status_t
+server_open(kf_sim_server_t *server, const kf_sim_server_options_t *options)
+{
+	kf_sim_upstream_options_t o;
+	size_t i;
+
+	server->ledger =
+	    kf_ledger_new(options->ledger, options->ledger_entries);
+	if (server->ledger == NULL)
+		return KF_ERR_IO;
+	for (i = 0; i < options->count; i++) {
+		o = options->upstreams[i];
+		o.seed = options->defaults.seed + i;
+		server->upstreams[i] =
+		    kf_sim_upstream_new(server->loop, server->ledger, &o);
+		if (server->upstreams[i] == NULL)
+			return KF_ERR_IO;
+		server->count++;
+	}
+	if (options->control.port == 0)
+		return KF_OK;
+	server->control = kf_sim_control_new(
+	    server->loop, options->control, commands, server);
+	return server->control == NULL ? KF_ERR_IO : KF_OK;
+}
+
+kf_sim_server_t *
+kf_sim_server_new(kf_sim_loop_t *loop, const kf_sim_server_options_t *options)
+{
+	kf_sim_server_t *server;
+
+	server = calloc(1, sizeof(*server));
+	if (server == NULL) {
+		kf_status_set(KF_ERR_NO_MEMORY, "no memory");
+		return NULL;
+	}
+	server->loop = loop;
+	if (server_open(server, options) != KF_OK) {
+		kf_sim_server_delete(server);
+		return NULL;
+	}
+	return server;
+}
+
+void
+kf_sim_server_delete(kf_sim_server_t *server)
+{
+	size_t i;
+
+	if (server == NULL)
+		return;
+	kf_sim_control_delete(server->control);
+	for (i = 0; i < server->count; i++)
+		kf_sim_upstream_delete(server->upstreams[i]);
+	kf_ledger_delete(server->ledger);
+	free(server);
+}
+
+void
+kf_sim_server_print(const kf_sim_server_t *server, FILE *out)
+{
+	size_t i;
+
+	for (i = 0; i < server->count; i++) {
+		fprintf(out, "event=upstream ");
+		kf_sim_upstream_print(server->upstreams[i], out);
+		fprintf(out, "\n");
+	}
+	fprintf(out, "event=summary ");
+	server_print_totals(server, out);
+	fprintf(out, "\n");
+}
--- /dev/null
+++ b/standin/upstream/upstream.c
@@ -0,0 +1,641 @@
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "kf/call_info.h"
+
+#include "upstream.h"
+
+/* A cold upstream (empty caches) takes this many times as long. */
+enum { COLD_FACTOR = 3 };
+
+/* Result of KF_UPSTREAM_PROC_CANCEL. */
+enum {
+	CANCEL_UNKNOWN = 0,
+	CANCEL_REMOVED = 1, /* was queued and will never start */
+	CANCEL_RUNNING = 2, /* started; the reply follows */
+};
+
+typedef struct request {
+	kf_addr_t src;
+	uint32_t xid;
+	uint32_t vm;
+	uint32_t prog;
+	uint32_t proc;
+	bool has_number;
+	uint64_t number;
+	uint64_t digest;
+	int64_t deadline_us; /* 0: none */
+	uint32_t verf_flavor;
+	uint32_t verf_len;
+	uint8_t verf[KF_RPC_AUTH_MAX_BYTES];
+} request_t;
+
+typedef struct slot {
+	kf_sim_upstream_t *upstream;
+	kf_sim_timer_t timer;
+	bool busy;
+	uint32_t executions;
+	request_t request;
+} slot_t;
+
+typedef struct stats {
+	uint64_t received;
+	uint64_t started;
+	uint64_t answered;
+	uint64_t shed;
+	uint64_t late;
+	uint64_t cancelled;
+	uint64_t wrong_incarnation;
+	uint64_t malformed;
+	uint64_t ignored;
+	uint64_t lost;
+	uint64_t status;
+	uint64_t started_draining;
+	int64_t last_started_draining_ms; /* after the drain began */
+	uint32_t max_in_flight;
+	uint32_t max_queued;
+} stats_t;
+
+struct kf_sim_upstream {
+	kf_sim_loop_t *loop;
+	kf_ledger_t *ledger;
+	kf_sim_upstream_options_t options;
+	kf_sim_random_t random;
+	int fd;
+	uint64_t incarnation;
+	int64_t cold_until_us;
+	int64_t drain_since_us;
+	bool draining;
+	bool frozen;
+	double slow;
+	kf_sim_lie_t lie;
+	slot_t slots[KF_SIM_MAX_SLOTS];
+	uint32_t in_flight;
+	request_t *queue; /* ring */
+	uint32_t queue_head;
+	uint32_t queued;
+	kf_addr_t heard[KF_SIM_MAX_SOURCES]; /* the latest, as a ring */
+	size_t heard_count;
+	kf_addr_t silenced[KF_SIM_MAX_SOURCES];
+	size_t silenced_count;
+	stats_t stats;
+	uint8_t buf[KF_SIM_DATAGRAM_BYTES];
+	uint8_t out[KF_SIM_DATAGRAM_BYTES];
+};
+
+static kf_load_report_t
+upstream_report(const kf_sim_upstream_t *u)
+{
+	kf_load_report_t report = { .incarnation = u->incarnation,
+		.in_flight = u->in_flight,
+		.queued = u->queued,
+		.slots = u->options.slots };
+
+	if (u->draining)
+		report.flags |= KF_LOAD_DRAINING;
+	if (kf_sim_mono_us() < u->cold_until_us)
+		report.flags |= KF_LOAD_COLD;
+	if (u->queued >= u->options.queue)
+		report.flags |= KF_LOAD_SHEDDING;
+	if (u->lie == KF_SIM_LIE_GOOD) {
+		report.in_flight = 0;
+		report.queued = 0;
+		report.flags = 0;
+	} else if (u->lie == KF_SIM_LIE_BAD) {
+		report.in_flight = report.slots;
+		report.queued = u->options.queue;
+		report.flags |= KF_LOAD_SHEDDING;
+	}
+	return report;
+}
+
+static void
+upstream_send(
+    kf_sim_upstream_t *u, const request_t *request, const kf_rpc_reply_t *reply)
+{
+	size_t len;
+
+	if (u->frozen) {
+		u->stats.lost++;
+		return;
+	}
+	len = kf_rpc_reply_write(reply, u->out, sizeof(u->out));
+	if (len > 0)
+		kf_sim_udp_send(u->fd, request->src, u->out, len);
+}
+
+static void
+upstream_deny(kf_sim_upstream_t *u, const request_t *request, uint32_t why)
+{
+	kf_rpc_reply_t reply = { .xid = request->xid,
+		.reply_stat = KF_RPC_MSG_DENIED,
+		.reject_stat = 1,
+		.auth_stat = why };
+
+	upstream_send(u, request, &reply);
+}
+
+static void
+upstream_accept(kf_sim_upstream_t *u, const request_t *request,
+    const uint8_t *results, size_t len)
+{
+	uint8_t verf[KF_LOAD_REPORT_BYTES];
+	kf_load_report_t report;
+	kf_rpc_reply_t reply = { .xid = request->xid,
+		.reply_stat = KF_RPC_MSG_ACCEPTED,
+		.accept_stat = KF_RPC_SUCCESS,
+		.results = results,
+		.results_len = len };
+
+	if (u->options.stock) {
+		reply.verf.flavor = request->verf_flavor;
+		reply.verf.len = request->verf_len;
+		reply.verf.body = request->verf;
+	} else {
+		report = upstream_report(u);
+		kf_load_report_write(&report, verf);
+		reply.verf.flavor = KF_FLAVOR_LOAD_REPORT;
+		reply.verf.len = sizeof(verf);
+		reply.verf.body = verf;
+	}
+	upstream_send(u, request, &reply);
+}
+
+static void
+upstream_answer(
+    kf_sim_upstream_t *u, const request_t *request, uint32_t executions)
+{
+	static uint8_t results[KF_SIM_DATAGRAM_BYTES];
+	kf_sim_result_t result = { .number = request->number,
+		.digest = request->digest,
+		.executions = executions,
+		.filler_len = u->options.reply_bytes };
+	size_t len = 0;
+
+	memcpy(result.upstream, u->options.name, sizeof(result.upstream));
+	if (request->has_number)
+		len = kf_sim_result_write(&result, results, sizeof(results));
+	u->stats.answered++;
+	upstream_accept(u, request, results, len);
+}
+
+static int64_t
+upstream_service_us(kf_sim_upstream_t *u)
+{
+	double mean = (double)u->options.service_time_us * u->slow;
+
+	if (kf_sim_mono_us() < u->cold_until_us)
+		mean *= COLD_FACTOR;
+	return kf_sim_random_exp(&u->random, mean);
+}
+
+static uint32_t
+upstream_record(kf_sim_upstream_t *u, const request_t *request)
+{
+	kf_ledger_entry_t entry = { .number = request->number,
+		.upstream = u->options.name,
+		.tag = u->options.tag,
+		.prog = request->prog,
+		.proc = request->proc,
+		.xid = request->xid,
+		.vm = request->vm };
+
+	u->stats.started++;
+	if (u->draining) {
+		u->stats.started_draining++;
+		u->stats.last_started_draining_ms =
+		    (kf_sim_mono_us() - u->drain_since_us) / 1000;
+	}
+	return request->has_number ? kf_ledger_add(u->ledger, &entry) : 0;
+}
+
+static void
+upstream_start(kf_sim_upstream_t *u, const request_t *request)
+{
+	slot_t *slot = u->slots;
+
+	while (slot->busy)
+		slot++;
+	slot->busy = true;
+	slot->request = *request;
+	slot->executions = upstream_record(u, request);
+	if (++u->in_flight > u->stats.max_in_flight)
+		u->stats.max_in_flight = u->in_flight;
+	if (kf_sim_timer_set(u->loop, &slot->timer,
+		kf_sim_mono_us() + upstream_service_us(u)) != KF_OK) {
+		/* The request has started, so it can only get lost. */
+		slot->busy = false;
+		u->in_flight--;
+		u->stats.lost++;
+	}
+}
+
+static bool
+upstream_expired(kf_sim_upstream_t *u, const request_t *request)
+{
+	if (request->deadline_us == 0 ||
+	    kf_sim_mono_us() < request->deadline_us)
+		return false;
+	u->stats.late++;
+	upstream_deny(u, request, KF_RPC_AUTH_FAILED);
+	return true;
+}
+
+static void
+upstream_run_queue(kf_sim_upstream_t *u)
+{
+	const request_t *request;
+
+	while (u->queued > 0 && u->in_flight < u->options.slots) {
+		request = &u->queue[u->queue_head];
+		u->queue_head = (u->queue_head + 1) % u->options.queue;
+		u->queued--;
+		if (!upstream_expired(u, request))
+			upstream_start(u, request);
+	}
+}
+
+static void
+slot_on_done(void *ctx)
+{
+	slot_t *slot = ctx;
+	kf_sim_upstream_t *u = slot->upstream;
+
+	slot->busy = false;
+	u->in_flight--;
+	upstream_answer(u, &slot->request, slot->executions);
+	upstream_run_queue(u);
+}
+
+static void
+upstream_shed(kf_sim_upstream_t *u, const request_t *request)
+{
+	u->stats.shed++;
+	/* A stock server's receive buffer overflows without a word. */
+	if (!u->options.stock)
+		upstream_deny(u, request, KF_RPC_AUTH_FAILED);
+}
+
+static void
+upstream_enqueue(kf_sim_upstream_t *u, const request_t *request)
+{
+	if (upstream_expired(u, request))
+		return;
+	if (u->in_flight < u->options.slots) {
+		upstream_start(u, request);
+		return;
+	}
+	if (u->queued >= u->options.queue) {
+		upstream_shed(u, request);
+		return;
+	}
+	u->queue[(u->queue_head + u->queued) % u->options.queue] = *request;
+	if (++u->queued > u->stats.max_queued)
+		u->stats.max_queued = u->queued;
+}
+
+static request_t *
+queue_at(kf_sim_upstream_t *u, uint32_t i)
+{
+	return &u->queue[(u->queue_head + i) % u->options.queue];
+}
+
+static uint32_t
+upstream_cancel(kf_sim_upstream_t *u, uint32_t xid, uint32_t vm)
+{
+	uint32_t i;
+
+	for (i = 0; i < u->options.slots; i++)
+		if (u->slots[i].busy && u->slots[i].request.xid == xid &&
+		    u->slots[i].request.vm == vm)
+			return CANCEL_RUNNING;
+	for (i = 0; i < u->queued; i++)
+		if (queue_at(u, i)->xid == xid && queue_at(u, i)->vm == vm)
+			break;
+	if (i == u->queued)
+		return CANCEL_UNKNOWN;
+	for (; i + 1 < u->queued; i++)
+		*queue_at(u, i) = *queue_at(u, i + 1);
+	u->queued--;
+	u->stats.cancelled++;
+	return CANCEL_REMOVED;
+}
+
+static void
+upstream_control(
+    kf_sim_upstream_t *u, const request_t *request, const kf_rpc_call_t *call)
+{
+	uint8_t results[KF_LOAD_REPORT_BYTES];
+	kf_load_report_t report;
+
+	switch (call->proc) {
+	case KF_UPSTREAM_PROC_NULL:
+		upstream_accept(u, request, NULL, 0);
+		return;
+	case KF_UPSTREAM_PROC_STATUS:
+		u->stats.status++;
+		report = upstream_report(u);
+		kf_load_report_write(&report, results);
+		upstream_accept(u, request, results, sizeof(results));
+		return;
+	case KF_UPSTREAM_PROC_CANCEL:
+		if (call->args_len < 8)
+			break;
+		kf_put_u32(results,
+		    upstream_cancel(
+			u, kf_get_u32(call->args), kf_get_u32(call->args + 4)));
+		upstream_accept(u, request, results, 4);
+		return;
+	default:
+		break;
+	}
+	u->stats.malformed++;
+}
+
+/* Reads the call info; false if the call was refused because of it. */
+static bool
+upstream_read_info(
+    kf_sim_upstream_t *u, request_t *request, const kf_rpc_call_t *call)
+{
+	kf_call_info_t info;
+
+	if (u->options.stock || kf_call_info_read(&call->verf, &info) != KF_OK)
+		return true;
+	request->vm = info.vm;
+	request->deadline_us =
+	    kf_sim_mono_us() + (int64_t)info.deadline_ms * 1000;
+	if (info.upstream_incarnation == 0 ||
+	    info.upstream_incarnation == u->incarnation)
+		return true;
+	u->stats.wrong_incarnation++;
+	upstream_deny(u, request, KF_RPC_AUTH_REJECTEDVERF);
+	return false;
+}
+
+static void
+request_init(request_t *request, kf_addr_t src, const kf_rpc_call_t *call)
+{
+	memset(request, 0, offsetof(request_t, verf));
+	request->src = src;
+	request->xid = call->xid;
+	request->prog = call->prog;
+	request->proc = call->proc;
+	request->verf_flavor = call->verf.flavor;
+	request->verf_len = call->verf.len;
+	memcpy(request->verf, call->verf.body, call->verf.len);
+	if (call->args_len >= 8) {
+		request->has_number = true;
+		request->number = kf_get_u64(call->args);
+		request->digest =
+		    kf_sim_args_digest(call->args, call->args_len);
+	}
+}
+
+static void
+upstream_receive(kf_sim_upstream_t *u, kf_addr_t src, size_t len)
+{
+	static request_t request;
+	kf_rpc_call_t call;
+
+	u->stats.received++;
+	if (kf_rpc_call_parse(u->buf, len, &call) != KF_OK) {
+		u->stats.malformed++;
+		return;
+	}
+	request_init(&request, src, &call);
+	if (!u->options.stock && call.prog == KF_UPSTREAM_PROG) {
+		upstream_control(u, &request, &call);
+		return;
+	}
+	if (!upstream_read_info(u, &request, &call))
+		return;
+	/* Procedure 0 does nothing and takes no slot. */
+	if (call.proc == 0)
+		upstream_accept(u, &request, NULL, 0);
+	else
+		upstream_enqueue(u, &request);
+}
+
+static bool
+upstream_silenced(const kf_sim_upstream_t *u, kf_addr_t src)
+{
+	size_t i;
+
+	for (i = 0; i < u->silenced_count; i++)
+		if (kf_addr_equal(u->silenced[i], src) ||
+		    (u->silenced[i].ip == 0 && u->silenced[i].port == src.port))
+			return true;
+	return false;
+}
+
+static void
+upstream_hear(kf_sim_upstream_t *u, kf_addr_t src)
+{
+	size_t known = u->heard_count;
+	size_t i;
+
+	if (known > KF_SIM_MAX_SOURCES)
+		known = KF_SIM_MAX_SOURCES;
+	for (i = 0; i < known; i++)
+		if (kf_addr_equal(u->heard[i], src))
+			return;
+	u->heard[u->heard_count++ % KF_SIM_MAX_SOURCES] = src;
+}
+
+static void
+upstream_on_readable(void *ctx)
+{
+	kf_sim_upstream_t *u = ctx;
+	kf_addr_t src;
+	ssize_t n;
+
+	while (
+	    (n = kf_sim_udp_recv(u->fd, &src, u->buf, sizeof(u->buf))) >= 0) {
+		upstream_hear(u, src);
+		if (u->frozen || upstream_silenced(u, src))
+			u->stats.ignored++;
+		else
+			upstream_receive(u, src, (size_t)n);
+	}
+}
+
+static void
+upstream_begin(kf_sim_upstream_t *u)
+{
+	uint64_t now_ms = (uint64_t)kf_sim_wall_ms();
+
+	u->incarnation = now_ms > u->incarnation ? now_ms : u->incarnation + 1;
+	u->cold_until_us =
+	    kf_sim_mono_us() + (int64_t)u->options.cold_s * 1000000;
+}
+
+static void
+upstream_init_slots(kf_sim_upstream_t *u)
+{
+	slot_t *slot;
+
+	for (slot = u->slots; slot < u->slots + KF_SIM_MAX_SLOTS; slot++) {
+		slot->upstream = u;
+		slot->timer.fn = slot_on_done;
+		slot->timer.ctx = slot;
+	}
+}
+
+kf_sim_upstream_t *
+kf_sim_upstream_new(kf_sim_loop_t *loop, kf_ledger_t *ledger,
+    const kf_sim_upstream_options_t *options)
+{
+	kf_sim_upstream_t *u;
+
+	u = calloc(1, sizeof(*u));
+	if (u == NULL) {
+		kf_status_set(KF_ERR_NO_MEMORY, "no memory");
+		return NULL;
+	}
+	u->loop = loop;
+	u->ledger = ledger;
+	u->options = *options;
+	u->random.state = options->seed;
+	u->slow = 1;
+	u->fd = -1;
+	upstream_init_slots(u);
+	upstream_begin(u);
+	u->queue = calloc(options->queue, sizeof(*u->queue));
+	if (u->queue == NULL ||
+	    kf_sim_udp_open(options->addr, &u->fd) != KF_OK ||
+	    kf_sim_loop_add(loop, u->fd, upstream_on_readable, u) != KF_OK) {
+		kf_sim_upstream_delete(u);
+		return NULL;
+	}
+	return u;
+}
+
+static void
+upstream_forget_requests(kf_sim_upstream_t *u)
+{
+	slot_t *slot;
+
+	for (slot = u->slots; slot < u->slots + KF_SIM_MAX_SLOTS; slot++) {
+		kf_sim_timer_cancel(u->loop, &slot->timer);
+		slot->busy = false;
+	}
+	u->stats.lost += u->in_flight + u->queued;
+	u->in_flight = 0;
+	u->queued = 0;
+}
+
+void
+kf_sim_upstream_delete(kf_sim_upstream_t *u)
+{
+	if (u == NULL)
+		return;
+	upstream_forget_requests(u);
+	if (u->fd >= 0) {
+		kf_sim_loop_remove(u->loop, u->fd);
+		close(u->fd);
+	}
+	free(u->queue);
+	free(u);
+}
+
+const char *
+kf_sim_upstream_name(const kf_sim_upstream_t *u)
+{
+	return u->options.name;
+}
+
+void
+kf_sim_upstream_drain(kf_sim_upstream_t *u, bool draining)
+{
+	if (draining && !u->draining)
+		u->drain_since_us = kf_sim_mono_us();
+	u->draining = draining;
+}
+
+void
+kf_sim_upstream_freeze(kf_sim_upstream_t *u, bool frozen)
+{
+	u->frozen = frozen;
+}
+
+void
+kf_sim_upstream_slow(kf_sim_upstream_t *u, double factor)
+{
+	u->slow = factor;
+}
+
+void
+kf_sim_upstream_lie(kf_sim_upstream_t *u, kf_sim_lie_t lie)
+{
+	u->lie = lie;
+}
+
+void
+kf_sim_upstream_restart(kf_sim_upstream_t *u)
+{
+	upstream_forget_requests(u);
+	u->draining = false;
+	upstream_begin(u);
+}
+
+static kf_status_t
+upstream_silence_one(kf_sim_upstream_t *u, kf_addr_t addr)
+{
+	if (u->silenced_count == KF_SIM_MAX_SOURCES)
+		return kf_status_set(KF_ERR_FULL, "too many silent sources");
+	u->silenced[u->silenced_count++] = addr;
+	return KF_OK;
+}
+
+kf_status_t
+kf_sim_upstream_silence(kf_sim_upstream_t *u, uint16_t port)
+{
+	kf_addr_t any = { .port = port };
+	kf_status_t status = KF_OK;
+	size_t i;
+
+	if (port != 0)
+		return upstream_silence_one(u, any);
+	for (i = 0; i < u->heard_count && i < KF_SIM_MAX_SOURCES; i++)
+		if (status == KF_OK && !upstream_silenced(u, u->heard[i]))
+			status = upstream_silence_one(u, u->heard[i]);
+	return status;
+}
+
+void
+kf_sim_upstream_print(const kf_sim_upstream_t *u, FILE *out)
+{
+	const stats_t *s = &u->stats;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+		{ "incarnation", u->incarnation },
+		{ "draining", u->draining },
+		{ "in_flight", u->in_flight },
+		{ "queued", u->queued },
+		{ "received", s->received },
+		{ "started", s->started },
+		{ "answered", s->answered },
+		{ "shed", s->shed },
+		{ "late", s->late },
+		{ "cancelled", s->cancelled },
+		{ "wrong_incarnation", s->wrong_incarnation },
+		{ "malformed", s->malformed },
+		{ "ignored", s->ignored },
+		{ "lost", s->lost },
+		{ "status_calls", s->status },
+		{ "started_draining", s->started_draining },
+		{ "last_started_draining_ms",
+		    (uint64_t)s->last_started_draining_ms },
+		{ "max_in_flight", s->max_in_flight },
+		{ "max_queued", s->max_queued },
+	};
+	size_t i;
+
+	fprintf(out, "upstream=%s", u->options.name);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		fprintf(out, " %s=%llu", rows[i].name,
+		    (unsigned long long)rows[i].value);
+}
