Let an owner dispatch alone only while its backup's lease holds

Cause: a backup that fenced its owner, ran a request and then died let the owner, once it saw the backup gone, run a late copy of that request. Ruled out: heartbeats as the lease; they leave no room in the control budget for an echo per peer. Conclusion: an owner asks its backups for a lease once a second; a backup fences only after 3 s without a request.

--- a/lib/traffic/backup.c
+++ b/lib/traffic/backup.c
@@ -16,6 +16,10 @@
 	request_t *req;
 	size_t len;
 
+	if (!lease_may_fence(t, pkt->token.owner, pkt->token.upstream)) {
+		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+		return;
+	}
 	if (kf_flow_fence(t->flows, t->now.mono_us, pkt->token.owner) !=
 	    KF_OK) {
 		packet_drop(t, pkt, KF_REASON_OVERLOAD);
--- /dev/null
+++ b/lib/traffic/lease.c
@@ -0,0 +1,206 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "traffic_internal.h"
+
+/*
+ * A backup does not fence an owner from which it has taken a lease request in
+ * the last FENCE_SILENCE_US.  So an owner that learns within that time after a
+ * granted request that its backup has ended knows that it was never fenced, and
+ * may dispatch alone.  Without this, a backup that fenced the owner, ran a
+ * request and then died would let the owner run the request once more.
+ */
+enum {
+	FENCE_SILENCE_US = 3000000,
+	/* The owner's clock may run slower than the backup's. */
+	LEASE_MARGIN_US = 200000,
+	LEASE_INTERVAL_US = 1000000,
+	LEASE_RETRY_US = 250000,
+};
+
+static lease_t *
+lease_find(const kf_traffic_t *t, kf_vm_id_t id, uint32_t shard)
+{
+	lease_key_t key;
+
+	/* Padding would be part of the key. */
+	memset(&key, 0, sizeof(key));
+	key.incarnation = id.incarnation;
+	key.vm = id.vm;
+	key.shard = shard;
+	return apr_hash_get(t->leases, &key, sizeof(key));
+}
+
+static lease_t *
+lease_get(kf_traffic_t *t, kf_vm_id_t id, uint32_t shard)
+{
+	lease_t *lease = lease_find(t, id, shard);
+
+	if (lease != NULL)
+		return lease;
+	lease = calloc(1, sizeof(*lease));
+	if (lease == NULL)
+		return NULL;
+	lease->key.incarnation = id.incarnation;
+	lease->key.vm = id.vm;
+	lease->key.shard = shard;
+	lease->granted_us = INT64_MIN / 2;
+	lease->requested_us = INT64_MIN / 2;
+	lease->heard_us = INT64_MIN / 2;
+	apr_hash_set(t->leases, &lease->key, sizeof(lease->key), lease);
+	return lease;
+}
+
+static bool
+lease_valid(const kf_traffic_t *t, const lease_t *lease)
+{
+	return t->now.mono_us - lease->granted_us <
+	    FENCE_SILENCE_US - LEASE_MARGIN_US;
+}
+
+static void
+lease_want(kf_traffic_t *t, uint32_t index)
+{
+	const kf_view_upstream_t *vu = &t->view->upstreams[index];
+	uint32_t id = t->view->decl->upstreams[index].id;
+	const kf_view_vm_t *backup;
+	lease_t *lease;
+
+	if (vu->owner == KF_VIEW_NONE || vu->owner != t->view->self_index ||
+	    vu->backup == KF_VIEW_NONE ||
+	    kf_view_shard(&t->view->vms[vu->owner], id) != t->config.shard)
+		return;
+	backup = &t->view->vms[vu->backup];
+	lease = lease_get(t, backup->id, kf_view_shard(backup, id));
+	if (lease != NULL)
+		lease->wanted = true;
+}
+
+/* Notes which VMs have ended and whether their lease was still valid. */
+void
+lease_update(kf_traffic_t *t)
+{
+	apr_hash_index_t *hi;
+	uint32_t i;
+
+	for (i = 0; i < t->view->decl->upstream_count; i++)
+		lease_want(t, i);
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		lease_t *lease = apr_hash_this_val(hi);
+		kf_vm_id_t id = { lease->key.vm, lease->key.incarnation };
+
+		if (lease->ended || kf_view_liveness(t->view, id) != KF_VM_GONE)
+			continue;
+		lease->ended = true;
+		lease->ended_us = t->now.mono_us;
+		lease->cannot_have_fenced = lease_valid(t, lease);
+	}
+}
+
+/* No valid token names a VM that ended so long ago. */
+static bool
+lease_expired(const kf_traffic_t *t, const lease_t *lease)
+{
+	return t->now.mono_us - lease->ended_us >
+	    (t->config.token_lifetime_s + KF_RETRANSMIT_HORIZON_S) * 1000000;
+}
+
+/*
+ * A lease is renewed as long as the VM lives, because flows keep naming it
+ * after it has stopped being the backup for new ones.
+ */
+void
+lease_tick(kf_traffic_t *t)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		lease_t *lease = apr_hash_this_val(hi);
+
+		if (lease->ended && lease_expired(t, lease)) {
+			apr_hash_set(
+			    t->leases, &lease->key, sizeof(lease->key), NULL);
+			free(lease);
+			continue;
+		}
+		if (!lease->wanted || lease->ended ||
+		    t->now.mono_us - lease->granted_us < LEASE_INTERVAL_US ||
+		    t->now.mono_us - lease->requested_us < LEASE_RETRY_US)
+			continue;
+		lease->sequence++;
+		lease->requested_us = t->now.mono_us;
+		peer_lease(t, lease);
+	}
+}
+
+void
+lease_on_request(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request)
+{
+	bool fenced = kf_flow_fenced(t->flows, from);
+
+	if (!fenced)
+		lease_heard(t, from, request->shard);
+	peer_lease_ack(t, from, request, fenced);
+}
+
+void
+lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack)
+{
+	lease_t *lease = lease_find(t, from, ack->shard);
+
+	if (lease == NULL || lease->ended || ack->fenced ||
+	    ack->sequence != lease->sequence)
+		return;
+	lease->granted_us = lease->requested_us;
+}
+
+void
+lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard)
+{
+	lease_t *lease = lease_get(t, from, shard);
+
+	if (lease != NULL)
+		lease->heard_us = t->now.mono_us;
+}
+
+bool
+lease_cannot_have_fenced(
+    const kf_traffic_t *t, kf_vm_id_t backup, uint32_t upstream)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, backup);
+	const lease_t *lease;
+
+	if (vm == NULL)
+		return false;
+	lease = lease_find(t, backup, kf_view_shard(vm, upstream));
+	return lease != NULL && lease->ended && lease->cannot_have_fenced;
+}
+
+/* Whether this VM, as a backup, may fence an owner it holds for dead. */
+bool
+lease_may_fence(const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream)
+{
+	kf_liveness_t liveness = kf_view_liveness(t->view, owner);
+	const kf_view_vm_t *vm = kf_view_vm(t->view, owner);
+	const lease_t *lease;
+
+	if (liveness == KF_VM_GONE)
+		return true;
+	if (liveness != KF_VM_DEAD || vm == NULL)
+		return false;
+	lease = lease_find(t, owner, kf_view_shard(vm, upstream));
+	return lease == NULL ||
+	    t->now.mono_us - lease->heard_us >= FENCE_SILENCE_US;
+}
+
+void
+lease_delete_all(kf_traffic_t *t)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL;
+	     hi = apr_hash_next(hi))
+		free(apr_hash_this_val(hi));
+}
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -10,13 +10,8 @@
 bool
 owner_alone(const kf_traffic_t *t, const kf_token_t *token)
 {
-	const kf_view_vm_t *vm;
-
-	if (token->backup.vm == 0)
-		return true;
-	vm = kf_view_vm(t->view, token->backup);
-	return vm != NULL && vm->liveness == KF_VM_GONE &&
-	    vm->cannot_have_fenced;
+	return token->backup.vm == 0 ||
+	    lease_cannot_have_fenced(t, token->backup, token->upstream);
 }
 
 /* Sends the stored outcome of a request to the sender of a copy of it. */
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -139,6 +139,46 @@
 	peer_send(t, kf_view_shard_addr(vm, intent->upstream), &msg);
 }
 
+static void
+lease_send(kf_traffic_t *t, kf_vm_id_t to, uint32_t shard, kf_peer_msg *msg)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, to);
+	kf_addr_t addr;
+
+	if (vm == NULL || vm->peer_addr.port == 0)
+		return;
+	addr = vm->peer_addr;
+	addr.port = (uint16_t)(addr.port + shard);
+	peer_send(t, addr, msg);
+}
+
+void
+peer_lease(kf_traffic_t *t, const lease_t *lease)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_LEASE };
+	kf_vm_id_t to = { lease->key.vm, lease->key.incarnation };
+
+	msg.body.kf_peer_body_u.lease = (kf_peer_lease){
+		.sequence = lease->sequence,
+		.shard = t->config.shard,
+	};
+	lease_send(t, to, lease->key.shard, &msg);
+}
+
+void
+peer_lease_ack(
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_LEASE_ACK };
+
+	msg.body.kf_peer_body_u.lease_ack = (kf_peer_lease){
+		.sequence = request->sequence,
+		.shard = t->config.shard,
+		.fenced = fenced,
+	};
+	lease_send(t, to, request->shard, &msg);
+}
+
 void
 peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len)
@@ -247,6 +287,12 @@
 	case KF_PEER_DONE:
 		backup_on_done(t, id, &msg.body.kf_peer_body_u.done);
 		break;
+	case KF_PEER_LEASE:
+		lease_on_request(t, id, &msg.body.kf_peer_body_u.lease);
+		break;
+	case KF_PEER_LEASE_ACK:
+		lease_on_ack(t, id, &msg.body.kf_peer_body_u.lease_ack);
+		break;
 	default:
 		break;
 	}
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -54,6 +54,7 @@
 	t->by_id = apr_hash_make_custom(t->pool, hash_key);
 	t->by_xid = apr_hash_make_custom(t->pool, hash_key);
 	t->serving = apr_hash_make_custom(t->pool, hash_key);
+	t->leases = apr_hash_make_custom(t->pool, hash_key);
 	t->random.state = t->config.seed;
 	t->balance =
 	    kf_balance_new(t->config.policy, kf_random_next(&t->random));
@@ -97,6 +98,7 @@
 		for (hi = apr_hash_first(t->pool, t->serving); hi != NULL;
 		     hi = apr_hash_next(hi))
 			serving_delete(apr_hash_this_val(hi));
+		lease_delete_all(t);
 		apr_pool_destroy(t->pool);
 	}
 	kf_balance_delete(t->balance);
@@ -129,6 +131,7 @@
 	kf_view_retain(view);
 	kf_view_release(t->view);
 	t->view = view;
+	lease_update(t);
 	serving_update(t);
 }
 
@@ -139,8 +142,10 @@
 	kf_admission_tick(t->admission, now.mono_us);
 	dispatch_timeouts(t);
 	kf_flow_expire(t->flows, now.mono_us);
-	if (t->view != NULL)
+	if (t->view != NULL) {
+		lease_tick(t);
 		serving_tick(t);
+	}
 	t->last_tick_us = now.mono_us;
 }
 
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -92,6 +92,28 @@
 	int probe_path;
 } serving_t;
 
+/*
+ * What this shard knows of a shard of another VM that backs up requests of this
+ * one, or whose requests it backs up.
+ */
+typedef struct lease_key {
+	uint64_t incarnation;
+	uint32_t vm;
+	uint32_t shard;
+} lease_key_t;
+
+typedef struct lease {
+	lease_key_t key;
+	bool wanted; /* it is the backup of an upstream owned here */
+	bool ended;  /* the VM is gone */
+	bool cannot_have_fenced; /* it ended before it could fence this VM */
+	uint32_t sequence;	 /* of the last request */
+	int64_t requested_us;	 /* when the last request was sent */
+	int64_t granted_us;	 /* when the last granted request was sent */
+	int64_t heard_us;	 /* last lease request from it */
+	int64_t ended_us;
+} lease_t;
+
 struct kf_traffic {
 	kf_traffic_config_t config;
 	kf_view_t *view;
@@ -107,6 +129,7 @@
 	apr_hash_t *by_id;   /* request_t by id.flow and id.xid */
 	apr_hash_t *by_xid;  /* request_t by upstream_xid */
 	apr_hash_t *serving; /* serving_t by id */
+	apr_hash_t *leases;  /* lease_t by key */
 	request_t *requests;
 	request_t *deleted; /* unlinked during a sweep */
 	bool sweeping;
@@ -175,6 +198,19 @@
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_intent *intent);
 void backup_on_done(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_done *done);
 
+/* lease.c */
+void lease_update(kf_traffic_t *t);
+void lease_tick(kf_traffic_t *t);
+void lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard);
+void lease_on_request(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request);
+void lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack);
+bool lease_cannot_have_fenced(
+    const kf_traffic_t *t, kf_vm_id_t backup, uint32_t upstream);
+bool lease_may_fence(
+    const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream);
+void lease_delete_all(kf_traffic_t *t);
+
 /* dispatch.c */
 void dispatch_start(kf_traffic_t *t, request_t *req);
 void dispatch_send(kf_traffic_t *t, request_t *req);
@@ -223,6 +259,9 @@
 void peer_intent(kf_traffic_t *t, request_t *req);
 void peer_intent_answer(
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
+void peer_lease(kf_traffic_t *t, const lease_t *lease);
+void peer_lease_ack(
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced);
 void peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
 
--- a/lib/view/include/kf/view.h
+++ b/lib/view/include/kf/view.h
@@ -42,11 +42,6 @@
 	bool leaving;
 	kf_liveness_t liveness;
 	int64_t gone_since_us;
-	/*
-	 * Set when the VM was found gone before it could have fenced this
-	 * VM: requests it backs up may be dispatched without it.
-	 */
-	bool cannot_have_fenced;
 } kf_view_vm_t;
 
 typedef struct kf_view_digest {
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -12,7 +12,9 @@
 	KF_PEER_INTENT = 3,
 	KF_PEER_INTENT_ACK = 4,
 	KF_PEER_INTENT_NACK = 5,
-	KF_PEER_DONE = 6
+	KF_PEER_DONE = 6,
+	KF_PEER_LEASE = 7,
+	KF_PEER_LEASE_ACK = 8
 };
 
 /* A VM and the start time of its process in milliseconds. */
@@ -76,6 +78,16 @@
 	opaque reply<KF_PEER_MAX_PAYLOAD>;
 };
 
+/*
+ * An owner's request that its backup does not fence it for a while, and the
+ * backup's answer.
+ */
+struct kf_peer_lease {
+	unsigned int sequence;
+	unsigned int shard;	/* of the sender of the request */
+	unsigned int fenced;	/* answer: the owner is fenced already */
+};
+
 union kf_peer_body switch (kf_peer_type type) {
 case KF_PEER_HEARTBEAT:
 	kf_peer_heartbeat heartbeat;
@@ -89,6 +101,10 @@
 	kf_peer_intent nack;
 case KF_PEER_DONE:
 	kf_peer_done done;
+case KF_PEER_LEASE:
+	kf_peer_lease lease;
+case KF_PEER_LEASE_ACK:
+	kf_peer_lease lease_ack;
 };
 
 struct kf_peer_msg {
