--- /dev/null
+++ b/lib/membership/include/kf/membership.h
@@ -0,0 +1,169 @@
+#ifndef KF_MEMBERSHIP_H
+#define KF_MEMBERSHIP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "kf/document.h"
+#include "kf/peer.h"
+#include "kf/token.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_membership - VMs of the fleet, their incarnations and liveness
+ *
+ * DESCRIPTION
+ *	Combines the platform's lagging list, heartbeats, evidence relayed in
+ *	heartbeats and port-unreachable errors.  Evidence of liveness takes
+ *	precedence over the list.
+ *
+ *	A fleet of up to KF_MESH_MAX VMs is a full mesh.  In a larger fleet
+ *	each VM sends to 3 observers chosen by rendezvous, to one more random
+ *	VM of its zone and to one of another zone.  An observer measures
+ *	silence and spreads it as evidence; a VM that nobody reports silent
+ *	counts as alive once any VM has reported it alive.
+ *
+ *	Times are monotonic microseconds of this process.
+ */
+
+enum {
+	/*
+	 * 7 receivers every 500 ms get 146 bytes each: 116 bytes of headers
+	 * and fixed fields, and room for one digest or evidence entry.
+	 */
+	KF_MESH_MAX = 8,
+	KF_HEARTBEAT_US = 500000,
+	KF_SUSPECT_US = 1500000,
+	KF_DEAD_US = 3000000,
+	KF_PAUSE_US = 1000000,
+	KF_TOMBSTONE_US = 300000000,
+	KF_CONTROL_BYTES_PER_S = 2048,
+	KF_UDP_IP_BYTES = 28,
+	/* Upper limit of one call to kf_membership_targets. */
+	KF_TARGETS_MAX = 32,
+};
+
+typedef enum kf_liveness {
+	KF_VM_UNKNOWN = 0, /* not heard since the start or a pause */
+	KF_VM_ALIVE,
+	KF_VM_SUSPECT, /* silent for KF_SUSPECT_US */
+	KF_VM_DEAD,    /* silent for KF_DEAD_US */
+	KF_VM_GONE,    /* this incarnation has definitely ended */
+	KF_VM_LIVENESS_COUNT
+} kf_liveness_t;
+
+typedef struct kf_membership_config {
+	kf_vm_id_t self;
+	const char *name;
+	uint32_t zone;
+	kf_addr_t control;
+	kf_addr_t peer; /* same IP address as control */
+	uint32_t shards;
+	uint64_t seed;
+} kf_membership_config_t;
+
+typedef struct kf_member {
+	kf_vm_id_t id;		  /* incarnation 0: listed, never heard */
+	char name[KF_NAME_BYTES]; /* empty until listed */
+	uint32_t zone;
+	kf_addr_t control;
+	kf_addr_t peer; /* port 0: not known */
+	uint32_t shards;
+	bool leaving;
+	kf_liveness_t liveness;
+	int64_t gone_since_us; /* KF_VM_GONE: when this VM first knew */
+	int64_t heard_us;      /* latest evidence of life; -1: none */
+} kf_member_t;
+
+typedef struct kf_heartbeat_target {
+	uint32_t vm; /* 0: a seed address, VM not known yet */
+	kf_addr_t addr;
+	bool observe; /* the receiver is to measure our silence */
+} kf_heartbeat_target_t;
+
+typedef struct kf_membership kf_membership_t;
+
+kf_membership_t *kf_membership_new(const kf_membership_config_t *config);
+void kf_membership_delete(kf_membership_t *m);
+
+/* Adds an address from the settings to contact until a VM answers there. */
+kf_status_t kf_membership_add_seed(kf_membership_t *m, kf_addr_t addr);
+
+/*
+ * Takes the platform's list.  KF_ERR_STALE: not newer than the last one.
+ * A list that omits most of the VMs heard from is implausible; it adds VMs
+ * but is no evidence that one has ended.
+ */
+kf_status_t kf_membership_on_list(kf_membership_t *m, int64_t now_us,
+    const kf_vm_list_t *list, uint64_t version);
+
+/*
+ * Takes an authenticated heartbeat.  KF_ERR_STALE: of an ended incarnation,
+ * or older than one already taken; the caller ignores its other contents.
+ */
+kf_status_t kf_membership_on_heartbeat(kf_membership_t *m, int64_t now_us,
+    const kf_peer_heartbeat *hb, kf_peer_id from, kf_addr_t src);
+
+/*
+ * Takes a port-unreachable error for a control or peer address.  The second
+ * in a row proves that the known incarnation has ended.  Errors within a
+ * second of a heartbeat are ignored: they may belong to the process that
+ * used the port before.
+ */
+void kf_membership_on_unreachable(
+    kf_membership_t *m, int64_t now_us, kf_addr_t addr);
+void kf_membership_on_unreachable_vm(
+    kf_membership_t *m, int64_t now_us, uint32_t vm);
+
+/* Ages members.  A gap over KF_PAUSE_US between ticks is a pause. */
+void kf_membership_tick(kf_membership_t *m, int64_t now_us);
+
+/* Returns true if the last tick detected a pause. */
+bool kf_membership_paused(const kf_membership_t *m);
+
+/* Returns the receivers of the heartbeat that is due, or 0 if none is. */
+size_t kf_membership_targets(
+    kf_membership_t *m, int64_t now_us, kf_heartbeat_target_t *out, size_t max);
+
+/*
+ * Fills in the heartbeat for a target except document versions and digests.
+ * The evidence points into m and is valid until the next call.
+ */
+void kf_membership_fill_heartbeat(kf_membership_t *m, int64_t now_us,
+    const kf_heartbeat_target_t *to, kf_peer_heartbeat *hb);
+
+/* Returns how many upstream digests fit the byte budget of hb. */
+size_t kf_membership_digest_max(
+    const kf_membership_t *m, const kf_peer_heartbeat *hb);
+
+void kf_membership_set_leaving(kf_membership_t *m);
+
+/* Index 0 is the VM itself; then members; then ended incarnations. */
+size_t kf_membership_count(const kf_membership_t *m);
+void kf_membership_at(const kf_membership_t *m, size_t index, kf_member_t *out);
+
+/* Finds an incarnation, ended ones included; KF_ERR_NOT_FOUND if unknown. */
+kf_status_t kf_membership_find(
+    const kf_membership_t *m, kf_vm_id_t id, kf_member_t *out);
+
+/* Changes when anything but heard_us of a member changes. */
+uint64_t kf_membership_version(const kf_membership_t *m);
+
+/*
+ * Returns the newest incarnation of the own VM id that peers report, or 0.
+ * One above the own incarnation means that peers ignore this process.
+ */
+uint64_t kf_membership_newer_self(const kf_membership_t *m);
+
+const char *kf_liveness_name(kf_liveness_t liveness);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -4,6 +4,7 @@
  */
 
 const KF_PEER_MAX_DIGESTS = 64;
+const KF_PEER_MAX_EVIDENCE = 16;
 const KF_PEER_MAX_PAYLOAD = 65000;
 
 enum kf_peer_type {
@@ -34,15 +35,39 @@
 	unsigned hyper platform_version;
 };
 
+/* Flags in the low 8 bits of a state. */
+const KF_PEER_LEAVING = 1;
+const KF_PEER_SILENT = 2; /* evidence: its observer hears nothing from it */
+const KF_PEER_OBSERVE = 4; /* heartbeat: one follows every 500 ms */
+
+/*
+ * Several numbers share a word, because headers and a heartbeat to each of
+ * 7 receivers leave 30 bytes of the budget.  ports: control port (upper
+ * half), first peer port (lower half).  state: age in 10 ms (upper half),
+ * shards (8 bits), flags (8 bits).
+ */
+
+/* What the sender knows of a third VM. */
+struct kf_peer_evidence {
+	kf_peer_id id;
+	unsigned int addr;
+	unsigned int ports;
+	unsigned int zone;
+	unsigned int state;
+};
+
+/* Control and peer sockets of a VM share one IP address. */
 struct kf_peer_heartbeat {
 	unsigned int sequence;
 	unsigned int addr;
-	unsigned int port;
-	unsigned int shards;
+	unsigned int ports;
 	unsigned int zone;
-	unsigned int leaving;
+	unsigned int state;
+	unsigned int confirmed_age_ms;
 	kf_peer_doc_version declaration;
-	kf_peer_doc_version keys;
+	unsigned hyper keys_version;
+	unsigned hyper vms_version;
+	kf_peer_evidence evidence<KF_PEER_MAX_EVIDENCE>;
 	kf_peer_digest digests<KF_PEER_MAX_DIGESTS>;
 };
 
