Add the control core, the network side and the balancer daemon

Cause: the cores need sockets, clocks, threads and a process. Ruled out: blocking document transfers on the control thread; a slow peer would delay heartbeats, so two threads fetch.

--- /dev/null
+++ b/lib/control/control_internal.h
@@ -0,0 +1,64 @@
+#ifndef KF_CONTROL_INTERNAL_H
+#define KF_CONTROL_INTERNAL_H
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+
+#include "kf/control.h"
+
+enum {
+	HEARTBEAT_MAX_BYTES = 2048,
+	/* Views that differ only in digests are published this often. */
+	DIGEST_VIEW_US = 100000,
+};
+
+/* The last digest of an upstream, from this VM or from a heartbeat. */
+typedef struct digest_entry {
+	uint32_t upstream;
+	bool own;
+	int64_t sent_us;
+	kf_view_digest_t digest;
+} digest_entry_t;
+
+struct kf_control {
+	kf_control_config_t config;
+	kf_addr_t *seeds;
+	kf_membership_t *membership;
+	kf_confdist_t *confdist;
+	kf_view_t *view;
+	kf_time_t now;
+	int64_t started_us;
+	bool settled;
+	bool digests_changed;
+	int64_t published_us;
+	uint64_t seen_members; /* membership version of the last view */
+	uint64_t seen_docs;    /* confdist generation of the last view */
+	uint64_t zone_members; /* membership version given to confdist */
+	uint64_t vms_version;  /* of the VM list given to membership */
+	apr_pool_t *pool;
+	apr_hash_t *digests; /* digest_entry_t by upstream */
+	apr_hash_t *liveness;
+	kf_counters_t counters;
+	uint8_t buf[HEARTBEAT_MAX_BYTES];
+};
+
+/* documents.c */
+kf_doc_ops_t documents_ops(kf_control_t *c);
+void documents_result(kf_control_t *c, kf_doc_kind_t kind,
+    kf_doc_result_t result, uint64_t version);
+kf_keyring_t *documents_keys(const kf_control_t *c);
+
+/* heartbeat.c */
+void heartbeat_send_due(kf_control_t *c);
+void heartbeat_on_datagram(
+    kf_control_t *c, kf_addr_t from, const uint8_t *data, size_t len);
+
+/* digests.c */
+void digests_set(kf_control_t *c, uint32_t upstream,
+    const kf_view_digest_t *digest, bool own);
+uint32_t digests_collect(kf_control_t *c, kf_peer_digest *out, uint32_t max);
+void digests_take(kf_control_t *c, const kf_peer_heartbeat *hb);
+const kf_view_digest_t *digests_find(void *ctx, uint32_t upstream_id);
+void digests_delete(kf_control_t *c);
+
+#endif
--- /dev/null
+++ b/lib/net/clock.c
@@ -0,0 +1,16 @@
+#include <time.h>
+
+#include "kf/clock.h"
+
+kf_time_t
+kf_clock_now(void)
+{
+	struct timespec mono, wall;
+
+	clock_gettime(CLOCK_MONOTONIC, &mono);
+	clock_gettime(CLOCK_REALTIME, &wall);
+	return (kf_time_t){
+		.mono_us = mono.tv_sec * 1000000 + mono.tv_nsec / 1000,
+		.wall_ms = wall.tv_sec * 1000 + wall.tv_nsec / 1000000,
+	};
+}
--- /dev/null
+++ b/lib/net/control_thread.c
@@ -0,0 +1,368 @@
+#include <apr_pools.h>
+
+#include <poll.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "kf/clock.h"
+#include "kf/control_server.h"
+#include "kf/udp.h"
+
+#include "control_thread.h"
+#include "fetch.h"
+#include "status_report.h"
+
+enum {
+	FD_CONTROL = 0,
+	FD_FETCH,
+	FD_SIGNAL,
+	FD_RPC, /* first of the RPC server's */
+	POLL_MAX = 1024,
+	BATCH = 256,
+	DIGEST_US = 100000,
+	/* A leaving VM stops when it was idle for so long. */
+	DRAIN_IDLE_US = 2000000,
+};
+
+struct control_thread {
+	kf_settings_t settings;
+	kf_logger_t *logger;
+	kf_control_t *core;
+	fetch_t *fetch;
+	traffic_thread_t **traffic;
+	uint32_t traffic_count;
+	apr_pool_t *report_pool;
+	int control_fd;
+	int signal_fd;
+	bool leaving;
+	int64_t busy_us; /* when a request was last in progress */
+	int64_t digest_us;
+	kf_time_t now;
+	uint8_t buf[KF_UDP_MAX_BYTES];
+};
+
+static void
+on_send(void *ctx, kf_addr_t to, const uint8_t *data, size_t len)
+{
+	control_thread_t *t = ctx;
+
+	kf_udp_send(t->control_fd, to, data, len);
+}
+
+static void
+on_fetch_platform(
+    void *ctx, kf_doc_kind_t kind, uint64_t after_version, uint32_t wait_ms)
+{
+	control_thread_t *t = ctx;
+
+	fetch_platform(t->fetch, kind, after_version, wait_ms);
+}
+
+static void
+on_fetch_peer(
+    void *ctx, kf_doc_source_t source, kf_addr_t peer, kf_doc_kind_t kind)
+{
+	control_thread_t *t = ctx;
+
+	fetch_peer(t->fetch, source, peer, kind);
+}
+
+static void
+on_publish(void *ctx, kf_view_t *view)
+{
+	control_thread_t *t = ctx;
+	uint32_t i;
+
+	for (i = 0; i < t->traffic_count; i++)
+		traffic_thread_set_view(t->traffic[i], view);
+}
+
+static void
+on_record(void *ctx, const kf_control_record_t *record)
+{
+	control_thread_t *t = ctx;
+
+	kf_logger_control(t->logger, record);
+}
+
+static void
+rpc_status(void *ctx, kf_rpc_status *status)
+{
+	control_thread_t *t = ctx;
+
+	status_report_fill(status, t->report_pool, t->settings.name, t->now,
+	    t->core, t->traffic, t->traffic_count);
+}
+
+/*
+ * The key document goes to VMs of the fleet only: whoever has a key can make
+ * tokens.
+ */
+static void
+rpc_fetch(void *ctx, uint32_t caller_ip, uint32_t kind, kf_rpc_doc *doc)
+{
+	control_thread_t *t = ctx;
+	kf_doc_t found;
+
+	if (kind >= KF_DOC_KINDS ||
+	    (kind == KF_DOC_KEYS && !kf_control_knows_ip(t->core, caller_ip)))
+		return;
+	found = kf_control_doc(t->core, (kf_doc_kind_t)kind);
+	if (found.version.platform_version == 0)
+		return;
+	doc->found = 1;
+	doc->revision = found.version.revision;
+	doc->platform_version = found.version.platform_version;
+	doc->text.text_val = (char *)found.text;
+	doc->text.text_len = (u_int)found.len;
+}
+
+static void
+rpc_release(void *ctx)
+{
+	control_thread_t *t = ctx;
+
+	apr_pool_clear(t->report_pool);
+}
+
+static kf_status_t
+open_rpc(control_thread_t *t)
+{
+	kf_control_server_ops_t ops = {
+		.ctx = t,
+		.status = rpc_status,
+		.fetch = rpc_fetch,
+		.release = rpc_release,
+	};
+	kf_status_t status;
+
+	status = kf_control_server_listen(t->settings.rpc_address, &ops);
+	/* Peers know each other's control address only. */
+	if (status == KF_OK &&
+	    !kf_addr_equal(
+		t->settings.rpc_address, t->settings.control_address))
+		status =
+		    kf_control_server_listen(t->settings.control_address, &ops);
+	return status;
+}
+
+static kf_status_t
+open_signals(control_thread_t *t)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	t->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	return t->signal_fd < 0
+	    ? kf_status_set(KF_ERR_IO, "cannot create signalfd")
+	    : KF_OK;
+}
+
+static kf_status_t
+make_core(control_thread_t *t, kf_vm_id_t self)
+{
+	const kf_settings_t *s = &t->settings;
+	kf_control_config_t config = {
+		.membership = {
+			.self = self,
+			.name = s->name,
+			.zone = s->zone,
+			.control = s->control_address,
+			.peer = s->peer_address,
+			.shards = s->traffic_threads,
+			.seed = self.incarnation ^ self.vm,
+		},
+		.seeds = s->seeds,
+		.seed_count = s->seed_count,
+		.seed = self.incarnation * 17 + self.vm,
+		.ops = {
+			.ctx = t,
+			.send = on_send,
+			.fetch_platform = on_fetch_platform,
+			.fetch_peer = on_fetch_peer,
+			.publish = on_publish,
+			.record = on_record,
+		},
+	};
+
+	t->core = kf_control_new(&config, kf_clock_now());
+	return t->core == NULL ? KF_ERR_NO_MEMORY : KF_OK;
+}
+
+control_thread_t *
+control_thread_new(const kf_settings_t *settings, kf_vm_id_t self,
+    traffic_thread_t **traffic, uint32_t traffic_count, kf_logger_t *logger)
+{
+	control_thread_t *t;
+
+	t = calloc(1, sizeof(*t));
+	if (t == NULL)
+		return NULL;
+	t->settings = *settings;
+	t->logger = logger;
+	t->traffic = traffic;
+	t->traffic_count = traffic_count;
+	t->control_fd = t->signal_fd = -1;
+	if (apr_pool_create(&t->report_pool, NULL) != APR_SUCCESS) {
+		free(t);
+		return NULL;
+	}
+	if (kf_udp_open(settings->control_address, KF_UDP_ERRORS,
+		&t->control_fd) != KF_OK ||
+	    open_signals(t) != KF_OK || open_rpc(t) != KF_OK ||
+	    make_core(t, self) != KF_OK ||
+	    (t->fetch = fetch_new(settings->platform_url)) == NULL) {
+		control_thread_delete(t);
+		return NULL;
+	}
+	return t;
+}
+
+void
+control_thread_delete(control_thread_t *t)
+{
+	if (t == NULL)
+		return;
+	fetch_delete(t->fetch);
+	kf_control_delete(t->core);
+	if (t->control_fd >= 0)
+		close(t->control_fd);
+	if (t->signal_fd >= 0)
+		close(t->signal_fd);
+	apr_pool_destroy(t->report_pool);
+	free(t);
+}
+
+static void
+read_control(control_thread_t *t)
+{
+	kf_addr_t addr;
+	ssize_t len;
+	int i;
+
+	while (kf_udp_unreachable(t->control_fd, &addr))
+		kf_control_on_unreachable(t->core, t->now, addr);
+	for (i = 0; i < BATCH; i++) {
+		len = kf_udp_recv(t->control_fd, t->buf, sizeof(t->buf), &addr);
+		if (len < 0)
+			return;
+		kf_control_on_datagram(
+		    t->core, t->now, addr, t->buf, (size_t)len);
+	}
+}
+
+static void
+read_fetched(control_thread_t *t)
+{
+	fetch_result_t *r;
+
+	while ((r = fetch_take(t->fetch)) != NULL) {
+		switch (r->outcome) {
+		case FETCH_DOCUMENT:
+			kf_control_on_document(t->core, t->now, r->kind,
+			    r->source, r->version,
+			    r->text == NULL ? "" : r->text, r->len);
+			break;
+		case FETCH_UNCHANGED:
+			kf_control_on_unchanged(t->core, t->now, r->kind);
+			break;
+		case FETCH_FAILED:
+			kf_control_on_fetch_failed(
+			    t->core, t->now, r->kind, r->source);
+			break;
+		}
+		fetch_result_delete(r);
+	}
+}
+
+static void
+read_signal(control_thread_t *t)
+{
+	struct signalfd_siginfo info;
+
+	while (read(t->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (t->leaving)
+			continue;
+		t->leaving = true;
+		t->busy_us = t->now.mono_us;
+		kf_logger_event(t->logger, KF_LOG_INFO, "leaving", "signal=%u",
+		    info.ssi_signo);
+		kf_control_set_leaving(t->core, t->now);
+	}
+}
+
+/* Takes the traffic threads' state; returns the requests in progress. */
+static uint32_t
+collect_traffic(control_thread_t *t)
+{
+	traffic_snapshot_t snapshot;
+	uint32_t i, j, in_progress = 0;
+
+	for (i = 0; i < t->traffic_count; i++) {
+		if (traffic_thread_snapshot(t->traffic[i], &snapshot) != KF_OK)
+			continue;
+		in_progress += snapshot.in_progress;
+		for (j = 0; j < snapshot.upstream_count; j++) {
+			const kf_traffic_upstream_t *u = &snapshot.upstreams[j];
+
+			if (u->owned)
+				kf_control_on_digest(
+				    t->core, t->now, u->id, &u->digest);
+		}
+		free(snapshot.upstreams);
+	}
+	return in_progress;
+}
+
+/* Returns false when a leaving VM may stop. */
+static bool
+control_tick(control_thread_t *t)
+{
+	if (t->now.mono_us - t->digest_us >= DIGEST_US) {
+		t->digest_us = t->now.mono_us;
+		if (collect_traffic(t) > 0)
+			t->busy_us = t->now.mono_us;
+	}
+	kf_control_on_tick(t->core, t->now);
+	return !t->leaving || t->now.mono_us - t->busy_us < DRAIN_IDLE_US;
+}
+
+void
+control_thread_run(control_thread_t *t)
+{
+	struct pollfd fds[POLL_MAX];
+	int64_t tick_us = 0;
+	bool run = true;
+	int count, rpc;
+
+	while (run) {
+		fds[FD_CONTROL] =
+		    (struct pollfd){ .fd = t->control_fd, .events = POLLIN };
+		fds[FD_FETCH] = (struct pollfd){ .fd = fetch_wake_fd(t->fetch),
+			.events = POLLIN };
+		fds[FD_SIGNAL] =
+		    (struct pollfd){ .fd = t->signal_fd, .events = POLLIN };
+		rpc =
+		    kf_control_server_pollfds(fds + FD_RPC, POLL_MAX - FD_RPC);
+		count = poll(fds, (nfds_t)(FD_RPC + rpc), KF_CONTROL_TICK_MS);
+		t->now = kf_clock_now();
+		if (t->now.mono_us - tick_us >= KF_CONTROL_TICK_MS * 1000) {
+			tick_us = t->now.mono_us;
+			run = control_tick(t);
+		}
+		if (count <= 0)
+			continue;
+		if (fds[FD_CONTROL].revents != 0)
+			read_control(t);
+		if (fds[FD_FETCH].revents != 0)
+			read_fetched(t);
+		if (fds[FD_SIGNAL].revents != 0)
+			read_signal(t);
+		kf_control_server_handle(fds + FD_RPC, rpc);
+	}
+}
--- /dev/null
+++ b/lib/net/daemon.c
@@ -0,0 +1,84 @@
+#include <apr_general.h>
+
+#include <curl/curl.h>
+
+#include <signal.h>
+
+#include "kf/clock.h"
+#include "kf/daemon.h"
+
+#include "control_thread.h"
+
+/* Signals are read by the control thread only. */
+static void
+block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+static kf_status_t
+run_threads(const kf_settings_t *settings, kf_logger_t *logger)
+{
+	traffic_thread_t *traffic[KF_SETTINGS_MAX_THREADS] = { 0 };
+	kf_vm_id_t self = {
+		.vm = settings->vm_id,
+		.incarnation = (uint64_t)kf_clock_now().wall_ms,
+	};
+	control_thread_t *control = NULL;
+	kf_status_t status = KF_OK;
+	uint32_t i;
+
+	for (i = 0; i < settings->traffic_threads; i++) {
+		traffic[i] = traffic_thread_new(settings, self, i, logger);
+		if (traffic[i] == NULL)
+			status = KF_ERR_IO;
+	}
+	if (status == KF_OK)
+		control = control_thread_new(
+		    settings, self, traffic, settings->traffic_threads, logger);
+	for (i = 0; control != NULL && i < settings->traffic_threads; i++)
+		status = traffic_thread_start(traffic[i]);
+	if (control == NULL)
+		status = KF_ERR_IO;
+	if (status == KF_OK) {
+		kf_logger_event(logger, KF_LOG_INFO, "started",
+		    "incarnation=%llu shards=%u",
+		    (unsigned long long)self.incarnation,
+		    settings->traffic_threads);
+		control_thread_run(control);
+	} else
+		kf_logger_event(logger, KF_LOG_ERROR, "start_failed",
+		    "reason=\"%s\"", kf_status_message());
+	for (i = 0; i < settings->traffic_threads; i++)
+		traffic_thread_delete(traffic[i]);
+	control_thread_delete(control);
+	return status;
+}
+
+kf_status_t
+kf_daemon_run(const kf_settings_t *settings)
+{
+	kf_logger_t *logger;
+	kf_status_t status;
+
+	block_signals();
+	if (apr_initialize() != APR_SUCCESS)
+		return kf_status_set(KF_ERR_IO, "cannot initialise APR");
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	logger = kf_logger_new(settings);
+	if (logger == NULL)
+		return KF_ERR_IO;
+	status = run_threads(settings, logger);
+	kf_logger_event(logger, KF_LOG_INFO, "stopped", "status=%s",
+	    kf_status_name(status));
+	kf_logger_delete(logger);
+	curl_global_cleanup();
+	apr_terminate();
+	return status;
+}
--- /dev/null
+++ b/lib/net/include/kf/clock.h
@@ -0,0 +1,17 @@
+#ifndef KF_CLOCK_H
+#define KF_CLOCK_H
+
+#include "kf/addr.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Reads the monotonic and the wall clock. */
+kf_time_t kf_clock_now(void);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/net/include/kf/daemon.h
@@ -0,0 +1,26 @@
+#ifndef KF_DAEMON_H
+#define KF_DAEMON_H
+
+#include "kf/settings.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_daemon - the balancer process
+ *
+ * DESCRIPTION
+ *	Opens the sockets, starts the traffic threads and runs the control
+ *	thread on the calling thread until SIGTERM or SIGINT has ended in a
+ *	graceful stop.
+ */
+
+kf_status_t kf_daemon_run(const kf_settings_t *settings);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
