--- /dev/null
+++ b/tests/process/model.sh
@@ -0,0 +1,47 @@
+#!/bin/sh
+# Checks models/at_most_once.pml over all interleavings.  Guards against a
+# protocol that runs a request twice or refuses one falsely, and against a
+# model that cannot fail: each variant without one rule must be found wrong.
+set -eu
+build=$1
+model=$PWD/models/at_most_once.pml
+dir=$build/test-output/model
+variants=$(sed -n 's/^ \*	\([A-Z_]*\)	.*/\1/p' "$model")
+rm -rf "$dir"
+mkdir -p "$dir"
+cd "$dir"
+
+# Limits: 60 s of CPU, 512 MB, search depth 1000000.
+check() { # name spin-option...
+	name=$1
+	shift
+	mkdir "$name"
+	(cd "$name" && spin "$@" -a "$model" >spin.log &&
+	    gcc -O0 -w -DSAFETY -DMEMLIM=512 -o pan pan.c &&
+	    ulimit -t 60 && ./pan -m1000000 >log)
+}
+
+fail() {
+	echo "$1"
+	exit 1
+}
+
+check protocol
+cat protocol/log
+grep -q 'errors: 0' protocol/log || fail "the protocol is wrong"
+if grep -qE 'max search depth too small|out of memory|interrupted' \
+    protocol/log; then
+	fail "the search was not complete"
+fi
+# Guards against a model in which part of the protocol never happens.
+if grep -E ', state [0-9]+, ' protocol/log | grep -qv -e '-end-'; then
+	fail "a step of the protocol is never reached"
+fi
+
+for variant in $variants; do
+	check "$variant" "-D$variant"
+	found=$(grep 'assertion violated' "$variant/log") ||
+	    fail "variant $variant was not found wrong"
+	echo "variant $variant: $found"
+done
+[ "$(echo "$variants" | wc -w)" -eq 10 ] || fail "a variant is missing"
