Keep the static analyser's view of stand-in errors complete

Cause: make lint failed on six paths where the analyser cannot know that kf_status_set returns the code it is given. Ruled out: suppressing the findings, because finders that return a pointer say the same with fewer lines.

--- a/lib/standin/command.c
+++ b/lib/standin/command.c
@@ -167,7 +167,7 @@
 {
 	const char *end;
 	kf_status_t status;
-	uint64_t v;
+	uint64_t v = 0;
 
 	status = parse_digits(text, max, &v, &end);
 	if (status != KF_OK)
@@ -185,7 +185,8 @@
 {
 	const char *end;
 	kf_status_t status;
-	uint64_t a, b;
+	uint64_t a = 0;
+	uint64_t b;
 
 	status = parse_digits(text, max, &a, &end);
 	if (status != KF_OK)
--- a/standin/fabric/fabric.c
+++ b/standin/fabric/fabric.c
@@ -538,13 +538,16 @@
 void
 kf_fabric_delete(kf_fabric_t *fabric)
 {
-	delayed_t *d;
+	delayed_t *d, *next;
 	size_t i;
 
 	if (fabric == NULL)
 		return;
-	while ((d = fabric->delayed) != NULL)
-		delayed_delete(d);
+	for (d = fabric->delayed; d != NULL; d = next) {
+		next = d->next;
+		kf_sim_timer_cancel(fabric->loop, &d->timer);
+		free(d);
+	}
 	kf_sim_control_delete(fabric->control);
 	for (i = 0; i < fabric->service_count; i++)
 		close_watched(fabric->loop, fabric->services[i].fd);
--- a/standin/platform/document.c
+++ b/standin/platform/document.c
@@ -23,30 +23,36 @@
 	document->count = 0;
 }
 
-static kf_status_t
-read_file(const char *path, char **body, size_t *len)
+/* Returns the allocated content, or NULL with a status message. */
+static char *
+read_file(const char *path, size_t *len)
 {
 	FILE *file;
+	char *body;
+	bool ok;
 
 	file = fopen(path, "re");
-	if (file == NULL)
-		return kf_status_set(KF_ERR_NOT_FOUND, "cannot open %s: %s",
-		    path, strerror(errno));
-	*body = malloc(KF_SIM_DOCUMENT_BYTES + 1);
-	if (*body == NULL) {
-		fclose(file);
-		return kf_status_set(KF_ERR_NO_MEMORY, "no memory");
+	if (file == NULL) {
+		kf_status_set(KF_ERR_NOT_FOUND, "cannot open %s: %s", path,
+		    strerror(errno));
+		return NULL;
 	}
-	*len = fread(*body, 1, KF_SIM_DOCUMENT_BYTES + 1, file);
-	if (ferror(file) || *len > KF_SIM_DOCUMENT_BYTES) {
+	body = malloc(KF_SIM_DOCUMENT_BYTES + 1);
+	if (body == NULL) {
+		kf_status_set(KF_ERR_NO_MEMORY, "no memory");
 		fclose(file);
-		free(*body);
-		return kf_status_set(KF_ERR_INVALID,
-		    "%s cannot be read or is longer than %d bytes", path,
-		    KF_SIM_DOCUMENT_BYTES);
+		return NULL;
 	}
+	*len = fread(body, 1, KF_SIM_DOCUMENT_BYTES + 1, file);
+	ok = !ferror(file) && *len <= KF_SIM_DOCUMENT_BYTES;
 	fclose(file);
-	return KF_OK;
+	if (ok)
+		return body;
+	kf_status_set(KF_ERR_INVALID,
+	    "%s cannot be read or is longer than %d bytes", path,
+	    KF_SIM_DOCUMENT_BYTES);
+	free(body);
+	return NULL;
 }
 
 static bool
@@ -58,32 +64,36 @@
 	if (document->count == 0)
 		return false;
 	v = &document->versions[document->count - 1];
-	return v->len == len && memcmp(v->body, body, len) == 0;
+	return v->body != NULL && v->len == len &&
+	    memcmp(v->body, body, len) == 0;
+}
+
+static void
+document_drop_oldest(kf_sim_document_t *document)
+{
+	free(document->versions[0].body);
+	memmove(document->versions, document->versions + 1,
+	    --document->count * sizeof(document->versions[0]));
 }
 
 kf_status_t
 kf_sim_document_load(
     kf_sim_document_t *document, const char *path, int64_t now_us)
 {
-	kf_status_t status;
 	kf_sim_version_t *v;
-	char *body = NULL;
-	char *shrunk;
+	char *body, *shrunk;
 	size_t len = 0;
 
-	status = read_file(path, &body, &len);
-	if (status != KF_OK)
-		return status;
+	body = read_file(path, &len);
+	if (body == NULL)
+		return KF_ERR_IO;
 	if (document_is_newest(document, body, len)) {
 		free(body);
 		return KF_OK;
 	}
 	shrunk = realloc(body, len + 1);
-	if (document->count == KF_SIM_DOCUMENT_VERSIONS) {
-		free(document->versions[0].body);
-		memmove(document->versions, document->versions + 1,
-		    --document->count * sizeof(document->versions[0]));
-	}
+	if (document->count == KF_SIM_DOCUMENT_VERSIONS)
+		document_drop_oldest(document);
 	v = &document->versions[document->count++];
 	v->version = document->next_version++;
 	v->published_us = now_us;
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -11,18 +11,18 @@
 	size_t count;
 };
 
-static kf_status_t
-server_find(
-    kf_sim_server_t *server, const char *name, kf_sim_upstream_t **upstream)
+/* Returns NULL with a status message if there is no such upstream. */
+static kf_sim_upstream_t *
+server_find(const kf_sim_server_t *server, const char *name)
 {
 	size_t i;
 
-	for (i = 0; i < server->count; i++) {
-		*upstream = server->upstreams[i];
-		if (strcmp(kf_sim_upstream_name(*upstream), name) == 0)
-			return KF_OK;
-	}
-	return kf_status_set(KF_ERR_NOT_FOUND, "no upstream '%s'", name);
+	for (i = 0; i < server->count; i++)
+		if (strcmp(kf_sim_upstream_name(server->upstreams[i]), name) ==
+		    0)
+			return server->upstreams[i];
+	kf_status_set(KF_ERR_NOT_FOUND, "no upstream '%s'", name);
+	return NULL;
 }
 
 static kf_status_t
@@ -30,12 +30,11 @@
 {
 	bool draining = strcmp(argv[0], "drain") == 0;
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
 
 	(void)argc;
-	status = server_find(ctx, argv[1], &upstream);
-	if (status != KF_OK)
-		return status;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
 	kf_sim_upstream_drain(upstream, draining);
 	fprintf(out, "upstream=%s draining=%d", argv[1], draining ? 1 : 0);
 	return KF_OK;
@@ -46,12 +45,11 @@
 {
 	bool frozen = strcmp(argv[0], "freeze") == 0;
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
 
 	(void)argc;
-	status = server_find(ctx, argv[1], &upstream);
-	if (status != KF_OK)
-		return status;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
 	kf_sim_upstream_freeze(upstream, frozen);
 	fprintf(out, "upstream=%s frozen=%d", argv[1], frozen ? 1 : 0);
 	return KF_OK;
@@ -61,14 +59,13 @@
 command_slow(void *ctx, int argc, char **argv, FILE *out)
 {
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
 	double factor;
 	char *end;
 
 	(void)argc;
-	status = server_find(ctx, argv[1], &upstream);
-	if (status != KF_OK)
-		return status;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
 	factor = strtod(argv[2], &end);
 	if (end == argv[2] || *end != '\0' || !(factor > 0 && factor <= 1e6))
 		return kf_status_set(
@@ -83,13 +80,12 @@
 {
 	static const char *const names[] = { "off", "good", "bad" };
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
 	int lie = 0;
 
 	(void)argc;
-	status = server_find(ctx, argv[1], &upstream);
-	if (status != KF_OK)
-		return status;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
 	while (lie < 3 && strcmp(names[lie], argv[2]) != 0)
 		lie++;
 	if (lie == 3)
@@ -104,12 +100,11 @@
 command_restart(void *ctx, int argc, char **argv, FILE *out)
 {
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
 
 	(void)argc;
-	status = server_find(ctx, argv[1], &upstream);
-	if (status != KF_OK)
-		return status;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
 	kf_sim_upstream_restart(upstream);
 	kf_sim_upstream_print(upstream, out);
 	return KF_OK;
@@ -119,12 +114,14 @@
 command_silence(void *ctx, int argc, char **argv, FILE *out)
 {
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
+	kf_status_t status = KF_OK;
 	uint64_t port = 0;
 
 	(void)argc;
-	status = server_find(ctx, argv[1], &upstream);
-	if (status == KF_OK && strcmp(argv[2], "ANY") != 0) {
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
+	if (strcmp(argv[2], "ANY") != 0) {
 		status = kf_sim_parse_u64(argv[2], UINT16_MAX, &port);
 		if (status == KF_OK && port == 0)
 			status = kf_status_set(
@@ -151,16 +148,16 @@
 {
 	kf_sim_server_t *server = ctx;
 	kf_sim_upstream_t *upstream;
-	kf_status_t status;
 
 	if (argc == 1) {
 		server_print_totals(server, out);
 		return KF_OK;
 	}
-	status = server_find(server, argv[1], &upstream);
-	if (status == KF_OK)
-		kf_sim_upstream_print(upstream, out);
-	return status;
+	upstream = server_find(server, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
+	kf_sim_upstream_print(upstream, out);
+	return KF_OK;
 }
 
 static kf_status_t
