--- a/lib/net/logger.c
+++ b/lib/net/logger.c
@@ -1,4 +1,5 @@
 #include <log4c.h>
+#include <log4c/appender_type_stream2.h>
 
 #include <apr_thread_mutex.h>
 
--- a/lib/rpc/client.c
+++ b/lib/rpc/client.c
@@ -50,6 +50,13 @@
 	return KF_OK;
 }
 
+static bool_t
+no_arguments(XDR *xdrs, ...)
+{
+	(void)xdrs;
+	return TRUE;
+}
+
 static kf_status_t
 client_call(kf_addr_t server, int64_t timeout_ms, rpcproc_t proc,
     xdrproc_t xdr_args, void *args, xdrproc_t xdr_result, void *result)
@@ -65,7 +72,7 @@
 	enum clnt_stat stat;
 	kf_status_t status;
 	CLIENT *client;
-	int fd;
+	int fd = -1;
 
 	status = connect_tcp(server, timeout_ms, &fd);
 	if (status != KF_OK)
@@ -94,7 +101,7 @@
 {
 	memset(status, 0, sizeof(*status));
 	return client_call(server, timeout_ms, KF_CONTROL_STATUS,
-	    (xdrproc_t)xdr_void, NULL, (xdrproc_t)xdr_kf_rpc_status, status);
+	    no_arguments, NULL, (xdrproc_t)xdr_kf_rpc_status, status);
 }
 
 kf_status_t
--- a/lib/rpc/server.c
+++ b/lib/rpc/server.c
@@ -2,6 +2,9 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <rpc/rpc.h>
+#include <rpc/rpc_com.h>
+
 #include <errno.h>
 #include <string.h>
 #include <unistd.h>
@@ -17,6 +20,13 @@
 /* The RPC library passes no context to a dispatch function. */
 static kf_control_server_ops_t server_ops;
 
+static bool_t
+no_results(XDR *xdrs, ...)
+{
+	(void)xdrs;
+	return TRUE;
+}
+
 static uint32_t
 caller_ip(SVCXPRT *xprt)
 {
@@ -30,10 +40,6 @@
 {
 	kf_rpc_status status;
 
-	if (!svc_getargs(xprt, (xdrproc_t)xdr_void, NULL)) {
-		svcerr_decode(xprt);
-		return;
-	}
 	memset(&status, 0, sizeof(status));
 	server_ops.status(server_ops.ctx, &status);
 	svc_sendreply(xprt, (xdrproc_t)xdr_kf_rpc_status, &status);
@@ -62,7 +68,7 @@
 {
 	switch (req->rq_proc) {
 	case KF_CONTROL_NULL:
-		svc_sendreply(xprt, (xdrproc_t)xdr_void, NULL);
+		svc_sendreply(xprt, no_results, NULL);
 		break;
 	case KF_CONTROL_STATUS:
 		serve_status(xprt);
@@ -105,7 +111,7 @@
 kf_status_t
 kf_control_server_listen(kf_addr_t addr, const kf_control_server_ops_t *ops)
 {
-	int max = RECORD_MAX_BYTES, fd;
+	int max = RECORD_MAX_BYTES, fd = -1;
 	kf_status_t status;
 	SVCXPRT *xprt;
 
