Forward a request to the backup that has fenced this VM

Cause: an owner that was paused for longer than 3 s is fenced; its requests got no answer until the callers gave up. Change: on INTENT_NACK the owner hands the request to the backup, and the backup serves flows of an owner it has fenced even if that is alive. Cause 2: the log stayed empty; the literal 'stderr' of the settings was taken for a file, and the stream appender of log4c adds a prefix.

--- a/lib/net/logger.c
+++ b/lib/net/logger.c
@@ -1,5 +1,4 @@
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 
 #include <apr_thread_mutex.h>
 
@@ -26,14 +25,21 @@
 	uint64_t suppressed;
 };
 
-static const char *
-layout_format(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+/* The stream appenders of log4c put a prefix before each line. */
+static int
+appender_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
-	(void)layout;
-	return event->evt_msg;
+	FILE *file = log4c_appender_get_udata(appender);
+
+	if (fputs(event->evt_msg, file) == EOF || fflush(file) == EOF)
+		return -1;
+	return 0;
 }
 
-static const log4c_layout_type_t line_layout = { "line", layout_format };
+static const log4c_appender_type_t line_appender = {
+	.name = "line",
+	.append = appender_append,
+};
 
 static const int priorities[] = {
 	[KF_LOG_ERROR] = LOG4C_PRIORITY_ERROR,
@@ -46,17 +52,12 @@
 logger_open(kf_logger_t *logger, const kf_settings_t *settings)
 {
 	log4c_appender_t *appender;
-	log4c_layout_t *layout;
 
 	log4c_init();
-	log4c_layout_type_set(&line_layout);
-	layout = log4c_layout_get("line");
-	log4c_layout_set_type(layout, &line_layout);
+	log4c_appender_type_set(&line_appender);
 	appender = log4c_appender_get("knapweed");
-	log4c_appender_set_type(appender, &log4c_appender_type_stream2);
-	log4c_stream2_set_fp(appender, logger->file);
-	log4c_stream2_set_flags(appender, LOG4C_STREAM2_UNBUFFERED);
-	log4c_appender_set_layout(appender, layout);
+	log4c_appender_set_type(appender, &line_appender);
+	log4c_appender_set_udata(appender, logger->file);
 	logger->category = log4c_category_get("knapweed");
 	log4c_category_set_appender(logger->category, appender);
 	log4c_category_set_additivity(logger->category, 0);
@@ -76,7 +77,7 @@
 	logger->level = settings->log_level;
 	logger->limit_per_s = settings->decisions_per_s;
 	logger->file = stderr;
-	if (settings->log_file[0] != '\0')
+	if (strcmp(settings->log_file, "stderr") != 0)
 		logger->file = fopen(settings->log_file, "ae");
 	if (logger->file == NULL) {
 		kf_status_set(
--- a/lib/rpc/client.c
+++ b/lib/rpc/client.c
@@ -100,8 +100,8 @@
     kf_addr_t server, int64_t timeout_ms, kf_rpc_status *status)
 {
 	memset(status, 0, sizeof(*status));
-	return client_call(server, timeout_ms, KF_CONTROL_STATUS,
-	    no_arguments, NULL, (xdrproc_t)xdr_kf_rpc_status, status);
+	return client_call(server, timeout_ms, KF_CONTROL_STATUS, no_arguments,
+	    NULL, (xdrproc_t)xdr_kf_rpc_status, status);
 }
 
 kf_status_t
--- a/lib/traffic/backup.c
+++ b/lib/traffic/backup.c
@@ -16,7 +16,8 @@
 	request_t *req;
 	size_t len;
 
-	if (!lease_may_fence(t, pkt->token.owner, pkt->token.upstream)) {
+	if (!kf_flow_fenced(t->flows, pkt->token.owner) &&
+	    !lease_may_fence(t, pkt->token.owner, pkt->token.upstream)) {
 		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
 		return;
 	}
--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -185,6 +185,12 @@
 		owner_handle(t, pkt);
 		return;
 	}
+	/* A fenced owner can run nothing, even if it is alive again. */
+	if (is_self(t, pkt->token.backup) && !pkt->proc.idempotent &&
+	    kf_flow_fenced(t->flows, pkt->token.owner)) {
+		ingress_to_backup(t, pkt);
+		return;
+	}
 	liveness = kf_view_liveness(t->view, pkt->token.owner);
 	if (liveness < KF_VM_DEAD && vm != NULL && vm->peer_addr.port != 0) {
 		ingress_send(t, pkt, vm, false);
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -273,3 +273,19 @@
 		break;
 	}
 }
+
+/*
+ * The backup has fenced this VM, so it decides about the request.  A request
+ * in the admission queue gets here when its INTENT is sent again.
+ */
+void
+owner_fenced(kf_traffic_t *t, request_t *req)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, req->token.backup);
+
+	if (req->state == REQUEST_QUEUED)
+		return;
+	if (vm != NULL && vm->peer_addr.port != 0)
+		peer_forward_request(t, req, &req->token, vm, true);
+	request_silent(t, req, KF_REASON_FENCED);
+}
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -70,7 +70,7 @@
 /* Sends a request this VM holds to the owner that token names. */
 void
 peer_forward_request(kf_traffic_t *t, const request_t *req,
-    const kf_token_t *token, const kf_view_vm_t *vm)
+    const kf_token_t *token, const kf_view_vm_t *vm, bool to_backup)
 {
 	kf_peer_msg msg = { .body.type = KF_PEER_FORWARD };
 	kf_peer_forward *f = &msg.body.kf_peer_body_u.forward;
@@ -98,6 +98,7 @@
 		return;
 	forward_fill(f, &req->route, sealed, t->buf, len);
 	f->hops = req->hops + 1;
+	f->to_backup = to_backup;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	peer_send(t, kf_view_shard_addr(vm, token->upstream), &msg);
 }
@@ -222,9 +223,8 @@
 		return;
 	if (ack)
 		owner_acked(t, req);
-	else if (req->state != REQUEST_QUEUED)
-		request_silent(t, req, KF_REASON_FENCED);
-	/* A queued request is asked about again when it gets its slot. */
+	else
+		owner_fenced(t, req);
 }
 
 static void
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -209,7 +209,7 @@
 	request_record(
 	    t, req, KF_ANSWERED, KF_REASON_NONE, stored, sizeof(stored));
 	request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, vm->name);
-	peer_forward_request(t, req, token, vm);
+	peer_forward_request(t, req, token, vm, false);
 	request_delete(t, req);
 }
 
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -187,6 +187,7 @@
 void owner_replace(kf_traffic_t *t, request_t *req, uint32_t exclude);
 void owner_start(kf_traffic_t *t, request_t *req);
 void owner_acked(kf_traffic_t *t, request_t *req);
+void owner_fenced(kf_traffic_t *t, request_t *req);
 void owner_refuse(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void owner_send_stored(
     kf_traffic_t *t, const packet_t *pkt, const uint8_t *stored, size_t len);
@@ -255,7 +256,7 @@
 void peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm,
     bool to_backup);
 void peer_forward_request(kf_traffic_t *t, const request_t *req,
-    const kf_token_t *token, const kf_view_vm_t *vm);
+    const kf_token_t *token, const kf_view_vm_t *vm, bool to_backup);
 void peer_intent(kf_traffic_t *t, request_t *req);
 void peer_intent_answer(
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
