--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -349,7 +349,8 @@
 		    (struct pollfd){ .fd = t->signal_fd, .events = POLLIN };
 		rpc =
 		    kf_control_server_pollfds(fds + FD_RPC, POLL_MAX - FD_RPC);
-		count = poll(fds, (nfds_t)FD_RPC + (nfds_t)rpc, KF_CONTROL_TICK_MS);
+		count =
+		    poll(fds, (nfds_t)FD_RPC + (nfds_t)rpc, KF_CONTROL_TICK_MS);
 		t->now = kf_clock_now();
 		if (t->now.mono_us - tick_us >= KF_CONTROL_TICK_MS * 1000) {
 			tick_us = t->now.mono_us;
