--- a/lib/declaration/draft.c
+++ b/lib/declaration/draft.c
@@ -17,9 +17,6 @@
 	KF_RAMP_MAX_S = 366 * 86400,
 };
 
-/* The latest second whose milliseconds can be computed without overflow. */
-#define KF_TIME_MAX_S (INT64_MAX / 2000)
-
 static const char *const class_choices[] = { "urgent", "normal", "bulk", NULL };
 static const char *const state_choices[] = { "live", "draining", NULL };
 static const char *const zone_choices[] = { "local", "any", NULL };
@@ -171,7 +168,7 @@
 	    .key = "ramp_start_s",
 	    .type = KF_FIELD_I64,
 	    .unit = "s",
-	    .max = KF_TIME_MAX_S,
+	    .max = UINT32_MAX,
 	    .fallback = "",
 	    .offset = offsetof(kf_selector_draft_t, ramp_start_s),
 	    .text = "start of the ramp, UTC since 1970" },
--- a/lib/declaration/draft.h
+++ b/lib/declaration/draft.h
@@ -13,10 +13,7 @@
  *	with what only the checks need.
  */
 
-enum {
-	KF_MAX_SELECTORS = 64, /* of one service */
-	KF_NO_SERVICE = 0xffffffff,
-};
+enum { KF_NO_SERVICE = 0xffffffff };
 
 typedef struct kf_ref {
 	char service[KF_NAME_BYTES];
@@ -62,6 +59,8 @@
 
 extern const kf_section_t kf_draft_sections[];
 extern const size_t kf_draft_section_count;
+extern const kf_section_t kf_vm_section;
+extern const kf_section_t kf_key_section;
 
 /*
  * Resolves references, groups selectors by service, finds the upstreams of
--- /dev/null
+++ b/lib/declaration/explain.c
@@ -0,0 +1,119 @@
+#include <math.h>
+#include <stddef.h>
+
+#include "kf/explain.h"
+
+static void
+explain_selector(const kf_declaration_t *decl, const kf_selector_t *selector,
+    int64_t wall_ms, kf_explain_selector_t *result)
+{
+	uint32_t i;
+
+	*result = (kf_explain_selector_t){
+		.selector = selector,
+		.share_percent = kf_selector_share(selector, wall_ms),
+	};
+	for (i = 0; i < selector->upstream_count; i++) {
+		const kf_upstream_t *upstream =
+		    &decl->upstreams[selector->upstreams[i]];
+
+		if (upstream->draining) {
+			result->draining_count++;
+			continue;
+		}
+		result->live_count++;
+		result->live_slots += upstream->slots;
+	}
+}
+
+/*
+ * Counts the points below percent: a point p belongs to the first selector
+ * whose running sum is above p * 100 / 65536.  Rounding of the product may
+ * be one off, so the neighbours are compared exactly.
+ */
+static uint32_t
+points_below(double percent)
+{
+	double points = ceil(percent * KF_SHARE_POINTS / 100);
+	uint32_t end;
+
+	if (points >= KF_SHARE_POINTS)
+		return KF_SHARE_POINTS;
+	end = (uint32_t)points;
+	while (end > 0 && (end - 1) * 100.0 / KF_SHARE_POINTS >= percent)
+		end--;
+	while (end < KF_SHARE_POINTS && end * 100.0 / KF_SHARE_POINTS < percent)
+		end++;
+	return end;
+}
+
+/* Shares that sum to just below 100 leave the last points to the last one. */
+static void
+extend_last(kf_explanation_t *explanation)
+{
+	kf_explain_selector_t *selectors = explanation->selectors;
+	uint32_t i = explanation->selector_count;
+
+	while (i > 0 && selectors[i - 1].share_percent <= 0) {
+		selectors[i - 1].first_point = KF_SHARE_POINTS;
+		selectors[i - 1].end_point = KF_SHARE_POINTS;
+		i--;
+	}
+	if (i > 0)
+		selectors[i - 1].end_point = KF_SHARE_POINTS;
+}
+
+void
+kf_explain_service(const kf_declaration_t *decl, const kf_service_t *service,
+    int64_t wall_ms, kf_explanation_t *result)
+{
+	double percent_so_far = 0;
+	uint32_t i, start = 0;
+
+	result->service = service;
+	result->selector_count = service->selector_count;
+	for (i = 0; i < service->selector_count; i++) {
+		kf_explain_selector_t *selector = &result->selectors[i];
+
+		explain_selector(decl,
+		    &decl->selectors[service->first_selector + i], wall_ms,
+		    selector);
+		percent_so_far += selector->share_percent;
+		selector->first_point = start;
+		selector->end_point = points_below(percent_so_far);
+		start = selector->end_point;
+	}
+	extend_last(result);
+}
+
+const kf_explain_selector_t *
+kf_explain_point(const kf_explanation_t *explanation, uint32_t point)
+{
+	uint32_t i;
+
+	for (i = 0; i < explanation->selector_count; i++) {
+		if (point < explanation->selectors[i].end_point)
+			return &explanation->selectors[i];
+	}
+	return NULL;
+}
+
+kf_eligibility_t
+kf_explain_upstream(const kf_selector_t *selector,
+    const kf_upstream_t *upstream, const kf_label_t **failed)
+{
+	kf_selector_t one = { .service = selector->service, .match_count = 1 };
+	uint32_t i;
+
+	*failed = NULL;
+	for (i = 0; i < selector->match_count; i++) {
+		one.match[0] = selector->match[i];
+		if (kf_selector_matches(&one, upstream))
+			continue;
+		*failed = &selector->match[i];
+		return KF_INELIGIBLE_NO_MATCH;
+	}
+	if (!kf_selector_matches(selector, upstream))
+		return KF_INELIGIBLE_NO_MATCH;
+	return upstream->draining ? KF_INELIGIBLE_DRAINING : KF_ELIGIBLE;
+}
--- a/lib/declaration/field.c
+++ b/lib/declaration/field.c
@@ -47,11 +47,22 @@
 	return KF_OK;
 }
 
+/* Writes "a, b, c". */
+static void
+choices_format(const kf_field_t *field, char *buf, size_t size)
+{
+	size_t used = 0;
+	int i;
+
+	for (i = 0; field->choices[i] != NULL && used < size; i++)
+		used += (size_t)snprintf(buf + used, size - used, "%s%s",
+		    i > 0 ? ", " : "", field->choices[i]);
+}
+
 static kf_status_t
 parse_choice(const kf_field_t *field, const char *value, int *choice)
 {
 	char list[ERROR_BYTES / 2];
-	size_t used = 0;
 	int i;
 
 	for (i = 0; field->choices[i] != NULL; i++) {
@@ -59,11 +70,8 @@
 			*choice = i;
 			return KF_OK;
 		}
-		if (used < sizeof(list))
-			used +=
-			    (size_t)snprintf(list + used, sizeof(list) - used,
-				"%s%s", i > 0 ? ", " : "", field->choices[i]);
 	}
+	choices_format(field, list, sizeof(list));
 	return kf_status_set(
 	    KF_ERR_INVALID, "'%.80s' is not one of: %s", value, list);
 }
@@ -145,6 +153,36 @@
 	return kf_status_set(KF_ERR_UNSUPPORTED, "unknown field type");
 }
 
+void
+kf_field_range(const kf_field_t *field, char *buf, size_t size)
+{
+	switch (field->type) {
+	case KF_FIELD_U32:
+	case KF_FIELD_I64:
+		snprintf(buf, size, "%" PRId64 " to %" PRId64, field->min,
+		    field->max);
+		return;
+	case KF_FIELD_PERCENT:
+		snprintf(buf, size, "0 to 100");
+		return;
+	case KF_FIELD_CHOICE:
+		choices_format(field, buf, size);
+		return;
+	case KF_FIELD_NAME:
+		snprintf(buf, size, "name");
+		return;
+	case KF_FIELD_TEXT:
+		snprintf(buf, size, "up to %" PRId64 " bytes", field->max);
+		return;
+	case KF_FIELD_ADDR:
+		snprintf(buf, size, "unicast ip:port");
+		return;
+	case KF_FIELD_CUSTOM:
+		break;
+	}
+	snprintf(buf, size, "%s", field->unit != NULL ? field->unit : "");
+}
+
 static void
 record_report(
     const kf_record_t *record, int line, const char *key, const char *text)
--- a/lib/declaration/include/kf/declaration.h
+++ b/lib/declaration/include/kf/declaration.h
@@ -26,6 +26,7 @@
 	KF_NAME_BYTES = 64,
 	KF_MAX_LABELS = 8,
 	KF_MAX_PROCEDURES = 32,
+	KF_MAX_SELECTORS = 64, /* of one service */
 	KF_SHARE_POINTS = 65536,
 };
 
@@ -142,6 +143,13 @@
     const kf_selector_t *selector, const kf_upstream_t *upstream);
 
 const char *kf_class_name(kf_class_t cls);
+const char *kf_zone_preference_name(kf_zone_preference_t preference);
+
+enum { KF_LABELS_TEXT_BYTES = KF_MAX_LABELS * (int)sizeof(kf_label_t) + 1 };
+
+/* Writes "key=value key=value" and returns buf. */
+const char *kf_labels_format(
+    const kf_label_t *labels, uint32_t count, char buf[KF_LABELS_TEXT_BYTES]);
 
 #ifdef __cplusplus
 }
--- a/lib/declaration/include/kf/document.h
+++ b/lib/declaration/include/kf/document.h
@@ -3,6 +3,7 @@
 
 #include "kf/declaration.h"
 #include "kf/keyring.h"
+#include "kf/reader.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -11,8 +12,36 @@
 /*
  * NAME
  *	kf_document - the platform's list of VMs and its key document
+ *
+ * DESCRIPTION
+ *	The version of a document is given by the platform outside of it.
+ *	Messages about keys never show a secret.
  */
 
+typedef enum kf_document_kind {
+	KF_DOCUMENT_UNKNOWN = 0,
+	KF_DOCUMENT_DECLARATION,
+	KF_DOCUMENT_VMS,
+	KF_DOCUMENT_KEYS,
+	KF_DOCUMENT_SETTINGS,
+	KF_DOCUMENT_KIND_COUNT
+} kf_document_kind_t;
+
+/* Finds the kind by the first section that belongs to one kind only. */
+kf_document_kind_t kf_document_detect(const char *text, size_t len);
+
+/* "declaration", "vms", "keys", "settings" or "unknown". */
+const char *kf_document_kind_name(kf_document_kind_t kind);
+/* KF_DOCUMENT_UNKNOWN if no kind has this name. */
+kf_document_kind_t kf_document_kind_parse(const char *name);
+
+/*
+ * The sections of a document; NULL for settings, which kf_settings_fields
+ * has.
+ */
+const kf_section_t *kf_document_sections(
+    kf_document_kind_t kind, size_t *count);
+
 typedef struct kf_vm_entry {
 	uint32_t id;
 	char name[KF_NAME_BYTES];
--- /dev/null
+++ b/lib/declaration/include/kf/explain.h
@@ -0,0 +1,62 @@
+#ifndef KF_EXPLAIN_H
+#define KF_EXPLAIN_H
+
+#include "kf/declaration.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_explain - where the flows of a service go, and why
+ *
+ * DESCRIPTION
+ *	The selectors of a service divide the share points from 0 to 65535
+ *	by their effective shares, in declared order.  A selector with the
+ *	range first_point to end_point - 1 takes the flows whose share point
+ *	lies in it; an empty range takes none.
+ */
+
+typedef struct kf_explain_selector {
+	const kf_selector_t *selector;
+	double share_percent;
+	uint32_t first_point;
+	uint32_t end_point;
+	uint32_t live_count;
+	uint32_t draining_count;
+	uint64_t live_slots;
+} kf_explain_selector_t;
+
+typedef struct kf_explanation {
+	const kf_service_t *service;
+	uint32_t selector_count;
+	kf_explain_selector_t selectors[KF_MAX_SELECTORS];
+} kf_explanation_t;
+
+/* Why an upstream is or is not a candidate for a flow. */
+typedef enum kf_eligibility {
+	KF_ELIGIBLE = 0,
+	KF_INELIGIBLE_DRAINING,
+	KF_INELIGIBLE_NO_MATCH, /* does not match the selector */
+} kf_eligibility_t;
+
+void kf_explain_service(const kf_declaration_t *decl,
+    const kf_service_t *service, int64_t wall_ms, kf_explanation_t *result);
+
+/* The selector that has the share point. */
+const kf_explain_selector_t *kf_explain_point(
+    const kf_explanation_t *explanation, uint32_t point);
+
+/*
+ * States whether the selector may place a flow on the upstream.  *failed is
+ * the first condition that does not hold, or NULL.
+ */
+kf_eligibility_t kf_explain_upstream(const kf_selector_t *selector,
+    const kf_upstream_t *upstream, const kf_label_t **failed);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/declaration/include/kf/field.h
+++ b/lib/declaration/include/kf/field.h
@@ -74,6 +74,9 @@
 kf_status_t kf_field_parse(
     const kf_field_t *field, void *object, const char *value);
 
+/* Writes the accepted values for people, e.g. "1 to 16". */
+void kf_field_range(const kf_field_t *field, char *buf, size_t size);
+
 /* Names hold 1 to 63 letters, digits, '.', '_' and '-'. */
 kf_status_t kf_name_check(const char *name);
 
--- a/lib/declaration/keys.c
+++ b/lib/declaration/keys.c
@@ -5,6 +5,7 @@
 
 #include "kf/document.h"
 #include "kf/reader.h"
+#include "draft.h"
 
 enum {
 	SECRET_DIGITS = 2 * KF_KEY_SECRET_BYTES,
@@ -72,14 +73,14 @@
 	    .key = "not_before_s",
 	    .type = KF_FIELD_I64,
 	    .unit = "s",
-	    .max = INT64_MAX,
+	    .max = UINT32_MAX,
 	    .offset = offsetof(draft_key_t, key.not_before_s),
 	    .text = "start of validity, UTC since 1970" },
 	{ .section = "key",
 	    .key = "not_after_s",
 	    .type = KF_FIELD_I64,
 	    .unit = "s",
-	    .max = INT64_MAX,
+	    .max = UINT32_MAX,
 	    .offset = offsetof(draft_key_t, key.not_after_s),
 	    .text = "end of validity, UTC since 1970" },
 };
@@ -110,13 +111,13 @@
 		draft->count--;
 }
 
-static const kf_section_t sections[] = {
-	{ .kind = "key",
-	    .named = true,
-	    .fields = key_fields,
-	    .field_count = sizeof(key_fields) / sizeof(key_fields[0]),
-	    .begin = key_begin,
-	    .end = key_end },
+const kf_section_t kf_key_section = {
+	.kind = "key",
+	.named = true,
+	.fields = key_fields,
+	.field_count = sizeof(key_fields) / sizeof(key_fields[0]),
+	.begin = key_begin,
+	.end = key_end,
 };
 
 static kf_keyring_t *
@@ -155,8 +156,8 @@
 		.file = file,
 		.on_error = on_error,
 		.ctx = ctx,
-		.sections = sections,
-		.section_count = sizeof(sections) / sizeof(sections[0]),
+		.sections = &kf_key_section,
+		.section_count = 1,
 		.target = &draft,
 	};
 	kf_keyring_t *ring;
--- a/lib/declaration/vm_list.c
+++ b/lib/declaration/vm_list.c
@@ -3,7 +3,7 @@
 
 #include "kf/document.h"
 #include "kf/reader.h"
-#include "array.h"
+#include "draft.h"
 #include "dups.h"
 
 typedef struct draft_vm {
@@ -65,13 +65,13 @@
 	vm->vm.leaving = vm->state == 1;
 }
 
-static const kf_section_t sections[] = {
-	{ .kind = "vm",
-	    .named = true,
-	    .fields = vm_fields,
-	    .field_count = sizeof(vm_fields) / sizeof(vm_fields[0]),
-	    .begin = vm_begin,
-	    .end = vm_end },
+const kf_section_t kf_vm_section = {
+	.kind = "vm",
+	.named = true,
+	.fields = vm_fields,
+	.field_count = sizeof(vm_fields) / sizeof(vm_fields[0]),
+	.begin = vm_begin,
+	.end = vm_end,
 };
 
 static void
@@ -126,8 +126,8 @@
 		.file = file,
 		.on_error = on_error,
 		.ctx = ctx,
-		.sections = sections,
-		.section_count = sizeof(sections) / sizeof(sections[0]),
+		.sections = &kf_vm_section,
+		.section_count = 1,
 		.target = &draft,
 	};
 	kf_vm_list_t *list = NULL;
--- a/tests/unit/declaration_test.cc
+++ b/tests/unit/declaration_test.cc
@@ -1,10 +1,15 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cmath>
 #include <string>
+#include <vector>
 
 #include "kf/declaration.h"
+#include "kf/diff.h"
 #include "kf/document.h"
+#include "kf/explain.h"
+#include "kf/placement.h"
 
 namespace {
 
@@ -281,6 +286,88 @@
 	kf_declaration_delete(decl);
 }
 
+/* A service with the given shares, in parts of 1000, one upstream each. */
+std::string
+Shares(const std::vector<int> &parts)
+{
+	std::string text = kService;
+
+	for (size_t i = 0; i < parts.size(); i++) {
+		std::string n = std::to_string(i);
+		std::string share = std::to_string(parts[i] / 10) + "." +
+		    std::to_string(parts[i] % 10);
+
+		text += "[upstream u" + n +
+		    "]\nservice = orders\nzone = z\n"
+		    "slots = 1\naddress = 127.0.1." +
+		    n +
+		    ":1\n"
+		    "[selector s" +
+		    n +
+		    "]\nservice = orders\nmatch = "
+		    "name=u" +
+		    n + "\nshare_percent = " + share + "\n";
+	}
+	return text;
+}
+
+std::vector<int>
+RandomParts()
+{
+	std::vector<int> parts;
+	int left = 1000;
+
+	while (left > 0 && parts.size() < 7) {
+		parts.push_back(*rc::gen::inRange(0, left + 1));
+		left -= parts.back();
+	}
+	parts.push_back(left);
+	return parts;
+}
+
+/* Guards against a tool that explains other ranges than balancers use. */
+TEST(Explain, RangesAreThoseOfPlacement)
+{
+	rc::check([] {
+		Declaration d(Shares(RandomParts()));
+		kf_explanation_t e;
+
+		RC_ASSERT(d.decl != nullptr);
+		kf_explain_service(d.decl, &d.decl->services[0], 0, &e);
+		for (uint32_t p = 0; p < KF_SHARE_POINTS; p++)
+			RC_ASSERT(kf_explain_point(&e, p)->selector ==
+			    kf_placement_selector(
+				d.decl, &d.decl->services[0], p, 0));
+	});
+}
+
+/* Guards against a forecast that differs from what balancers re-place. */
+TEST(Diff, MovedFlowsAreThoseWithoutTheirUpstream)
+{
+	rc::check([] {
+		std::string text = Shares(RandomParts());
+		Declaration a(text);
+		std::vector<int> parts = RandomParts();
+		Declaration b(Shares(parts));
+		const kf_service_t *service = &a.decl->services[0];
+		uint32_t moved = 0;
+
+		for (uint32_t p = 0; p < KF_SHARE_POINTS; p++)
+			moved += std::string(kf_placement_selector(
+				     a.decl, service, p, 0)
+						 ->name) !=
+			    kf_placement_selector(
+				b.decl, &b.decl->services[0], p, 0)
+				->name;
+		kf_diff_t *diff = kf_diff_new(a.decl, b.decl, 0);
+		RC_ASSERT(diff != nullptr && diff->service_count == 1);
+		double percent = diff->services[0].percent;
+		kf_diff_delete(diff);
+		RC_ASSERT(
+		    fabs(percent - moved * 100.0 / KF_SHARE_POINTS) < 1e-9);
+	});
+}
+
 TEST(VmList, FillsEveryVm)
 {
 	const std::string text = "[vm v1]\naddress = 127.0.0.1:7000\nzone = z\n"
