Explain a share point by zone; split procedures from the draft

For each zone of the service the tool now shows the candidates there and where a new flow goes. The chosen upstream itself is not shown: it depends on what a balancer has placed before.

--- a/bin/knapctl/explain.c
+++ b/bin/knapctl/explain.c
@@ -214,11 +214,41 @@
 	table_finish(table, explain->common.format);
 }
 
+static const char *
+zone_target(const kf_selector_t *selector, const kf_explain_zone_t *zone)
+{
+	if (selector->zone_preference == KF_ZONE_ANY)
+		return "candidates of every zone";
+	if (zone->live_count == 0)
+		return "other zones, it has no candidate";
+	return "own candidates, others if all are full";
+}
+
+/* Where the flow goes by the zone of the balancer that receives it. */
+static void
+print_zones(const explain_t *explain, const kf_selector_t *selector)
+{
+	static const char *const columns[] = { "balancer_zone", "candidates",
+		"slots", "goes_to", NULL };
+	table_t *table = table_new("zone", columns);
+	kf_explain_zone_t zones[KF_EXPLAIN_MAX_ZONES];
+	size_t i, count;
+
+	count = kf_explain_zones(explain->decl, selector, zones);
+	for (i = 0; i < count; i++) {
+		table_cell(table, "%s", zones[i].name);
+		table_cell(table, "%" PRIu32, zones[i].live_count);
+		table_cell(table, "%" PRIu64, zones[i].live_slots);
+		table_cell(table, "%s", zone_target(selector, &zones[i]));
+	}
+	table_finish(table, explain->common.format);
+}
+
 static void
 print_point(const explain_t *explain, const kf_explanation_t *explanation)
 {
 	static const char *const columns[] = { "service", "point", "selector",
-		"points", "share_percent", "rule", NULL };
+		"points", "share_percent", "zone_preference", NULL };
 	const kf_explain_selector_t *row =
 	    kf_explain_point(explanation, (uint32_t)explain->point);
 	table_t *table = table_new("point", columns);
@@ -229,11 +259,9 @@
 	print_points(table, row);
 	table_cell(table, "%.3f", row->share_percent);
 	table_cell(table, "%s",
-	    row->selector->zone_preference == KF_ZONE_LOCAL
-		? "candidates of the balancer's zone first, others if it has "
-		  "none or all are full"
-		: "candidates of every zone");
+	    kf_zone_preference_name(row->selector->zone_preference));
 	table_finish(table, explain->common.format);
+	print_zones(explain, row->selector);
 	print_candidates(explain, row->selector);
 }
 
--- a/lib/declaration/declaration.c
+++ b/lib/declaration/declaration.c
@@ -87,19 +87,6 @@
 	return NULL;
 }
 
-kf_procedure_t
-kf_service_procedure(const kf_service_t *service, uint32_t number)
-{
-	kf_procedure_t unlisted = { .number = number, .cls = service->cls };
-	uint32_t i;
-
-	for (i = 0; i < service->procedure_count; i++) {
-		if (service->procedures[i].number == number)
-			return service->procedures[i];
-	}
-	return unlisted;
-}
-
 double
 kf_selector_share(const kf_selector_t *selector, int64_t wall_ms)
 {
--- a/lib/declaration/draft.c
+++ b/lib/declaration/draft.c
@@ -1,9 +1,8 @@
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "draft.h"
+#include "procedure.h"
 
 enum {
 	/*
@@ -262,13 +261,9 @@
 	kf_service_draft_t *service = object;
 	kf_service_t *result = &service->service;
 	kf_ref_t ref = { .line = service->line, .bad = bad };
-	uint32_t i;
 
 	result->id = kf_name_id(result->name);
-	for (i = 0; i < result->procedure_count; i++) {
-		if (result->procedures[i].cls == KF_CLASS_COUNT)
-			result->procedures[i].cls = result->cls;
-	}
+	kf_service_finish_procedures(result);
 	draft_append(draft, &draft->services, result, sizeof(*result),
 	    &draft->service_refs, &ref);
 }
@@ -347,75 +342,6 @@
 	    &draft->selector_refs, &selector->ref);
 }
 
-static bool
-procedure_word(const char *word, size_t len, kf_procedure_t *procedure)
-{
-	int cls;
-
-	for (cls = 0; cls < KF_CLASS_COUNT; cls++) {
-		if (strlen(class_choices[cls]) == len &&
-		    memcmp(class_choices[cls], word, len) == 0) {
-			procedure->cls = (kf_class_t)cls;
-			return true;
-		}
-	}
-	procedure->idempotent =
-	    len == 10 && memcmp(word, "idempotent", 10) == 0;
-	return procedure->idempotent ||
-	    (len == 14 && memcmp(word, "non-idempotent", 14) == 0);
-}
-
-/* Parses "idempotent|non-idempotent [class]". */
-static kf_status_t
-procedure_parse(const char *value, kf_procedure_t *procedure)
-{
-	size_t first = strcspn(value, " \t");
-	const char *rest = value + first + strspn(value + first, " \t");
-
-	if ((*value != 'i' && *value != 'n') ||
-	    !procedure_word(value, first, procedure) ||
-	    procedure->cls != KF_CLASS_COUNT)
-		return kf_status_set(KF_ERR_INVALID,
-		    "'%.80s' does not start with idempotent or non-idempotent",
-		    value);
-	if (*rest != '\0' &&
-	    (!procedure_word(rest, strlen(rest), procedure) ||
-		procedure->cls == KF_CLASS_COUNT))
-		return kf_status_set(
-		    KF_ERR_INVALID, "'%.80s' is not a class", rest);
-	return KF_OK;
-}
-
-static kf_status_t
-service_add_procedure(
-    kf_service_t *service, const char *number, const char *value)
-{
-	static const kf_field_t field = {
-		.type = KF_FIELD_U32,
-		.min = 1,
-		.max = UINT32_MAX,
-		.offset = offsetof(kf_procedure_t, number),
-	};
-	kf_procedure_t procedure = { .cls = KF_CLASS_COUNT };
-	kf_status_t status;
-	uint32_t i;
-
-	status = kf_field_parse(&field, &procedure, number);
-	if (status == KF_OK)
-		status = procedure_parse(value, &procedure);
-	if (status != KF_OK)
-		return status;
-	for (i = 0; i < service->procedure_count; i++) {
-		if (service->procedures[i].number == procedure.number)
-			return kf_status_set(KF_ERR_CONFLICT, "given twice");
-	}
-	if (service->procedure_count == KF_MAX_PROCEDURES)
-		return kf_status_set(
-		    KF_ERR_FULL, "more than %d procedures", KF_MAX_PROCEDURES);
-	service->procedures[service->procedure_count++] = procedure;
-	return KF_OK;
-}
-
 /* Handles "procedure.NUMBER". */
 static bool
 service_other(kf_reader_t *reader, void *object, const char *key,
@@ -427,7 +353,8 @@
 
 	if (strncmp(key, prefix, len) != 0)
 		return false;
-	if (service_add_procedure(&service->service, key + len, value) != KF_OK)
+	if (kf_service_add_procedure(&service->service, key + len, value) !=
+	    KF_OK)
 		kf_reader_error(reader, line, "%s%.40s: %s", reader->label, key,
 		    kf_status_message());
 	return true;
--- a/lib/declaration/explain.c
+++ b/lib/declaration/explain.c
@@ -117,3 +117,46 @@
 		return KF_INELIGIBLE_NO_MATCH;
 	return upstream->draining ? KF_INELIGIBLE_DRAINING : KF_ELIGIBLE;
 }
+
+/* Returns the zone's entry, new or not, or NULL if there are too many. */
+static kf_explain_zone_t *
+zone_entry(
+    kf_explain_zone_t *zones, size_t *count, const kf_upstream_t *upstream)
+{
+	size_t i;
+
+	for (i = 0; i < *count; i++) {
+		if (zones[i].zone == upstream->zone)
+			return &zones[i];
+	}
+	if (*count == KF_EXPLAIN_MAX_ZONES)
+		return NULL;
+	zones[*count] = (kf_explain_zone_t){
+		.zone = upstream->zone,
+		.name = upstream->zone_name,
+	};
+	return &zones[(*count)++];
+}
+
+size_t
+kf_explain_zones(const kf_declaration_t *decl, const kf_selector_t *selector,
+    kf_explain_zone_t zones[KF_EXPLAIN_MAX_ZONES])
+{
+	kf_explain_zone_t *entry;
+	size_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < decl->upstream_count; i++) {
+		const kf_upstream_t *upstream = &decl->upstreams[i];
+
+		if (upstream->service != selector->service)
+			continue;
+		entry = zone_entry(zones, &count, upstream);
+		if (entry == NULL || upstream->draining ||
+		    !kf_selector_matches(selector, upstream))
+			continue;
+		entry->live_count++;
+		entry->live_slots += upstream->slots;
+	}
+	return count;
+}
--- a/lib/declaration/include/kf/explain.h
+++ b/lib/declaration/include/kf/explain.h
@@ -41,6 +41,16 @@
 	KF_INELIGIBLE_NO_MATCH, /* does not match the selector */
 } kf_eligibility_t;
 
+enum { KF_EXPLAIN_MAX_ZONES = 64 };
+
+/* Live upstreams of a selector in one availability zone. */
+typedef struct kf_explain_zone {
+	const char *name;
+	uint64_t live_slots;
+	uint32_t zone;
+	uint32_t live_count;
+} kf_explain_zone_t;
+
 void kf_explain_service(const kf_declaration_t *decl,
     const kf_service_t *service, int64_t wall_ms, kf_explanation_t *result);
 
@@ -48,6 +58,14 @@
 const kf_explain_selector_t *kf_explain_point(
     const kf_explanation_t *explanation, uint32_t point);
 
+/*
+ * Fills in each zone that has an upstream of the selector's service, in
+ * declared order, up to KF_EXPLAIN_MAX_ZONES.  Returns their number.
+ */
+size_t kf_explain_zones(const kf_declaration_t *decl,
+    const kf_selector_t *selector,
+    kf_explain_zone_t zones[KF_EXPLAIN_MAX_ZONES]);
+
 /*
  * States whether the selector may place a flow on the upstream.  *failed is
  * the first condition that does not hold, or NULL.
