--- a/lib/declaration/draft.h
+++ b/lib/declaration/draft.h
@@ -13,15 +13,13 @@
  *	with what only the checks need.
  */
 
-enum {
-	KF_MAX_SELECTORS = 64, /* of one service */
-	KF_NO_SERVICE = 0xffffffff,
-};
+enum { KF_NO_SERVICE = 0xffffffff };
 
 typedef struct kf_ref {
 	char service[KF_NAME_BYTES];
 	int line;
-	bool bad; /* an error of the object itself was reported */
+	bool bad;	 /* an error of the object itself was reported */
+	bool labels_bad; /* its labels or match could not be read */
 } kf_ref_t;
 
 typedef struct kf_service_draft {
@@ -62,6 +60,8 @@
 
 extern const kf_section_t kf_draft_sections[];
 extern const size_t kf_draft_section_count;
+extern const kf_section_t kf_vm_section;
+extern const kf_section_t kf_key_section;
 
 /*
  * Resolves references, groups selectors by service, finds the upstreams of
