Add the ledger check, a probe and process tests of the stand-ins

Cause: the invariants are judged by comparing upstreams' ledgers with callers' results, and a fault that has no effect would let tests of the balancer pass for nothing. Ruled out: an awk script for the comparison, because request numbers use 64 bits and awk computes with 53; a search of each refused request in the ledger by the shell, which took minutes where standin-check takes milliseconds. Conclusion: the stand-ins can be relied on by themselves; the round trip through a balancer is left to the process tests of the daemon.

--- /dev/null
+++ b/lib/standin/include/kf/check.h
@@ -0,0 +1,47 @@
+#ifndef KF_CHECK_H
+#define KF_CHECK_H
+
+#include "kf/standin.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_sim_check - compares ledgers of upstreams with callers' results
+ */
+
+enum { KF_SIM_CHECK_MAX_REQUESTS = 1 << 25 };
+
+typedef struct kf_sim_check kf_sim_check_t;
+
+typedef struct kf_sim_check_counts {
+	uint64_t requests;
+	uint64_t executions;
+	uint64_t doubled;	/* non-idempotent and run more than once */
+	uint64_t misrouted;	/* run at an upstream of another service */
+	uint64_t false_not_run; /* reported as not run, but run */
+	uint64_t lost_answered; /* reported as answered, but never run */
+	uint64_t repeated;	/* idempotent and run more than once */
+	uint64_t unreported;	/* run, but in no results file */
+	uint64_t malformed;	/* lines that could not be used */
+} kf_sim_check_counts_t;
+
+kf_sim_check_t *kf_sim_check_new(void);
+void kf_sim_check_delete(kf_sim_check_t *check);
+
+/* One line of a ledger; counted as malformed if it cannot be read. */
+kf_status_t kf_sim_check_ledger_line(kf_sim_check_t *check, const char *line);
+/* One line of a results file; a number may be reported only once. */
+kf_status_t kf_sim_check_result_line(kf_sim_check_t *check, const char *line);
+
+kf_sim_check_counts_t kf_sim_check_counts(const kf_sim_check_t *check);
+/* True if no invariant is broken and every line could be used. */
+bool kf_sim_check_passed(const kf_sim_check_counts_t *counts);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/standin/loop.c
+++ b/lib/standin/loop.c
@@ -60,6 +60,8 @@
 	sigset_t set;
 
 	signal(SIGPIPE, SIG_IGN);
+	/* A shell starts background processes with SIGINT ignored. */
+	signal(SIGINT, SIG_DFL);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
