--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -4,6 +4,7 @@
  */
 
 const KF_PEER_MAX_DIGESTS = 64;
+const KF_PEER_MAX_EVIDENCE = 16;
 const KF_PEER_MAX_PAYLOAD = 65000;
 
 enum kf_peer_type {
@@ -12,7 +13,9 @@
 	KF_PEER_INTENT = 3,
 	KF_PEER_INTENT_ACK = 4,
 	KF_PEER_INTENT_NACK = 5,
-	KF_PEER_DONE = 6
+	KF_PEER_DONE = 6,
+	KF_PEER_LEASE = 7,
+	KF_PEER_LEASE_ACK = 8
 };
 
 /* A VM and the start time of its process in milliseconds. */
@@ -34,15 +37,39 @@
 	unsigned hyper platform_version;
 };
 
+/* Flags in the low 8 bits of a state. */
+const KF_PEER_LEAVING = 1;
+const KF_PEER_SILENT = 2; /* evidence: its observer hears nothing from it */
+const KF_PEER_OBSERVE = 4; /* heartbeat: one follows every 500 ms */
+
+/*
+ * Several numbers share a word, because headers and a heartbeat to each of
+ * 7 receivers leave 30 bytes of the budget.  ports: control port (upper
+ * half), first peer port (lower half).  state: age in 10 ms (upper half),
+ * shards (8 bits), flags (8 bits).
+ */
+
+/* What the sender knows of a third VM. */
+struct kf_peer_evidence {
+	kf_peer_id id;
+	unsigned int addr;
+	unsigned int ports;
+	unsigned int zone;
+	unsigned int state;
+};
+
+/* Control and peer sockets of a VM share one IP address. */
 struct kf_peer_heartbeat {
 	unsigned int sequence;
 	unsigned int addr;
-	unsigned int port;
-	unsigned int shards;
+	unsigned int ports;
 	unsigned int zone;
-	unsigned int leaving;
+	unsigned int state;
+	unsigned int confirmed_age_ms;
 	kf_peer_doc_version declaration;
-	kf_peer_doc_version keys;
+	unsigned hyper keys_version;
+	unsigned hyper vms_version;
+	kf_peer_evidence evidence<KF_PEER_MAX_EVIDENCE>;
 	kf_peer_digest digests<KF_PEER_MAX_DIGESTS>;
 };
 
@@ -55,6 +82,7 @@
 	unsigned int fabric_ip;
 	unsigned int fabric_port;
 	unsigned int to_backup;
+	unsigned int hops;
 	opaque token<256>;
 	opaque datagram<KF_PEER_MAX_PAYLOAD>;
 };
@@ -71,9 +99,20 @@
 	unsigned int xid;
 	unsigned int generation;
 	unsigned int verdict;
+	unsigned int reason;
 	opaque reply<KF_PEER_MAX_PAYLOAD>;
 };
 
+/*
+ * An owner's request that its backup does not fence it for a while, and the
+ * backup's answer.
+ */
+struct kf_peer_lease {
+	unsigned int sequence;
+	unsigned int shard;	/* of the sender of the request */
+	unsigned int fenced;	/* answer: the owner is fenced already */
+};
+
 union kf_peer_body switch (kf_peer_type type) {
 case KF_PEER_HEARTBEAT:
 	kf_peer_heartbeat heartbeat;
@@ -87,6 +126,10 @@
 	kf_peer_intent nack;
 case KF_PEER_DONE:
 	kf_peer_done done;
+case KF_PEER_LEASE:
+	kf_peer_lease lease;
+case KF_PEER_LEASE_ACK:
+	kf_peer_lease lease_ack;
 };
 
 struct kf_peer_msg {
