Test the traffic core through a small event-loop harness

The harness drives two to four cores directly, with fake callers and upstreams at the interface and one queue of datagrams. It checks after each event that no non-idempotent request starts twice, that no refusal as not run is false, that no request reaches an upstream of another service or a draining one, and that answers are those of the request.

--- /dev/null
+++ b/tests/unit/traffic_test.cc
@@ -0,0 +1,1011 @@
+#include <gtest/gtest.h>
+
+#include "support/traffic_world.h"
+
+namespace {
+
+using namespace kf_test;
+
+enum { READ = 1, WRITE = 11 };
+
+class Traffic : public ::testing::Test {
+      protected:
+	void SetUp() override
+	{
+		Make(Options());
+	}
+	void Make(const Options &options)
+	{
+		w = std::make_unique<World>(options);
+		Declare();
+	}
+	void Declare()
+	{
+		ASSERT_TRUE(w->Declare(text.Build())) << w->errors;
+		w->ViewAll();
+	}
+	void Redeclare()
+	{
+		text.revision++;
+		Declare();
+	}
+	void TearDown() override
+	{
+		EXPECT_EQ("", w->violation);
+		if (HasFailure() || getenv("SHOW")) {
+			for (const std::string &line : w->log)
+				printf("%s\n", line.c_str());
+		}
+	}
+	const Request &Req(int i)
+	{
+		return w->requests[(size_t)i];
+	}
+	void SetModes(Mode mode)
+	{
+		for (auto &u : w->upstreams)
+			u.second.mode = mode;
+	}
+	/* Owners get leases before the scenario begins. */
+	int Flow(const char *service = "orders", size_t core = 0)
+	{
+		w->Run(20);
+		return w->Establish(service, core);
+	}
+	void Die(size_t vm, kf_liveness_t liveness)
+	{
+		w->Kill(vm);
+		w->SetLiveAll(vm, liveness);
+		w->ViewAll();
+	}
+	void ExpectAnswered(int r, int executed = 1)
+	{
+		EXPECT_GE(Req(r).answered, 1);
+		EXPECT_EQ(executed, Req(r).executed);
+		EXPECT_EQ(0, Req(r).denied);
+		EXPECT_EQ(0, Req(r).unknown);
+	}
+	void ExpectDenied(int r, uint32_t auth_stat)
+	{
+		EXPECT_EQ(0, Req(r).executed);
+		EXPECT_EQ(0, Req(r).answered);
+		EXPECT_GE(Req(r).denied, 1);
+		EXPECT_EQ(auth_stat, Req(r).auth_stat);
+	}
+	void ExpectUnknown(int r, int executed)
+	{
+		EXPECT_EQ(executed, Req(r).executed);
+		EXPECT_EQ(0, Req(r).answered);
+		EXPECT_EQ(0, Req(r).denied);
+		EXPECT_GE(Req(r).unknown, 1);
+	}
+	void ExpectNothing(int r)
+	{
+		EXPECT_EQ(0, Req(r).answered + Req(r).denied + Req(r).unknown);
+	}
+
+	Text text;
+	std::unique_ptr<World> w;
+};
+
+/* Guards against a non-idempotent call dispatched by two balancers. */
+TEST_F(Traffic, CallWithoutATokenIsRefusedOrPlaced)
+{
+	int caller = w->AddCaller("orders");
+	int write = w->Send(caller, WRITE, 0);
+	int read = w->Send(caller, READ, 0);
+
+	w->Run(50);
+	ExpectDenied(write, KF_RPC_AUTH_TOOWEAK);
+	ExpectAnswered(read);
+	int second = w->Send(caller, WRITE, 1);
+	w->Run(50);
+	ExpectAnswered(second);
+}
+
+/* Guards against a flow that cannot be established or renewed. */
+TEST_F(Traffic, NullProcedureEstablishesAndRenewsAFlow)
+{
+	int caller = Flow();
+	kf_token_t first = w->TokenOf(caller);
+
+	EXPECT_NE(0u, first.flow);
+	EXPECT_EQ(42u, first.uid);
+	w->Send(caller, 0, 2);
+	EXPECT_EQ(first.flow, w->TokenOf(caller).flow);
+	EXPECT_EQ(0, w->Count("dispatch"));
+}
+
+/* Guards against a flow that stays with a dead owner when it is renewed. */
+TEST_F(Traffic, NullProcedureLeavesADeadOwner)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+
+	Die(owner, KF_VM_DEAD);
+	w->Send(caller, 0, third);
+	EXPECT_NE(owner, w->OwnerOf(caller));
+}
+
+/* Guards against a token that gives access to another service. */
+TEST_F(Traffic, TokenOfAnotherServiceIsRefused)
+{
+	int caller = Flow("certs");
+
+	w->callers[0].service = { 0x7f000001, 2049 };
+	int r = w->Send(caller, READ, 0);
+	ExpectDenied(r, KF_RPC_AUTH_REJECTEDCRED);
+}
+
+/* Guards against a stolen token. */
+TEST_F(Traffic, TokenOfAnotherCallerIsRefused)
+{
+	int caller = Flow();
+	int thief = w->AddCaller("orders");
+
+	w->callers[(size_t)thief].token = w->callers[(size_t)caller].token;
+	for (uint32_t proc : { 0u, 1u, 11u })
+		ExpectDenied(w->Send(thief, proc, 1), KF_RPC_AUTH_REJECTEDCRED);
+}
+
+/* Guards against a request routed by a token that was tampered with. */
+TEST_F(Traffic, ForgedAndTruncatedTokensAreRefused)
+{
+	int caller = Flow();
+	Bytes good = w->callers[0].token;
+
+	for (size_t i = 8; i < good.size(); i += 5) {
+		w->callers[0].token[i] ^= 1;
+		ExpectDenied(
+		    w->Send(caller, WRITE, 0), KF_RPC_AUTH_REJECTEDCRED);
+		w->callers[0].token = good;
+	}
+	for (size_t len = 4; len < good.size(); len += 16) {
+		w->callers[0].token.assign(
+		    good.begin(), good.begin() + (long)len);
+		ExpectDenied(
+		    w->Send(caller, WRITE, 0), KF_RPC_AUTH_REJECTEDCRED);
+	}
+}
+
+/* Guards against a refusal by a VM that has not learned of a new key. */
+TEST_F(Traffic, TokenUnderAnUnknownKeyIsDropped)
+{
+	int caller = Flow();
+
+	w->callers[0].token[7] = 9; /* key id */
+	int r = w->Send(caller, WRITE, 0);
+	ExpectNothing(r);
+	EXPECT_TRUE(w->Logged("drop reason=no_config"));
+}
+
+/* Guards against an expired token, and against denying a copy that ran. */
+TEST_F(Traffic, ExpiredTokenIsRefusedButItsAnswerIsReplayed)
+{
+	int caller = Flow();
+	int r = w->Send(caller, WRITE, 0);
+	Bytes token = w->callers[0].token;
+
+	w->Run(50);
+	w->callers[0].token = token;
+	int late = w->NewRequest(caller, WRITE);
+	w->now_us += (int64_t)700 * 1000000;
+	w->Run(50);
+	w->Deliver(late, 0);
+	w->Run(50);
+	ExpectDenied(late, KF_RPC_AUTH_REJECTEDCRED);
+	w->Deliver(r, 0);
+	w->Run(50);
+	EXPECT_EQ(1, Req(r).executed);
+	EXPECT_EQ(0, Req(r).denied);
+}
+
+/* Guards against the second execution of a retransmitted request. */
+TEST_F(Traffic, RetransmissionsAtAnyIngressExecuteOnce)
+{
+	int caller = Flow();
+
+	SetModes(HOLD);
+	int r = w->Send(caller, WRITE, 0);
+	for (size_t core = 0; core < 3; core++)
+		w->Deliver(r, core);
+	w->Run(50);
+	for (size_t core = 0; core < 3; core++)
+		w->Deliver(r, core);
+	w->Run(50);
+	EXPECT_EQ(1, Req(r).executed);
+	ExpectNothing(r);
+	w->Release(w->UpstreamOf(caller));
+	w->Run(50);
+	EXPECT_EQ(1, Req(r).answered);
+	for (size_t core = 0; core < 3; core++)
+		w->Deliver(r, core);
+	w->Run(50);
+	EXPECT_EQ(4, Req(r).answered);
+	ExpectAnswered(r);
+}
+
+/* Guards against a takeover that executes a finished request again. */
+TEST_F(Traffic, OwnerDiesAfterDone)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+	int r = w->Send(caller, WRITE, third);
+
+	w->Run(50);
+	Die(owner, KF_VM_GONE);
+	w->Deliver(r, third);
+	w->Run(50);
+	EXPECT_EQ(2, Req(r).answered);
+	ExpectAnswered(r);
+}
+
+/* Guards against a takeover that executes a request in doubt. */
+TEST_F(Traffic, OwnerDiesWithIntentOnly)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+
+	SetModes(SILENT);
+	int r = w->Send(caller, WRITE, third);
+	w->Run(50);
+	EXPECT_EQ(1, Req(r).executed);
+	Die(owner, KF_VM_GONE);
+	SetModes(ANSWER);
+	w->Deliver(r, third);
+	w->Run(50);
+	ExpectUnknown(r, 1);
+}
+
+/* Guards against a flow lost with its owner. */
+TEST_F(Traffic, OwnerDiesWithoutARecord)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+
+	Die(owner, KF_VM_GONE);
+	int r = w->Send(caller, WRITE, third);
+	w->Run(50);
+	ExpectAnswered(r);
+	EXPECT_EQ(1, w->Count("takeover"));
+	int next = w->Send(caller, WRITE, third);
+	w->Run(50);
+	ExpectAnswered(next);
+	EXPECT_NE(owner, w->OwnerOf(caller));
+}
+
+/* Guards against an idempotent request that waits for a dead owner. */
+TEST_F(Traffic, IdempotentRequestLeavesADeadOwner)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+
+	Die(owner, KF_VM_DEAD);
+	int r = w->Send(caller, READ, third);
+	w->Run(50);
+	ExpectAnswered(r);
+	EXPECT_NE(owner, w->OwnerOf(caller));
+}
+
+/* Guards against a fence while the owner holds a lease. */
+TEST_F(Traffic, BackupDoesNotFenceAnOwnerItHasJustHeard)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+
+	w->SetLive(backup, owner, KF_VM_DEAD);
+	w->View(backup);
+	int r = w->Send(caller, WRITE, backup);
+	w->Settle();
+	ExpectNothing(r);
+	EXPECT_TRUE(w->Logged("drop reason=owner_lost"));
+	w->Kill(owner);
+	w->Run(3100);
+	w->Deliver(r, backup);
+	w->Run(50);
+	ExpectAnswered(r);
+}
+
+/* Guards against a paused owner that executes what its backup has taken. */
+TEST_F(Traffic, PausedOwnerWakesLateAndIsFenced)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+	size_t third = w->ThirdOf(caller);
+	int r = w->Send(caller, WRITE, third);
+
+	w->paused[owner] = true; /* with the forwarded request unread */
+	w->Run(3100);
+	w->SetLiveAll(owner, KF_VM_DEAD);
+	w->ViewAll();
+	w->Deliver(r, third);
+	w->Run(50);
+	ExpectAnswered(r);
+	w->paused[owner] = false;
+	w->SetLiveAll(owner, KF_VM_ALIVE);
+	w->ViewAll();
+	w->Run(100);
+	EXPECT_TRUE(w->Logged("> INTENT_NACK"));
+	EXPECT_TRUE(w->Logged("drop reason=fenced"));
+	EXPECT_EQ(1, Req(r).executed);
+	EXPECT_EQ(0, Req(r).unknown);
+	/* Copies to either VM get the stored answer. */
+	for (size_t core : { owner, backup, third }) {
+		int before = Req(r).answered;
+
+		w->Deliver(r, core);
+		w->Run(50);
+		EXPECT_EQ(before + 1, Req(r).answered) << core;
+		EXPECT_EQ(0, Req(r).unknown) << core;
+	}
+}
+
+/* Guards against a new request stuck between a fenced owner and its backup. */
+TEST_F(Traffic, FencedOwnerHandsNewRequestsToTheBackup)
+{
+	int caller = Flow();
+	int other = w->Establish("orders", 0);
+	size_t owner = w->OwnerOf(caller);
+
+	while (w->OwnerOf(other) != owner ||
+	    w->BackupOf(other) != w->BackupOf(caller))
+		other = w->Establish("orders", 0);
+	w->paused[owner] = true;
+	w->Run(3100);
+	w->SetLiveAll(owner, KF_VM_DEAD);
+	w->ViewAll();
+	w->Send(caller, WRITE, w->ThirdOf(caller));
+	w->Run(50);
+	w->paused[owner] = false;
+	w->SetLiveAll(owner, KF_VM_ALIVE);
+	w->ViewAll();
+	for (int i = 0; i < 5; i++) {
+		int r = w->Send(other, WRITE, owner);
+
+		w->Run(300);
+		ExpectAnswered(r);
+	}
+}
+
+/* Guards against an owner that stops when its backup has ended. */
+TEST_F(Traffic, BackupGoneWithinItsLease)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+
+	Die(backup, KF_VM_GONE);
+	int r = w->Send(caller, WRITE, owner);
+	w->Run(50);
+	ExpectAnswered(r);
+	EXPECT_NE(backup, w->BackupOf(caller));
+}
+
+/* Guards against dispatch alone by an owner that may have been fenced. */
+TEST_F(Traffic, BackupGoneAfterTheLeaseEnded)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+
+	w->paused[backup] = true;
+	w->Run(3100);
+	Die(backup, KF_VM_GONE);
+	int r = w->Send(caller, WRITE, owner);
+	w->Run(2100);
+	ExpectUnknown(r, 0);
+	/* A new flow names a backup that lives. */
+	w->Send(caller, 0, owner);
+	int next = w->Send(caller, WRITE, owner);
+	w->Run(50);
+	ExpectAnswered(next);
+}
+
+/* Guards against dispatch without an acknowledgement from a silent backup. */
+TEST_F(Traffic, BackupSilentButNotGone)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+
+	w->paused[backup] = true;
+	w->SetLiveAll(backup, KF_VM_DEAD);
+	w->ViewAll();
+	int r = w->Send(caller, WRITE, owner);
+	w->Run(2100);
+	ExpectUnknown(r, 0);
+	w->Deliver(r, owner);
+	EXPECT_EQ(2, Req(r).unknown);
+}
+
+/* Guards against a false refusal, and against a flow in doubt for ever. */
+TEST_F(Traffic, OwnerAndBackupGone)
+{
+	int caller = Flow();
+	size_t third = w->ThirdOf(caller);
+	int r = w->NewRequest(caller, WRITE);
+
+	Die(w->OwnerOf(caller), KF_VM_GONE);
+	Die(w->BackupOf(caller), KF_VM_GONE);
+	w->Deliver(r, third);
+	w->Run(50);
+	ExpectUnknown(r, 0);
+	w->now_us += (int64_t)119 * 1000000;
+	w->Deliver(r, third);
+	EXPECT_EQ(2, Req(r).unknown);
+	w->now_us += (int64_t)2 * 1000000;
+	int late = w->Send(caller, WRITE, third);
+	w->Run(50);
+	ExpectDenied(late, KF_RPC_AUTH_REJECTEDCRED);
+	int read = w->Send(caller, READ, third);
+	w->Run(50);
+	ExpectAnswered(read);
+}
+
+/*
+ * Guards against a flow that is dropped for ever because no view lists its
+ * owner and backup any more.
+ */
+TEST_F(Traffic, OwnerAndBackupForgotten)
+{
+	int caller = Flow();
+	size_t third = w->ThirdOf(caller);
+	int early = w->NewRequest(caller, WRITE);
+
+	w->Kill(w->OwnerOf(caller));
+	w->Kill(w->BackupOf(caller));
+	w->absent = { w->OwnerOf(caller), w->BackupOf(caller) };
+	w->ViewAll();
+	w->Deliver(early, third);
+	w->Run(50);
+	ExpectNothing(early);
+	w->now_us += (int64_t)130 * 1000000;
+	w->Run(50);
+	int late = w->Send(caller, WRITE, third);
+	w->Run(50);
+	ExpectDenied(late, KF_RPC_AUTH_REJECTEDCRED);
+	int read = w->Send(caller, READ, third);
+	w->Run(50);
+	ExpectAnswered(read);
+}
+
+/* Guards against a refusal that a backup without a record makes false. */
+TEST_F(Traffic, RefusalWaitsForTheAcknowledgement)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+
+	SetModes(SHED);
+	int r = w->Send(caller, WRITE, owner);
+	w->now_us += 2100000; /* past the deadline before the ACK */
+	w->Settle();
+	text.orders = false;
+	int second = w->Send(caller, WRITE, owner);
+	EXPECT_EQ(0, Req(second).denied);
+	EXPECT_NE(-1, w->FindPeer(KF_PEER_INTENT));
+	w->Run(50);
+	EXPECT_EQ(0, Req(r).executed + Req(second).executed);
+	EXPECT_EQ(1, Req(second).denied);
+}
+
+/* Guards against an acknowledgement of an earlier request with one xid. */
+TEST_F(Traffic, AcknowledgementOfAnotherGenerationDoesNotCount)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+	int first = w->Send(caller, WRITE, owner);
+
+	w->Step((size_t)w->FindPeer(KF_PEER_INTENT));
+	Event late = w->events[(size_t)w->FindPeer(KF_PEER_INTENT_ACK)];
+	w->Run(50);
+	for (int i = 0; i < KF_FLOW_RING; i++) {
+		w->Send(caller, WRITE, owner);
+		w->Run(50);
+	}
+	w->callers[0].next_xid = Req(first).xid;
+	int reused = w->NewRequest(caller, WRITE);
+	w->requests[(size_t)first].xid = 1;
+	w->Deliver(reused, owner);
+	w->LosePeer(KF_PEER_INTENT);
+	w->events.push_back(late);
+	w->Settle();
+	EXPECT_EQ(0, Req(reused).executed);
+	w->Run(100);
+	ExpectAnswered(reused);
+}
+
+/* Guards against lost work when an upstream sheds load or has restarted. */
+TEST_F(Traffic, ShedAndRestartedUpstreamsAreReplaced)
+{
+	for (Mode mode : { SHED, WRONG_INCARNATION }) {
+		for (uint32_t proc : { READ, WRITE }) {
+			int caller = Flow();
+
+			for (int i = 0; i < 20; i++)
+				w->Send(caller, READ, 0);
+			w->Run(50);
+			std::string name = w->UpstreamOf(caller);
+			w->upstreams[name].mode = mode;
+			int r = w->Send(caller, proc, 0);
+			w->Run(100);
+			ExpectAnswered(r);
+			EXPECT_NE(name, w->UpstreamOf(caller));
+			SetModes(ANSWER);
+		}
+	}
+}
+
+/* Guards against retries without limit when every upstream sheds. */
+TEST_F(Traffic, RefusedWhenEveryUpstreamSheds)
+{
+	int caller = Flow();
+
+	SetModes(SHED);
+	int r = w->Send(caller, WRITE, 0);
+	w->Run(100);
+	ExpectDenied(r, KF_RPC_AUTH_FAILED);
+	w->Deliver(r, 1);
+	w->Run(100);
+	ExpectDenied(r, KF_RPC_AUTH_FAILED);
+}
+
+/* Guards against a request that waits for an upstream that has ended. */
+TEST_F(Traffic, UnreachableUpstream)
+{
+	int caller = Flow();
+
+	for (int i = 0; i < 40; i++)
+		w->Send(caller, READ, 0);
+	w->Run(50);
+	std::string name = w->UpstreamOf(caller);
+	size_t owner = w->OwnerOf(caller);
+	w->upstreams[name].mode = SILENT;
+	int read = w->Send(caller, READ, owner);
+	int write = w->Send(caller, WRITE, owner);
+	w->Run(20);
+	for (uint32_t path = 0; path < 2; path++)
+		w->Unreachable(name, owner, path);
+	w->Run(50);
+	EXPECT_EQ(1, Req(read).answered);
+	ExpectUnknown(write, 1);
+}
+
+/* Guards against a false refusal of a request that was lost once. */
+TEST_F(Traffic, LostThenRefusedIsUnknown)
+{
+	int caller = Flow();
+
+	for (int i = 0; i < 40; i++)
+		w->Send(caller, READ, 0);
+	w->Run(50);
+	std::string name = w->UpstreamOf(caller);
+	size_t owner = w->OwnerOf(caller);
+	SetModes(SHED);
+	w->upstreams[name].mode = SILENT;
+	int read = w->Send(caller, READ, owner);
+	w->Run(20);
+	EXPECT_EQ(1, Req(read).executed);
+	for (uint32_t path = 0; path < 2; path++)
+		w->Unreachable(name, owner, path);
+	w->Run(50);
+	EXPECT_EQ(0, Req(read).denied);
+	EXPECT_EQ(1, Req(read).unknown);
+}
+
+/* Guards against an answer thrown away because it is late. */
+TEST_F(Traffic, LateAnswerReplacesTheUnknownOutcome)
+{
+	int caller = Flow();
+
+	SetModes(HOLD);
+	int r = w->Send(caller, WRITE, 0);
+	w->Run(2050);
+	ExpectUnknown(r, 1);
+	w->Release(w->UpstreamOf(caller));
+	w->Run(20);
+	EXPECT_EQ(1, Req(r).answered);
+	w->Deliver(r, 1);
+	w->Run(20);
+	EXPECT_EQ(2, Req(r).answered);
+	EXPECT_EQ(1, Req(r).executed);
+	EXPECT_EQ(0u, w->InProgress());
+}
+
+/* Guards against an answer that reaches the wrong request. */
+TEST_F(Traffic, StrayAnswersAreDropped)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+	std::string name = w->UpstreamOf(caller);
+
+	SetModes(HOLD);
+	int r = w->Send(caller, WRITE, owner);
+	w->Run(20);
+	ASSERT_EQ(1u, w->upstreams[name].held.size());
+	Event call = w->upstreams[name].held[0], other = call;
+	other.upstream = kf_name_id(name == "a" ? "b" : "a");
+	w->Replies(other, ANSWER);
+	other = call;
+	other.data[3] ^= 1; /* xid */
+	w->Replies(other, ANSWER);
+	other.data[0] = other.data[1] = other.data[2] = other.data[3] = 0;
+	w->Replies(other, ANSWER);
+	w->Run(20);
+	ExpectNothing(r);
+	w->Replies(call, ANSWER);
+	w->Replies(call, ANSWER);
+	w->Run(20);
+	EXPECT_EQ(1, Req(r).answered);
+	ExpectAnswered(r);
+}
+
+/* Guards against new requests to a draining upstream. */
+TEST_F(Traffic, DrainMovesFlowsAndKeepsRequestsInProgress)
+{
+	int caller = Flow();
+
+	SetModes(HOLD);
+	int before = w->Send(caller, WRITE, 0);
+	w->Run(20);
+	text.drained = w->UpstreamOf(caller);
+	Redeclare();
+	w->Release(text.drained);
+	w->Run(20);
+	ExpectAnswered(before);
+	SetModes(ANSWER);
+	int after = w->Send(caller, WRITE, 0);
+	w->Run(50);
+	ExpectAnswered(after);
+	EXPECT_NE(text.drained, w->UpstreamOf(caller));
+}
+
+/* Guards against requests left in the queue of a draining upstream. */
+TEST_F(Traffic, DrainEmptiesTheQueue)
+{
+	std::vector<int> all;
+
+	SetModes(HOLD);
+	for (int i = 0; i < 30; i++)
+		all.push_back(w->Send(Flow(), i % 2 ? WRITE : READ, 0));
+	w->Run(50);
+	text.drained = "a";
+	Redeclare();
+	SetModes(ANSWER);
+	for (const char *name : { "a", "b", "c" })
+		w->Release(name);
+	w->Run(300);
+	for (int r : all)
+		ExpectAnswered(r);
+	EXPECT_EQ(0u, w->InProgress());
+}
+
+/*
+ * Guards against a request that waits for an acknowledgement with a slot of an
+ * upstream that starts to drain.
+ */
+TEST_F(Traffic, DrainWhileTheAcknowledgementIsOnItsWay)
+{
+	int caller = Flow();
+	int r = w->Send(caller, WRITE, w->OwnerOf(caller));
+
+	text.drained = w->UpstreamOf(caller);
+	Redeclare();
+	w->Run(100);
+	ExpectAnswered(r);
+}
+
+/* Guards against a queue that an upstream takes to another service. */
+TEST_F(Traffic, UpstreamMovesToAnotherService)
+{
+	std::vector<int> all;
+
+	SetModes(HOLD);
+	for (int i = 0; i < 30; i++)
+		all.push_back(w->Send(Flow(), i % 2 ? WRITE : READ, 0));
+	w->Run(50);
+	text.moved = "b";
+	Redeclare();
+	SetModes(ANSWER);
+	for (const char *name : { "a", "b", "c" })
+		w->Release(name);
+	w->Run(300);
+	for (int r : all)
+		ExpectAnswered(r);
+}
+
+/* Guards against queued requests lost with a removed upstream. */
+TEST_F(Traffic, UpstreamIsRemovedWhileRequestsAreQueued)
+{
+	std::vector<int> all;
+
+	SetModes(HOLD);
+	for (int i = 0; i < 30; i++)
+		all.push_back(w->Send(Flow(), i % 2 ? WRITE : READ, 0));
+	w->Run(50);
+	text.removed = "a";
+	Redeclare();
+	SetModes(ANSWER);
+	for (const char *name : { "a", "b", "c" })
+		w->Release(name);
+	w->Run(300);
+	for (int r : all)
+		ExpectAnswered(r);
+}
+
+/* Guards against requests held for a service that has been withdrawn. */
+TEST_F(Traffic, ServiceIsWithdrawn)
+{
+	int caller = Flow();
+	std::vector<int> all;
+
+	SetModes(HOLD);
+	for (int i = 0; i < 20; i++)
+		all.push_back(w->Send(Flow(), WRITE, 0));
+	w->Run(50);
+	text.orders = false;
+	Redeclare();
+	for (const char *name : { "a", "b", "c" })
+		w->Release(name);
+	w->Run(2200);
+	for (int r : all) {
+		EXPECT_EQ(Req(r).executed, Req(r).answered);
+		EXPECT_EQ(1 - Req(r).executed, Req(r).denied);
+	}
+	ExpectNothing(w->Send(caller, WRITE, 0));
+	EXPECT_EQ(0u, w->InProgress());
+}
+
+/* Guards against a queue that stays with a VM that no longer owns it. */
+TEST_F(Traffic, LeavingVmHandsItsQueueOver)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+	std::string name = w->UpstreamOf(caller);
+	std::vector<int> all;
+
+	SetModes(HOLD);
+	for (int i = 0; i < 30; i++)
+		all.push_back(w->Send(Flow(), i % 2 ? WRITE : READ, 0));
+	w->Run(50);
+	w->leaving[owner] = true;
+	w->ViewAll();
+	w->Settle();
+	/* What it has dispatched itself remains: 2 slots for 3 upstreams. */
+	EXPECT_LE(kf_traffic_in_progress(w->Traffic(owner)), 6u);
+	EXPECT_TRUE(w->Logged("move"));
+	/* Copies follow the requests that have moved. */
+	for (int r : all)
+		w->Deliver(r, owner);
+	w->Settle();
+	SetModes(ANSWER);
+	for (const char *upstream : { "a", "b", "c" })
+		w->Release(upstream);
+	w->Run(300);
+	for (int r : all) {
+		EXPECT_GE(Req(r).answered, 1);
+		EXPECT_EQ(0, Req(r).denied + Req(r).unknown);
+	}
+	EXPECT_EQ(0u, kf_traffic_in_progress(w->Traffic(owner)));
+	w->Send(caller, READ, owner);
+	w->Run(50);
+	EXPECT_NE(owner, w->OwnerOf(caller));
+}
+
+/* Guards against a copy of a moved request that starts it again. */
+TEST_F(Traffic, CopyOfAMovedRequestFollowsIt)
+{
+	int caller = Flow();
+	size_t old_owner = w->OwnerOf(caller);
+	int r = w->NewRequest(caller, WRITE);
+
+	w->leaving[old_owner] = true;
+	w->ViewAll();
+	SetModes(HOLD);
+	w->Deliver(r, old_owner);
+	w->Run(50);
+	for (size_t core = 0; core < 3; core++)
+		w->Deliver(r, core);
+	w->Run(50);
+	EXPECT_EQ(1, Req(r).executed);
+	for (auto &u : w->upstreams)
+		w->Release(u.first);
+	w->Run(50);
+	for (size_t core = 0; core < 3; core++)
+		w->Deliver(r, core);
+	w->Run(50);
+	EXPECT_EQ(4, Req(r).answered);
+	ExpectAnswered(r);
+}
+
+/* Guards against a copy of a moved request sent to a dead VM for ever. */
+TEST_F(Traffic, CopyOfAMovedRequestFindsTheBackupOfItsNewOwner)
+{
+	Options options;
+
+	options.vms = 4;
+	Make(options);
+	int caller = Flow();
+	size_t old_owner = w->OwnerOf(caller);
+	int r = w->NewRequest(caller, WRITE);
+
+	w->leaving[old_owner] = true;
+	w->ViewAll();
+	w->Deliver(r, old_owner);
+	w->Run(50);
+	ExpectAnswered(r);
+	size_t new_owner = w->OwnerOf(caller);
+	ASSERT_NE(old_owner, new_owner);
+	Die(new_owner, KF_VM_GONE);
+	w->Deliver(r, old_owner);
+	w->Run(50);
+	EXPECT_EQ(2, Req(r).answered);
+	ExpectAnswered(r);
+}
+
+/* Guards against two owners that both execute one request. */
+TEST_F(Traffic, TwoVmsOwnOneUpstream)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+
+	/* Only the third VM holds the owner for dead. */
+	w->SetLive(third, owner, KF_VM_DEAD);
+	w->View(third);
+	int fresh = w->Establish("orders", third);
+	int r = w->Send(caller, WRITE, third);
+	int s = w->Send(fresh, WRITE, third);
+	w->Run(50);
+	ExpectAnswered(s);
+	w->Deliver(r, owner);
+	w->Run(50);
+	ExpectAnswered(r);
+}
+
+/* Guards against a request that reaches the wrong shard. */
+TEST_F(Traffic, Shards)
+{
+	Options options;
+
+	options.vms = 2;
+	options.shards = 3;
+	Make(options);
+	std::vector<int> all;
+	for (int i = 0; i < 24; i++) {
+		int caller = Flow("orders", (size_t)i % 6);
+
+		for (size_t core = 0; core < 6; core++)
+			all.push_back(
+			    w->Send(caller, core % 2 ? READ : WRITE, core));
+		w->Run(50);
+	}
+	for (int r : all)
+		ExpectAnswered(r);
+}
+
+/* Guards against records that a sibling shard does not have. */
+TEST_F(Traffic, OwnerOfSeveralShardsDies)
+{
+	Options options;
+
+	options.shards = 2;
+	Make(options);
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), third = w->ThirdOf(caller);
+	int done = w->Send(caller, WRITE, third * 2);
+	w->Run(50);
+	Die(owner, KF_VM_GONE);
+	w->Deliver(done, third * 2 + 1);
+	int next = w->Send(caller, WRITE, third * 2);
+	w->Run(50);
+	EXPECT_EQ(2, Req(done).answered);
+	ExpectAnswered(done);
+	ExpectAnswered(next);
+}
+
+/* Guards against memory errors and replies on malformed input. */
+TEST_F(Traffic, MalformedDatagrams)
+{
+	int caller = Flow();
+	int r = w->NewRequest(caller, WRITE);
+	Bytes call = Req(r).data;
+
+	for (size_t len = 0; len < call.size() - 8; len++)
+		w->SendRaw(
+		    caller, 0, Bytes(call.begin(), call.begin() + (long)len));
+	w->Settle();
+	EXPECT_EQ(0, Req(r).answered + Req(r).executed);
+	w->Deliver(r, w->ThirdOf(caller));
+	ASSERT_FALSE(w->events.empty());
+	Event peer = w->events[0];
+	for (size_t i = 0; i < peer.data.size(); i++) {
+		Event bad = peer;
+
+		bad.data[i] ^= 0x81;
+		w->events.push_back(bad);
+		bad.data.resize(i);
+		w->events.push_back(bad);
+	}
+	w->Run(50);
+	ExpectAnswered(r);
+	kf_rpc_reply_t unused;
+	for (size_t len = 0; len < 40; len++) {
+		Bytes junk(len, 0xff);
+
+		EXPECT_NE(KF_OK,
+		    kf_rpc_reply_parse(junk.data(), junk.size(), &unused));
+		kf_traffic_on_upstream(w->Traffic(0), w->Now(), kf_name_id("a"),
+		    0, junk.data(), junk.size());
+	}
+}
+
+/* Guards against a caller that uses the upstreams' control program. */
+TEST_F(Traffic, ControlProgramIsNotServedToCallers)
+{
+	int caller = Flow();
+	int r = w->NewRequest(caller, WRITE);
+	Bytes call = Req(r).data;
+
+	kf_put_u32(call.data() + 12, KF_UPSTREAM_PROG);
+	size_t before = w->log.size();
+	w->SendRaw(caller, w->OwnerOf(caller), call);
+	w->Settle();
+	for (size_t i = before; i < w->log.size(); i++)
+		EXPECT_EQ(std::string::npos, w->log[i].find("dispatch"));
+}
+
+/* Guards against a decision before anything is known of the fleet. */
+TEST_F(Traffic, UnsettledViewDropsEverything)
+{
+	w->settled = false;
+	w->ViewAll();
+	int caller = w->AddCaller("orders");
+
+	for (uint32_t proc : { 0u, 1u, 11u })
+		ExpectNothing(w->Send(caller, proc, 0));
+}
+
+/* Guards against early refusals that are late or untrue in a flood. */
+TEST_F(Traffic, FloodIsRefusedEarly)
+{
+	std::vector<int> all;
+
+	SetModes(HOLD);
+	for (int i = 0; i < 20; i++) {
+		int caller = Flow();
+
+		for (int j = 0; j < 10; j++)
+			all.push_back(w->Send(caller, j % 2 ? READ : 3, 0));
+	}
+	for (int i = 0; i < 40; i++) {
+		w->Run(100);
+		for (const char *name : { "a", "b", "c" })
+			w->Release(name);
+	}
+	w->Run(1100);
+	for (int r : all) {
+		EXPECT_LT(0, Req(r).answered + Req(r).denied + Req(r).unknown);
+		EXPECT_TRUE(Req(r).denied == 0 || Req(r).executed == 0);
+	}
+	EXPECT_EQ(0u, w->InProgress());
+}
+
+/* Guards against a token that makes the next request stale. */
+TEST_F(Traffic, SlowReadDoesNotMakeALaterWriteStale)
+{
+	int caller = Flow();
+	std::string name = w->UpstreamOf(caller);
+
+	w->upstreams[name].mode = HOLD;
+	int read = w->Send(caller, READ, 0);
+	w->Run(20);
+	w->upstreams[name].mode = ANSWER;
+	for (int i = 0; i < 2 * KF_FLOW_RING; i++) {
+		w->Send(caller, WRITE, 0);
+		w->Run(20);
+	}
+	w->Release(name);
+	w->Run(20);
+	ExpectAnswered(read);
+	int last = w->Send(caller, WRITE, 0);
+	w->Run(20);
+	ExpectAnswered(last);
+}
+
+} // namespace
