Count an INTENT_ACK only for the generation it names

An owner that reused an xid in a flow took a late acknowledgement of the earlier request for the new one and dispatched without a record at the backup. The flow table was ruled out: it evicts the earlier request and registers the new generation. on_intent_answer compared flow and xid only. AcknowledgementOfAnotherGenerationDoesNotCount failed before and passes now.

--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -217,7 +217,9 @@
 	request_t *req;
 
 	req = request_find(t, intent->flow, intent->xid);
+	/* A late answer may be about an earlier request with this xid. */
 	if (req == NULL || req->alone || req->acked ||
+	    req->id.generation != intent->generation ||
 	    req->state == REQUEST_ABANDONED ||
 	    !same_vm(req->token.backup, &msg->from))
 		return;
