Serve requests of a fenced owner at the backup that fenced it

A fence lasts as long as the owner's incarnation. An owner that resumed after a pause got INTENT_NACK for every new request, passed it to the backup, and the backup moved it back to the owner that its view named: the caller got an unknown outcome for each non-idempotent request, for ever. Copies that reached the owner were also answered as unknown while the backup held the answer. The backup now serves such a request itself, and the owner passes copies on. The fence itself was ruled out: lifting it would let the owner execute what the backup has executed.

PausedOwnerWakesLateAndIsFenced and FencedOwnerHandsNewRequestsToTheBackup failed before and pass now.

--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -44,6 +44,21 @@
 		peer_forward(t, &moved, vm, false);
 }
 
+/* The backup that has fenced this VM decides about the copy as well. */
+static void
+owner_send_in_doubt(
+    kf_traffic_t *t, const packet_t *pkt, const kf_request_id_t *id)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, pkt->token.backup);
+
+	if (kf_flow_reason(t->flows, id) == KF_REASON_FENCED && vm != NULL &&
+	    vm->liveness < KF_VM_DEAD && vm->peer_addr.port != 0 &&
+	    pkt->hops < FORWARD_HOPS_MAX)
+		peer_forward(t, pkt, vm, true);
+	else
+		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
+}
+
 /*
  * Classifies a non-idempotent request by the flow's records.  Returns true if
  * it is new and may go on.
@@ -69,6 +84,8 @@
 		packet_refuse(t, pkt, kf_flow_reason(t->flows, &id));
 		return false;
 	case KF_FLOW_IN_DOUBT:
+		owner_send_in_doubt(t, pkt, &id);
+		return false;
 	case KF_FLOW_STALE:
 		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
 		return false;
@@ -126,15 +143,33 @@
 		owner_start(t, req);
 }
 
+/*
+ * Whether this shard serves a request for an upstream.  Normally that is the
+ * upstream's owner; but an owner that this VM has fenced can run nothing for
+ * which this VM is the backup, and would only send the request back.
+ */
+static bool
+owner_serves(const kf_traffic_t *t, const request_t *req, uint32_t index)
+{
+	const kf_view_upstream_t *vu = &t->view->upstreams[index];
+	const kf_view_vm_t *vm = &t->view->vms[vu->owner];
+	uint32_t id = t->view->decl->upstreams[index].id;
+
+	if (req->hops >= FORWARD_HOPS_MAX)
+		return true;
+	if (vu->owner == t->view->self_index)
+		return kf_view_shard(vm, id) == t->config.shard;
+	return req->recorded && vu->backup == t->view->self_index &&
+	    kf_view_shard(&t->view->vms[vu->backup], id) == t->config.shard &&
+	    kf_flow_fenced(t->flows, vm->id);
+}
+
 /* Sends a request to its upstream's queue, or to the upstream's owner. */
 void
 owner_start(kf_traffic_t *t, request_t *req)
 {
 	const kf_service_t *service;
-	const kf_view_vm_t *vm;
-	const kf_view_upstream_t *vu;
 	kf_token_t token = req->token;
-	uint32_t index;
 
 	service = kf_declaration_service(t->view->decl, req->service);
 	if (service == NULL) {
@@ -145,12 +180,7 @@
 		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
-	index = place_index(t, req->upstream);
-	vu = &t->view->upstreams[index];
-	vm = &t->view->vms[vu->owner];
-	if ((vu->owner == t->view->self_index &&
-		kf_view_shard(vm, req->upstream) == t->config.shard) ||
-	    req->hops >= FORWARD_HOPS_MAX) {
+	if (owner_serves(t, req, place_index(t, req->upstream))) {
 		owner_admit(t, req);
 		return;
 	}
@@ -163,7 +193,6 @@
 owner_replace(kf_traffic_t *t, request_t *req, uint32_t exclude)
 {
 	const kf_service_t *service;
-	const kf_view_upstream_t *vu;
 	kf_token_t token = req->token;
 	placement_t place;
 
@@ -176,11 +205,7 @@
 		return;
 	}
 	kf_counters_add(&t->counters, KF_COUNT_FLOWS_MOVED, 1);
-	vu = &t->view->upstreams[place.upstream];
-	if ((vu->owner == t->view->self_index &&
-		kf_view_shard(&t->view->vms[vu->owner], token.upstream) ==
-		    t->config.shard) ||
-	    req->hops >= FORWARD_HOPS_MAX) {
+	if (owner_serves(t, req, place.upstream)) {
 		req->upstream = token.upstream;
 		req->reply_token = token;
 		request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, NULL);
