Handle queued requests anew when a view changes their upstream

A view that drained an upstream, gave it to another service or to another VM left the requests in its queue, and those that waited for INTENT_ACK with a slot: they were dispatched to a draining upstream, to an upstream of another service, or by a VM that was no longer the owner. The removal of an upstream re-placed its queue from inside the admission callback, which that library forbids, while other entries still had the indexes and addresses of the old declaration.

serving_update now brings every entry up to date, empties the queues that may not stay, and then passes their requests to owner_start; dispatch_send checks the view in force.

--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -71,11 +71,15 @@
 	size_t len;
 	int path;
 
-	if (s == NULL || s->index == KF_VIEW_NONE ||
-	    t->now.mono_us >= req->deadline_us) {
+	if (t->now.mono_us >= req->deadline_us) {
 		dispatch_release(t, req, -1);
-		owner_refuse(t, req,
-		    s == NULL ? KF_REASON_NO_UPSTREAM : KF_REASON_DEADLINE);
+		owner_refuse(t, req, KF_REASON_DEADLINE);
+		return;
+	}
+	/* A view may have come between the slot and the acknowledgement. */
+	if (s == NULL || !serving_accepts(t, s, req->service)) {
+		dispatch_release(t, req, -1);
+		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
 	req->upstream_xid = next_xid(t);
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -164,19 +164,22 @@
 	    kf_flow_fenced(t->flows, vm->id);
 }
 
-/* Sends a request to its upstream's queue, or to the upstream's owner. */
+/*
+ * Sends a request to its upstream's queue, or to the upstream's owner.  Called
+ * again when a view has taken the request out of its queue.
+ */
 void
 owner_start(kf_traffic_t *t, request_t *req)
 {
 	const kf_service_t *service;
-	kf_token_t token = req->token;
+	kf_token_t token = req->reply_token;
 
 	service = kf_declaration_service(t->view->decl, req->service);
 	if (service == NULL) {
 		owner_refuse(t, req, KF_REASON_NO_SERVICE);
 		return;
 	}
-	if (!place_still_valid(t, service, &req->token)) {
+	if (!place_still_valid(t, service, &token)) {
 		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
--- a/lib/traffic/serving.c
+++ b/lib/traffic/serving.c
@@ -14,6 +14,7 @@
 	const kf_upstream_t *u = &t->view->decl->upstreams[index];
 
 	s->index = index;
+	s->service = t->view->decl->services[u->service].id;
 	s->addr = u->addr;
 	kf_upstream_state_set_draining(s->state, u->draining);
 	kf_admission_set_upstream(
@@ -73,6 +74,14 @@
 	    KF_UPSTREAM_USABLE;
 }
 
+/* Whether the view in force lets requests of a service start here. */
+bool
+serving_accepts(const kf_traffic_t *t, const serving_t *s, uint32_t service)
+{
+	return s->index != KF_VIEW_NONE && s->service == service &&
+	    !t->view->decl->upstreams[s->index].draining;
+}
+
 /* At most half of a service's upstreams may be ejected at once. */
 static bool
 serving_may_eject(kf_traffic_t *t, const serving_t *s)
@@ -204,38 +213,73 @@
 	kf_traffic_t *t = ctx;
 	request_t *req = request;
 
-	owner_replace(t, req, KF_VIEW_NONE);
+	req->requeue_next = t->requeue;
+	t->requeue = req;
+}
+
+/*
+ * Empties the queue of an upstream that may not get the requests in it, or
+ * that another VM owns now.  They are handled when every entry agrees with the
+ * view; the admission library also allows no calls from its callback.
+ */
+static void
+serving_empty_queue(kf_traffic_t *t, serving_t *s, uint32_t service)
+{
+	if (serving_accepts(t, s, service) && serving_owned(t, s))
+		return;
+	kf_admission_remove_upstream(t->admission, s->id, on_queue_removed, t);
+	if (s->index != KF_VIEW_NONE)
+		serving_bind(t, s, s->index);
+}
+
+static void
+serving_requeue(kf_traffic_t *t)
+{
+	request_t *req;
+
+	while ((req = t->requeue) != NULL) {
+		t->requeue = req->requeue_next;
+		owner_start(t, req);
+	}
+}
+
+/* Creates the entries of the upstreams that this shard owns. */
+static void
+serving_add_owned(kf_traffic_t *t)
+{
+	const kf_declaration_t *decl = t->view->decl;
+	uint32_t i;
+
+	for (i = 0; i < decl->upstream_count; i++) {
+		const kf_view_upstream_t *vu = &t->view->upstreams[i];
+
+		if (vu->owner == t->view->self_index &&
+		    kf_view_shard(&t->view->vms[vu->owner],
+			decl->upstreams[i].id) == t->config.shard)
+			serving_get(t, i);
+	}
 }
 
 /* Adopts the view's declaration and ownership. */
 void
 serving_update(kf_traffic_t *t)
 {
-	const kf_declaration_t *decl = t->view->decl;
 	apr_hash_index_t *hi;
-	uint32_t i, index;
+	uint32_t index, service;
 
 	for (hi = apr_hash_first(NULL, t->serving); hi != NULL;
 	     hi = apr_hash_next(hi)) {
 		serving_t *s = apr_hash_this_val(hi);
 
 		index = place_index(t, s->id);
+		service = s->service;
 		if (index != KF_VIEW_NONE)
 			serving_bind(t, s, index);
-		else if (s->index != KF_VIEW_NONE) {
-			s->index = KF_VIEW_NONE;
-			kf_admission_remove_upstream(
-			    t->admission, s->id, on_queue_removed, t);
-		}
-	}
-	for (i = 0; i < decl->upstream_count; i++) {
-		const kf_view_upstream_t *vu = &t->view->upstreams[i];
-
-		if (vu->owner == t->view->self_index &&
-		    kf_view_shard(&t->view->vms[vu->owner],
-			decl->upstreams[i].id) == t->config.shard)
-			serving_get(t, i);
+		s->index = index;
+		serving_empty_queue(t, s, service);
 	}
+	serving_add_owned(t);
+	serving_requeue(t);
 }
 
 static void
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -49,7 +49,8 @@
 typedef struct request {
 	struct request *next;
 	struct request *prev;
-	kf_request_id_t id; /* key of by_id */
+	struct request *requeue_next; /* taken out of a queue by a view */
+	kf_request_id_t id;	      /* key of by_id */
 	request_state_t state;
 	kf_route_t route;
 	kf_token_t token;	/* as it came with the request */
@@ -83,7 +84,8 @@
 /* What this shard keeps of an upstream it sends requests to. */
 typedef struct serving {
 	uint32_t id;
-	uint32_t index; /* into the declaration, or KF_VIEW_NONE */
+	uint32_t index;	  /* into the declaration, or KF_VIEW_NONE */
+	uint32_t service; /* id */
 	kf_addr_t addr;
 	kf_upstream_state_t *state;
 	bool ejected;	    /* as last logged */
@@ -132,6 +134,7 @@
 	apr_hash_t *leases;  /* lease_t by key */
 	request_t *requests;
 	request_t *deleted; /* unlinked during a sweep */
+	request_t *requeue; /* taken out of their queues by a view */
 	bool sweeping;
 	uint32_t request_count;
 	kf_candidate_t *candidates; /* scratch, one per upstream */
@@ -234,6 +237,8 @@
 void serving_delete(serving_t *s);
 bool serving_owned(const kf_traffic_t *t, const serving_t *s);
 bool serving_usable(const kf_traffic_t *t, const serving_t *s);
+bool serving_accepts(
+    const kf_traffic_t *t, const serving_t *s, uint32_t service);
 
 /* request.c */
 request_t *request_new(kf_traffic_t *t, const packet_t *pkt);
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -14,10 +14,12 @@
 	{
 		Make(Options());
 	}
+	/* Slow start is over when the test begins. */
 	void Make(const Options &options)
 	{
 		w = std::make_unique<World>(options);
 		Declare();
+		w->Run(31000);
 	}
 	void Declare()
 	{
