Report a retried request as unknown when its last attempt is refused

An idempotent request that got no reply from one upstream is retried. If the second upstream shed it, or no other was eligible, the caller was told that the request was not run, although the first attempt may have run. The request now keeps that fact, also when it is forwarded to another owner: the FORWARD field to_backup, which no receiver read, becomes flags. A reply with xid 0 no longer counts as the answer of a probe when none is pending.

--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -194,6 +194,7 @@
 		return;
 	}
 	dispatch_release(t, req, -1);
+	req->may_have_run = true;
 	kf_counters_add(&t->counters, KF_COUNT_RETRIED, 1);
 	request_decision(t, req, KF_EVENT_RETRY, KF_REASON_UPSTREAM_LOST, NULL);
 	owner_replace(t, req, index);
@@ -333,7 +334,7 @@
 		packet_drop(t, &late, KF_REASON_MALFORMED);
 		return;
 	}
-	if (reply.xid == s->probe_xid) {
+	if (s->probe_xid != 0 && reply.xid == s->probe_xid) {
 		serving_on_probe(t, s, &reply);
 		return;
 	}
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -60,7 +60,7 @@
 
 	memcpy(token, pkt->token_bytes, sizeof(token));
 	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
-	f->to_backup = to_backup;
+	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
 	f->hops = pkt->hops + 1;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	forward_decision(t, pkt, vm);
@@ -98,7 +98,9 @@
 		return;
 	forward_fill(f, &req->route, sealed, t->buf, len);
 	f->hops = req->hops + 1;
-	f->to_backup = to_backup;
+	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
+	if (req->may_have_run)
+		f->flags |= KF_FORWARD_MAY_HAVE_RUN;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	peer_send(t, kf_view_shard_addr(vm, token->upstream), &msg);
 }
@@ -241,7 +243,7 @@
 		.data = (const uint8_t *)f->datagram.datagram_val,
 		.len = f->datagram.datagram_len,
 		.hops = f->hops,
-		.to_backup = f->to_backup != 0,
+		.may_have_run = (f->flags & KF_FORWARD_MAY_HAVE_RUN) != 0,
 	};
 	kf_reason_t reason;
 
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -45,6 +45,7 @@
 	req->cls = pkt->proc.cls;
 	req->idempotent = pkt->proc.idempotent;
 	req->new_flow = pkt->new_flow;
+	req->may_have_run = pkt->may_have_run;
 	req->upstream = pkt->token.upstream;
 	req->deadline_us = t->now.mono_us + pkt->service->deadline_ms * 1000;
 	req->args_len = pkt->call.args_len;
@@ -213,10 +214,17 @@
 	request_delete(t, req);
 }
 
-/* The caller must not hold a slot: requests are refused before dispatch. */
+/*
+ * The caller must not hold a slot: requests are refused before dispatch.  A
+ * refusal of a later attempt says nothing about one that got no reply.
+ */
 void
 request_refuse_now(kf_traffic_t *t, request_t *req, kf_reason_t reason)
 {
+	if (req->may_have_run) {
+		request_unknown(t, req, reason);
+		return;
+	}
 	request_record(t, req, KF_NOT_RUN, reason, NULL, 0);
 	kf_counters_add(&t->counters, KF_COUNT_REFUSED, 1);
 	reply_denied(t, &req->route, req->id.xid, reason);
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -29,10 +29,10 @@
 	uint8_t token_bytes[KF_TOKEN_BYTES];
 	kf_token_t token;
 	bool has_token;
-	bool expired;	/* the token is past its expiry */
-	bool new_flow;	/* the call came without a token */
-	uint32_t hops;	/* times forwarded */
-	bool to_backup; /* the sender holds the owner for dead */
+	bool expired;	   /* the token is past its expiry */
+	bool new_flow;	   /* the call came without a token */
+	uint32_t hops;	   /* times forwarded */
+	bool may_have_run; /* an attempt at another VM got no reply */
 } packet_t;
 
 typedef enum request_state {
@@ -66,6 +66,7 @@
 	bool alone;    /* the backup need not acknowledge */
 	bool acked;    /* the backup has acknowledged */
 	bool new_flow;
+	bool may_have_run; /* an earlier attempt got no reply */
 	bool has_slot;
 	bool deleted; /* freed at the end of the sweep */
 	kf_reason_t refuse_reason;
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -73,6 +73,10 @@
 	kf_peer_digest digests<KF_PEER_MAX_DIGESTS>;
 };
 
+/* Flags of a forwarded request. */
+const KF_FORWARD_TO_BACKUP = 1; /* the sender holds the owner for dead */
+const KF_FORWARD_MAY_HAVE_RUN = 2; /* an attempt got no reply */
+
 /* A caller's datagram handed to the VM that owns its flow. */
 struct kf_peer_forward {
 	unsigned int caller_ip;
@@ -81,7 +85,7 @@
 	unsigned int service_port;
 	unsigned int fabric_ip;
 	unsigned int fabric_port;
-	unsigned int to_backup;
+	unsigned int flags;
 	unsigned int hops;
 	opaque token<256>;
 	opaque datagram<KF_PEER_MAX_PAYLOAD>;
