Route a copy of a moved request like any other request

A copy that found STORED_MOVED was sent to the new owner even when that VM had ended, so that its caller got nothing until it gave up, although the new backup held the answer. The loss of the record was ruled out: it was at the backup. The copy now goes through ingress_route, which looks at liveness and at the backup, and may be forwarded more often than a request that has not started. CopyOfAMovedRequestFindsTheBackupOfItsNewOwner failed before and passes now.

--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -141,7 +141,7 @@
 ingress_send(
     kf_traffic_t *t, packet_t *pkt, const kf_view_vm_t *vm, bool to_backup)
 {
-	if (pkt->hops >= FORWARD_HOPS_MAX) {
+	if (pkt->hops >= COPY_HOPS_MAX) {
 		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
 		return;
 	}
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -20,9 +20,8 @@
     kf_traffic_t *t, const packet_t *pkt, const uint8_t *stored, size_t len)
 {
 	packet_t moved = *pkt;
-	const kf_view_vm_t *vm;
 
-	if (len < 1 || pkt->hops > FORWARD_HOPS_MAX) {
+	if (len < 1) {
 		packet_drop(t, pkt, KF_REASON_DUPLICATE);
 		return;
 	}
@@ -32,16 +31,11 @@
 		    t->config.ops.ctx, &pkt->route, stored + 1, len - 1);
 		return;
 	}
-	if (packet_set_token(t, &moved, stored + 1, len - 1) !=
-	    KF_REASON_NONE) {
-		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
-		return;
-	}
-	vm = kf_view_vm(t->view, moved.token.owner);
-	if (vm == NULL || vm->peer_addr.port == 0)
-		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
+	/* The new owner may have ended in turn; its backup then decides. */
+	if (packet_set_token(t, &moved, stored + 1, len - 1) == KF_REASON_NONE)
+		ingress_route(t, &moved);
 	else
-		peer_forward(t, &moved, vm, false);
+		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
 }
 
 /* The backup that has fenced this VM decides about the copy as well. */
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -12,7 +12,10 @@
 
 enum {
 	DATAGRAM_MAX_BYTES = 65507,
+	/* A request forwarded this often is served where it is. */
 	FORWARD_HOPS_MAX = 2,
+	/* A copy follows the moves of its request, and then to a backup. */
+	COPY_HOPS_MAX = 2 * FORWARD_HOPS_MAX + 1,
 	/* Interval at which an unacknowledged INTENT is sent again. */
 	INTENT_RETRY_US = 50000,
 	ATTEMPTS_MAX = 3,
