Keep flow ids and generations of tokens apart from their requests

Three faults in the token and size of a reply. The slow answer of an idempotent request carried the generation of its call, so that the caller's next write was below the flow's floor and answered as unknown. The hash that places a call without a token, or one whose owner has ended, could become the flow id of a token: two such calls with the same xid would have shared one record. A reply that did not fit a datagram behind its PROXY header was handed to the socket and left the request's record in progress, so that copies were dropped; it is now an unknown outcome.

SlowReadDoesNotMakeALaterWriteStale, HashOfACallNamesNoFlow and ReplyTooLargeForADatagram failed before and pass now.

--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -1,7 +1,5 @@
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "traffic_internal.h"
 
 /* Fills in uid and gid of a call without a token. */
@@ -61,26 +59,12 @@
 	reply_null(t, pkt, &pkt->token);
 }
 
-/*
- * Identity of a call without a token: copies of it get the same flow id on
- * every VM.
- */
-static uint64_t
-ingress_flow_hash(const packet_t *pkt)
-{
-	uint32_t key[4] = { pkt->route.caller.ip, pkt->route.caller.port,
-		pkt->call.xid, pkt->service->id };
-	uint64_t hash = XXH3_64bits(key, sizeof(key));
-
-	return hash == 0 ? 1 : hash;
-}
-
 /* Places an idempotent call without a token by a hash of its identity. */
 static bool
 ingress_place(kf_traffic_t *t, packet_t *pkt)
 {
 	placement_t place;
-	uint64_t flow = ingress_flow_hash(pkt);
+	uint64_t flow = packet_hash(pkt);
 
 	if (place_hash(t, pkt->service, flow, &place) != KF_OK ||
 	    place_token(t, pkt->service, &place, &pkt->token) != KF_OK) {
--- a/lib/traffic/packet.c
+++ b/lib/traffic/packet.c
@@ -1,5 +1,7 @@
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "traffic_internal.h"
 
 /* Parses the call and finds its service and token. */
@@ -45,6 +47,20 @@
 	return KF_REASON_NONE;
 }
 
+/*
+ * Identity of a call without a token: copies of it get the same flow id on
+ * every VM.
+ */
+uint64_t
+packet_hash(const packet_t *pkt)
+{
+	uint32_t key[4] = { pkt->route.caller.ip, pkt->route.caller.port,
+		pkt->call.xid, pkt->service->id };
+	uint64_t hash = XXH3_64bits(key, sizeof(key));
+
+	return hash == 0 ? 1 : hash;
+}
+
 static void
 packet_decision(
     kf_traffic_t *t, const packet_t *pkt, kf_event_t event, kf_reason_t reason)
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -251,6 +251,7 @@
 	if (pkt.service != NULL)
 		reason = packet_set_token(t, &pkt,
 		    (const uint8_t *)f->token.token_val, f->token.token_len);
+	pkt.new_flow = pkt.has_token && pkt.token.flow == packet_hash(&pkt);
 	if (reason != KF_REASON_NONE)
 		packet_drop(t, &pkt, reason);
 	else
--- a/lib/traffic/reply.c
+++ b/lib/traffic/reply.c
@@ -108,5 +108,5 @@
 	reply.xid = req->id.xid;
 	if (reply.reply_stat == KF_RPC_MSG_ACCEPTED)
 		set_verifier(t, token, req->route.caller.ip, body, &reply.verf);
-	return kf_rpc_reply_write(&reply, t->buf, sizeof(t->buf));
+	return kf_rpc_reply_write(&reply, t->buf, REPLY_MAX_BYTES);
 }
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -154,6 +154,7 @@
 {
 	const kf_service_t *service;
 	placement_t place;
+	uint32_t next;
 
 	*token = req->reply_token;
 	service = kf_declaration_service(t->view->decl, req->service);
@@ -162,8 +163,15 @@
 	    place_new(t, service, KF_VIEW_NONE, &place) == KF_OK &&
 	    place_token(t, service, &place, token) == KF_OK)
 		return;
-	if (token->flow == req->id.flow && req->recorded)
-		token->generation = kf_flow_generation(t->flows, token->flow);
+	/* Two calls may share the hash, so it must not name a flow. */
+	if (req->new_flow)
+		token->flow = place_flow_id(t);
+	/* The slow reply of a read must not take the caller back. */
+	if (token->flow == req->id.flow) {
+		next = kf_flow_generation(t->flows, token->flow);
+		if (next > token->generation)
+			token->generation = next;
+	}
 	place_renew(t, token);
 }
 
@@ -182,7 +190,7 @@
 	}
 	kf_counters_add(&t->counters, KF_COUNT_ANSWERED, 1);
 	t->config.ops.send_caller(t->config.ops.ctx, &req->route, t->buf, len);
-	if (req->recorded && len < DATAGRAM_MAX_BYTES) {
+	if (req->recorded) {
 		memmove(t->buf + 1, t->buf, len);
 		t->buf[0] = STORED_REPLY;
 		request_record(
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -6,12 +6,15 @@
 
 #include "kf/call_info.h"
 #include "kf/peer_seal.h"
+#include "kf/proxy.h"
 #include "kf/rpc.h"
 #include "kf/traffic.h"
 #include "kf/upstream.h"
 
 enum {
 	DATAGRAM_MAX_BYTES = 65507,
+	/* A reply travels behind a PROXY header. */
+	REPLY_MAX_BYTES = DATAGRAM_MAX_BYTES - KF_PROXY_HEADER_BYTES,
 	/* A request forwarded this often is served where it is. */
 	FORWARD_HOPS_MAX = 2,
 	/* A copy follows the moves of its request, and then to a backup. */
@@ -151,6 +154,7 @@
 kf_reason_t packet_parse(kf_traffic_t *t, packet_t *pkt);
 kf_reason_t packet_set_token(
     kf_traffic_t *t, packet_t *pkt, const uint8_t *token, size_t len);
+uint64_t packet_hash(const packet_t *pkt);
 void packet_drop(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_refuse(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_unknown(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -14,6 +14,7 @@
 
 #include "kf/call_info.h"
 #include "kf/peer_seal.h"
+#include "kf/proxy.h"
 #include "kf/traffic.h"
 
 /*
@@ -781,6 +782,8 @@
 	{
 		Core *core = static_cast<Core *>(ctx);
 
+		if (len > 65507 - KF_PROXY_HEADER_BYTES)
+			core->world->Violate("reply too large to send");
 		core->world->CallerReply(route, Bytes(data, data + len));
 	}
 	static void OnPeer(
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -988,6 +988,78 @@
 	EXPECT_EQ(0u, w->InProgress());
 }
 
+/* Guards against a late refusal by the upstream after an unknown outcome. */
+TEST_F(Traffic, LateRefusalEndsTheRequest)
+{
+	int caller = Flow();
+	int r = w->Send(caller, WRITE, w->OwnerOf(caller));
+
+	w->Step((size_t)w->FindPeer(KF_PEER_INTENT));
+	w->Step((size_t)w->FindPeer(KF_PEER_INTENT_ACK));
+	ASSERT_EQ(1u, w->events.size());
+	std::vector<Event> call;
+	call.swap(w->events);
+	w->Run(2050);
+	ExpectUnknown(r, 0);
+	SetModes(SHED);
+	w->events = call;
+	w->Run(50);
+	ExpectUnknown(r, 0);
+	EXPECT_EQ(0u, w->InProgress());
+}
+
+/* Guards against a reply that no socket sends and no record ends. */
+TEST_F(Traffic, ReplyTooLargeForADatagram)
+{
+	int caller = Flow();
+	std::vector<uint8_t> results(65400), buf(65507);
+	kf_rpc_reply_t reply = {};
+	kf_rpc_call_t call;
+
+	SetModes(HOLD);
+	int r = w->Send(caller, WRITE, 0);
+	w->Run(20);
+	Event e = w->upstreams[w->UpstreamOf(caller)].held.at(0);
+	ASSERT_EQ(
+	    KF_OK, kf_rpc_call_parse(e.data.data(), e.data.size(), &call));
+	reply.xid = call.xid;
+	reply.results = results.data();
+	reply.results_len = results.size();
+	e.kind = Event::REPLY;
+	e.data.assign(buf.begin(),
+	    buf.begin() +
+		(long)kf_rpc_reply_write(&reply, buf.data(), buf.size()));
+	w->events.push_back(e);
+	w->Run(20);
+	ExpectUnknown(r, 1);
+	w->Deliver(r, 1);
+	w->Run(20);
+	EXPECT_EQ(2, Req(r).unknown);
+}
+
+/* Guards against one flow id in the tokens of two flows. */
+TEST_F(Traffic, HashOfACallNamesNoFlow)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+	Bytes token = w->callers[0].token;
+
+	Die(owner, KF_VM_GONE);
+	for (size_t core = 0; core < 3; core++) {
+		uint64_t flows[2];
+
+		for (uint64_t &flow : flows) {
+			w->callers[0].token = token;
+			w->requests.clear();
+			w->callers[0].next_xid = 500;
+			w->Send(caller, READ, core);
+			w->Run(50);
+			flow = w->TokenOf(caller).flow;
+		}
+		EXPECT_TRUE(core == owner || flows[0] != flows[1]);
+	}
+}
+
 /* Guards against a token that makes the next request stale. */
 TEST_F(Traffic, SlowReadDoesNotMakeALaterWriteStale)
 {
