Keep the upstreams' control program and late refusals from callers

A caller could send CANCEL or STATUS of program 0x20004b57 to a service and have it dispatched, because the program of a call was never compared with the one the service declares. Such a call is now answered with PROG_UNAVAIL and goes no further. An upstream's refusal that came after the caller had been told of an unknown outcome was stored and replayed as an answer, and for a retried request it was not even true; it now only ends the request. ControlProgramIsNotServedToCallers and LateRefusalEndsTheRequest failed before and pass now.

--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -297,15 +297,26 @@
 	}
 }
 
+/* The caller has been told that the outcome is unknown, which stays true. */
+static void
+dispatch_late_denial(kf_traffic_t *t, request_t *req)
+{
+	dispatch_release(t, req, -1);
+	request_decision(t, req, KF_EVENT_DROP, KF_REASON_LATE_REPLY, NULL);
+	request_delete(t, req);
+}
+
 static void
 dispatch_reply(
     kf_traffic_t *t, request_t *req, serving_t *s, const kf_rpc_reply_t *reply)
 {
 	kf_load_report_t report;
 
-	if (reply->reply_stat == KF_RPC_MSG_DENIED &&
-	    req->state == REQUEST_DISPATCHED) {
-		dispatch_denied(t, req, s, reply);
+	if (reply->reply_stat == KF_RPC_MSG_DENIED) {
+		if (req->state == REQUEST_DISPATCHED)
+			dispatch_denied(t, req, s, reply);
+		else
+			dispatch_late_denial(t, req);
 		return;
 	}
 	kf_upstream_state_on_answer(s->state, (int)req->path, t->now.mono_us,
--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -244,6 +244,11 @@
 	case KF_REASON_NONE:
 		ingress_call(t, &pkt);
 		break;
+	case KF_REASON_NO_SERVICE:
+		if (pkt.service != NULL)
+			reply_no_program(t, &pkt);
+		packet_drop(t, &pkt, reason);
+		break;
 	case KF_REASON_TOKEN_BAD:
 	case KF_REASON_TOKEN_SERVICE:
 	case KF_REASON_TOKEN_EXPIRED:
--- a/lib/traffic/packet.c
+++ b/lib/traffic/packet.c
@@ -4,6 +4,16 @@
 
 #include "traffic_internal.h"
 
+/* An upstream takes calls of its control program from balancers only. */
+static bool
+packet_program_served(const packet_t *pkt)
+{
+	if (pkt->call.prog == KF_UPSTREAM_PROG)
+		return false;
+	return pkt->service->program == 0 ||
+	    pkt->service->program == pkt->call.prog;
+}
+
 /* Parses the call and finds its service and token. */
 kf_reason_t
 packet_parse(kf_traffic_t *t, packet_t *pkt)
@@ -14,6 +24,8 @@
 	    kf_declaration_service_at(t->view->decl, pkt->route.service);
 	if (pkt->service == NULL)
 		return KF_REASON_NO_SERVICE;
+	if (!packet_program_served(pkt))
+		return KF_REASON_NO_SERVICE;
 	pkt->proc = kf_service_procedure(pkt->service, pkt->call.proc);
 	pkt->new_flow = pkt->call.cred.flavor != KF_RPC_AUTH_SHORT;
 	if (pkt->new_flow)
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -248,7 +248,8 @@
 	kf_reason_t reason;
 
 	reason = packet_parse(t, &pkt);
-	if (pkt.service != NULL)
+	/* The sender may have issued a token of its own for the call. */
+	if (reason != KF_REASON_MALFORMED && reason != KF_REASON_NO_SERVICE)
 		reason = packet_set_token(t, &pkt,
 		    (const uint8_t *)f->token.token_val, f->token.token_len);
 	pkt.new_flow = pkt.has_token && pkt.token.flow == packet_hash(&pkt);
--- a/lib/traffic/reply.c
+++ b/lib/traffic/reply.c
@@ -57,6 +57,19 @@
 	reply_send(t, route, &reply);
 }
 
+/* The service's address does not serve the program of the call. */
+void
+reply_no_program(kf_traffic_t *t, const packet_t *pkt)
+{
+	kf_rpc_reply_t reply = {
+		.xid = pkt->call.xid,
+		.reply_stat = KF_RPC_MSG_ACCEPTED,
+		.accept_stat = KF_RPC_PROG_UNAVAIL,
+	};
+
+	reply_send(t, &pkt->route, &reply);
+}
+
 /*
  * Writes the verifier body the stock client library expects: an opaque_auth
  * that it sends as its credential from now on.
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -184,6 +184,7 @@
 void reply_denied(
     kf_traffic_t *t, const kf_route_t *route, uint32_t xid, kf_reason_t reason);
 void reply_unknown(kf_traffic_t *t, const kf_route_t *route, uint32_t xid);
+void reply_no_program(kf_traffic_t *t, const packet_t *pkt);
 void reply_null(kf_traffic_t *t, const packet_t *pkt, const kf_token_t *token);
 size_t reply_build(kf_traffic_t *t, const request_t *req,
     const kf_rpc_reply_t *upstream_reply, const kf_token_t *token);
--- a/lib/wire/include/kf/rpc.h
+++ b/lib/wire/include/kf/rpc.h
@@ -40,6 +40,7 @@
 
 enum {
 	KF_RPC_SUCCESS = 0,
+	KF_RPC_PROG_UNAVAIL = 1,
 	KF_RPC_SYSTEM_ERR = 5,
 };
 
