--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -71,11 +71,15 @@
 	size_t len;
 	int path;
 
-	if (s == NULL || s->index == KF_VIEW_NONE ||
-	    t->now.mono_us >= req->deadline_us) {
+	if (t->now.mono_us >= req->deadline_us) {
 		dispatch_release(t, req, -1);
-		owner_refuse(t, req,
-		    s == NULL ? KF_REASON_NO_UPSTREAM : KF_REASON_DEADLINE);
+		owner_refuse(t, req, KF_REASON_DEADLINE);
+		return;
+	}
+	/* A view may have come between the slot and the acknowledgement. */
+	if (s == NULL || !serving_accepts(t, s, req->service)) {
+		dispatch_release(t, req, -1);
+		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
 	req->upstream_xid = next_xid(t);
@@ -307,15 +311,26 @@
 	}
 }
 
+/* The caller has been told that the outcome is unknown, which stays true. */
+static void
+dispatch_late_denial(kf_traffic_t *t, request_t *req)
+{
+	dispatch_release(t, req, -1);
+	request_decision(t, req, KF_EVENT_DROP, KF_REASON_LATE_REPLY, NULL);
+	request_delete(t, req);
+}
+
 static void
 dispatch_reply(
     kf_traffic_t *t, request_t *req, serving_t *s, const kf_rpc_reply_t *reply)
 {
 	kf_load_report_t report;
 
-	if (reply->reply_stat == KF_RPC_MSG_DENIED &&
-	    req->state == REQUEST_DISPATCHED) {
-		dispatch_denied(t, req, s, reply);
+	if (reply->reply_stat == KF_RPC_MSG_DENIED) {
+		if (req->state == REQUEST_DISPATCHED)
+			dispatch_denied(t, req, s, reply);
+		else
+			dispatch_late_denial(t, req);
 		return;
 	}
 	kf_upstream_state_on_answer(s->state, (int)req->path, t->now.mono_us,
@@ -344,7 +359,7 @@
 		packet_drop(t, &late, KF_REASON_MALFORMED);
 		return;
 	}
-	if (reply.xid == s->probe_xid) {
+	if (s->probe_xid != 0 && reply.xid == s->probe_xid) {
 		serving_on_probe(t, s, &reply);
 		return;
 	}
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -60,7 +60,7 @@
 
 	memcpy(token, pkt->token_bytes, sizeof(token));
 	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
-	f->to_backup = to_backup;
+	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
 	f->hops = pkt->hops + 1;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	forward_decision(t, pkt, vm);
@@ -98,7 +98,9 @@
 		return;
 	forward_fill(f, &req->route, sealed, t->buf, len);
 	f->hops = req->hops + 1;
-	f->to_backup = to_backup;
+	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
+	if (req->may_have_run)
+		f->flags |= KF_FORWARD_MAY_HAVE_RUN;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	peer_send(t, kf_view_shard_addr(vm, token->upstream), &msg);
 }
@@ -217,7 +219,9 @@
 	request_t *req;
 
 	req = request_find(t, intent->flow, intent->xid);
+	/* A late answer may be about an earlier request with this xid. */
 	if (req == NULL || req->alone || req->acked ||
+	    req->id.generation != intent->generation ||
 	    req->state == REQUEST_ABANDONED ||
 	    !same_vm(req->token.backup, &msg->from))
 		return;
@@ -239,14 +243,16 @@
 		.data = (const uint8_t *)f->datagram.datagram_val,
 		.len = f->datagram.datagram_len,
 		.hops = f->hops,
-		.to_backup = f->to_backup != 0,
+		.may_have_run = (f->flags & KF_FORWARD_MAY_HAVE_RUN) != 0,
 	};
 	kf_reason_t reason;
 
 	reason = packet_parse(t, &pkt);
-	if (pkt.service != NULL)
+	/* The sender may have issued a token of its own for the call. */
+	if (reason != KF_REASON_MALFORMED && reason != KF_REASON_NO_SERVICE)
 		reason = packet_set_token(t, &pkt,
 		    (const uint8_t *)f->token.token_val, f->token.token_len);
+	pkt.new_flow = pkt.has_token && pkt.token.flow == packet_hash(&pkt);
 	if (reason != KF_REASON_NONE)
 		packet_drop(t, &pkt, reason);
 	else
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -45,6 +45,7 @@
 	req->cls = pkt->proc.cls;
 	req->idempotent = pkt->proc.idempotent;
 	req->new_flow = pkt->new_flow;
+	req->may_have_run = pkt->may_have_run;
 	req->upstream = pkt->token.upstream;
 	req->deadline_us = t->now.mono_us + pkt->service->deadline_ms * 1000;
 	req->args_len = pkt->call.args_len;
@@ -153,6 +154,7 @@
 {
 	const kf_service_t *service;
 	placement_t place;
+	uint32_t next;
 
 	*token = req->reply_token;
 	service = kf_declaration_service(t->view->decl, req->service);
@@ -161,8 +163,15 @@
 	    place_new(t, service, KF_VIEW_NONE, &place) == KF_OK &&
 	    place_token(t, service, &place, token) == KF_OK)
 		return;
-	if (token->flow == req->id.flow && req->recorded)
-		token->generation = kf_flow_generation(t->flows, token->flow);
+	/* Two calls may share the hash, so it must not name a flow. */
+	if (req->new_flow)
+		token->flow = place_flow_id(t);
+	/* The slow reply of a read must not take the caller back. */
+	if (token->flow == req->id.flow) {
+		next = kf_flow_generation(t->flows, token->flow);
+		if (next > token->generation)
+			token->generation = next;
+	}
 	place_renew(t, token);
 }
 
@@ -181,7 +190,7 @@
 	}
 	kf_counters_add(&t->counters, KF_COUNT_ANSWERED, 1);
 	t->config.ops.send_caller(t->config.ops.ctx, &req->route, t->buf, len);
-	if (req->recorded && len < DATAGRAM_MAX_BYTES) {
+	if (req->recorded) {
 		memmove(t->buf + 1, t->buf, len);
 		t->buf[0] = STORED_REPLY;
 		request_record(
@@ -215,10 +224,17 @@
 	request_delete(t, req);
 }
 
-/* The caller must not hold a slot: requests are refused before dispatch. */
+/*
+ * The caller must not hold a slot: requests are refused before dispatch.  A
+ * refusal of a later attempt says nothing about one that got no reply.
+ */
 void
 request_refuse_now(kf_traffic_t *t, request_t *req, kf_reason_t reason)
 {
+	if (req->may_have_run) {
+		request_unknown(t, req, reason);
+		return;
+	}
 	request_record(t, req, KF_NOT_RUN, reason, NULL, 0);
 	if (!req->recorded)
 		recent_note(t, req->id.flow, req->id.xid, reason);
