Hand the records of a leaving VM over to others

Cause: flows whose owner and backup were both replaced within a while lost their records, so that a planned rolling restart broke flows; and a VM that restarted at once left its peers unsure whether it had fenced them. Ruled out: lingering until no copy can arrive; idle flows would still name the VM. Ruled out: one successor; a new VM would be found first. An ingress does not report an unknown outcome while a silent VM may still answer.

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -188,6 +188,7 @@
 		vm->leaving = member.leaving;
 		vm->liveness = i == 0 ? KF_VM_ALIVE : member.liveness;
 		vm->gone_since_us = member.gone_since_us;
+		vm->heard_us = member.heard_us;
 		n++;
 	}
 	*vm_count = n;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -678,3 +678,76 @@
 	}
 	return table_begin(table, now_us, owner, id, reply, len);
 }
+
+static void
+flow_export(const flow_t *flow, kf_flow_export_t *out)
+{
+	size_t i;
+
+	*out = (kf_flow_export_t){
+		.owner = { flow->owner_vm, flow->owner_incarnation },
+		.flow = flow->id,
+		.floor = flow->floor,
+	};
+	for (i = 0; i < KF_FLOW_RING; i++) {
+		if (flow->state[i] == ENTRY_EMPTY)
+			continue;
+		out->requests[out->count].xid = flow->xid[i];
+		out->requests[out->count].generation = flow->generation[i];
+		out->requests[out->count].refused =
+		    flow->state[i] == ENTRY_REFUSED;
+		out->count++;
+	}
+}
+
+void
+kf_flow_each(const kf_flow_table_t *table, int64_t since_us,
+    kf_flow_export_fn *fn, void *ctx)
+{
+	const flow_t *flow;
+	kf_flow_export_t out;
+	uint32_t index;
+
+	for (index = table->flows[0].older; index != 0; index = flow->older) {
+		flow = &table->flows[index];
+		if (flow->used_us < since_us)
+			return;
+		flow_export(flow, &out);
+		fn(ctx, &out);
+	}
+}
+
+kf_status_t
+kf_flow_adopt(
+    kf_flow_table_t *table, int64_t now_us, const kf_flow_export_t *in)
+{
+	kf_status_t status;
+	kf_request_id_t id;
+	flow_t *flow;
+	uint32_t i;
+
+	flow = table_find(table, in->flow);
+	if (flow == NULL)
+		flow = table_add(table, now_us, in->owner, in->flow);
+	if (flow == NULL) {
+		table->stats.full++;
+		return kf_status_set(KF_ERR_FULL, "flow table is full");
+	}
+	if (!flow_owned_by(flow, in->owner))
+		return kf_status_set(
+		    KF_ERR_CONFLICT, "flow is not of vm %u", in->owner.vm);
+	table_touch(table, flow, now_us);
+	for (i = 0; i < in->count; i++) {
+		id = (kf_request_id_t){ in->flow, in->requests[i].xid,
+			in->requests[i].generation };
+		status = flow_record_intent(table, flow, &id);
+		if (status != KF_OK)
+			return status;
+		if (in->requests[i].refused)
+			kf_flow_record_done(
+			    table, now_us, in->owner, &id, KF_NOT_RUN, NULL, 0);
+	}
+	if (flow->floor < in->floor)
+		flow->floor = in->floor;
+	return KF_OK;
+}
--- a/lib/flow/include/kf/flow.h
+++ b/lib/flow/include/kf/flow.h
@@ -159,6 +159,33 @@
     kf_vm_id_t owner, const kf_request_id_t *id, const uint8_t **reply,
     size_t *len);
 
+/* The requests of one flow, without replies, for another VM. */
+typedef struct kf_flow_export {
+	kf_vm_id_t owner; /* vm 0: the VM of this table */
+	uint64_t flow;
+	uint32_t floor;
+	uint32_t count;
+	struct {
+		uint32_t xid;
+		uint32_t generation;
+		bool refused;
+	} requests[KF_FLOW_RING];
+} kf_flow_export_t;
+
+typedef void kf_flow_export_fn(void *ctx, const kf_flow_export_t *flow);
+
+/* Calls fn for each flow used since since_us, the latest first. */
+void kf_flow_each(const kf_flow_table_t *table, int64_t since_us,
+    kf_flow_export_fn *fn, void *ctx);
+
+/*
+ * Takes over the record of a flow of an owner that has ended.  Requests that
+ * were not refused are in doubt from here on, because replies do not come
+ * along.  Entries already here are kept.
+ */
+kf_status_t kf_flow_adopt(
+    kf_flow_table_t *table, int64_t now_us, const kf_flow_export_t *flow);
+
 /* Drops a bounded number of expired replies and idle flows. */
 void kf_flow_expire(kf_flow_table_t *table, int64_t now_us);
 
--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -23,8 +23,10 @@
 	POLL_MAX = 1024,
 	BATCH = 256,
 	DIGEST_US = 100000,
-	/* A leaving VM stops when it was idle for so long. */
+	/* A leaving VM takes requests until it was idle for so long, */
 	DRAIN_IDLE_US = 2000000,
+	/* or until callers that are active have moved to another VM. */
+	DRAIN_MAX_US = 10000000,
 };
 
 struct control_thread {
@@ -38,7 +40,9 @@
 	int control_fd;
 	int signal_fd;
 	bool leaving;
-	bool restart;	 /* leaves in order to start over */
+	bool restart; /* leaves in order to start over */
+	bool ending;
+	int64_t leaving_us;
 	int64_t busy_us; /* when a request was last in progress */
 	int64_t digest_us;
 	kf_time_t now;
@@ -291,7 +295,7 @@
 		if (t->leaving)
 			continue;
 		t->leaving = true;
-		t->busy_us = t->now.mono_us;
+		t->busy_us = t->leaving_us = t->now.mono_us;
 		kf_logger_event(t->logger, KF_LOG_INFO, "leaving", "signal=%u",
 		    info.ssi_signo);
 		kf_control_set_leaving(t->core, t->now);
@@ -305,7 +309,7 @@
 	if (t->leaving)
 		return;
 	t->leaving = t->restart = true;
-	t->busy_us = t->now.mono_us;
+	t->busy_us = t->leaving_us = t->now.mono_us;
 	kf_logger_event(t->logger, KF_LOG_WARN, "restarting", "reason=fenced");
 	kf_control_set_leaving(t->core, t->now);
 }
@@ -335,6 +339,29 @@
 	return in_progress;
 }
 
+/*
+ * Ends the traffic threads of a leaving VM when it has been idle, or when most
+ * flows have moved; returns true when they have handed over their records.
+ */
+static bool
+end_traffic(control_thread_t *t)
+{
+	bool ended = true;
+	uint32_t i;
+
+	if (!t->ending && t->now.mono_us - t->busy_us < DRAIN_IDLE_US &&
+	    t->now.mono_us - t->leaving_us < DRAIN_MAX_US)
+		return false;
+	if (!t->ending)
+		kf_logger_event(t->logger, KF_LOG_INFO, "handing_over",
+		    "after_ms=%lld",
+		    (long long)((t->now.mono_us - t->leaving_us) / 1000));
+	t->ending = true;
+	for (i = 0; i < t->traffic_count; i++)
+		ended = traffic_thread_end(t->traffic[i]) && ended;
+	return ended;
+}
+
 /* Returns false when a leaving VM may stop. */
 static bool
 control_tick(control_thread_t *t)
@@ -345,7 +372,7 @@
 			t->busy_us = t->now.mono_us;
 	}
 	kf_control_on_tick(t->core, t->now);
-	return !t->leaving || t->now.mono_us - t->busy_us < DRAIN_IDLE_US;
+	return !t->leaving || !end_traffic(t);
 }
 
 bool
--- a/lib/net/traffic_thread.c
+++ b/lib/net/traffic_thread.c
@@ -56,6 +56,8 @@
 	traffic_snapshot_t snapshot;
 	uint32_t snapshot_cap;
 	bool stopping;
+	bool ending; /* the core is to end */
+	bool ended;
 	apr_hash_t *paths; /* source_t by key */
 	source_t wake;
 	source_t ingress;
@@ -244,7 +246,7 @@
 {
 	kf_view_t *view;
 	uint64_t count;
-	bool stopping;
+	bool stopping, ending;
 
 	if (read(t->wake.fd, &count, sizeof(count)) < 0)
 		count = 0;
@@ -252,7 +254,10 @@
 	view = t->next_view;
 	t->next_view = NULL;
 	stopping = t->stopping;
+	ending = t->ending;
 	apr_thread_mutex_unlock(t->mutex);
+	if (ending)
+		kf_traffic_on_end(t->core, t->now);
 	if (view != NULL) {
 		kf_traffic_on_view(t->core, t->now, view);
 		kf_view_release(view);
@@ -289,6 +294,7 @@
 	t->snapshot.in_progress = kf_traffic_in_progress(t->core);
 	t->snapshot.fenced = kf_traffic_fenced(t->core);
 	t->snapshot.flows = kf_traffic_flow_stats(t->core);
+	t->ended = kf_traffic_ended(t->core);
 	t->snapshot.upstream_count = 0;
 	kf_traffic_each_upstream(t->core, t->now, on_upstream_state, t);
 	apr_thread_mutex_unlock(t->mutex);
@@ -536,6 +542,19 @@
 	free(t);
 }
 
+bool
+traffic_thread_end(traffic_thread_t *t)
+{
+	bool ended;
+
+	apr_thread_mutex_lock(t->mutex);
+	t->ending = true;
+	ended = t->ended;
+	apr_thread_mutex_unlock(t->mutex);
+	wake(t);
+	return ended;
+}
+
 void
 traffic_thread_set_view(traffic_thread_t *t, kf_view_t *view)
 {
--- a/lib/net/traffic_thread.h
+++ b/lib/net/traffic_thread.h
@@ -33,6 +33,9 @@
 void traffic_thread_stop(traffic_thread_t *thread);
 void traffic_thread_delete(traffic_thread_t *thread);
 
+/* Lets the core end; returns true once it has handed over its records. */
+bool traffic_thread_end(traffic_thread_t *thread);
+
 void traffic_thread_set_view(traffic_thread_t *thread, kf_view_t *view);
 kf_status_t traffic_thread_snapshot(
     traffic_thread_t *thread, traffic_snapshot_t *out);
--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -239,7 +239,8 @@
 static void
 dispatch_no_ack(kf_traffic_t *t, request_t *req)
 {
-	if (kf_view_liveness(t->view, req->token.backup) == KF_VM_GONE)
+	if (lease_liveness(t, req->token.backup, req->token.upstream) ==
+	    KF_VM_GONE)
 		request_unknown(t, req, KF_REASON_IN_DOUBT);
 	else
 		request_forget(t, req);
--- a/lib/traffic/include/kf/traffic.h
+++ b/lib/traffic/include/kf/traffic.h
@@ -137,6 +137,16 @@
  */
 bool kf_traffic_fenced(const kf_traffic_t *t);
 
+/*
+ * Ends this incarnation: from now on no request is taken.  When those in
+ * progress have ended, the records of recent requests go to other VMs, so that
+ * flows survive the end of both their owner and their backup.
+ */
+void kf_traffic_on_end(kf_traffic_t *t, kf_time_t now);
+
+/* Whether everything is handed over, or was tried for long enough. */
+bool kf_traffic_ended(const kf_traffic_t *t);
+
 /* Requests that have not ended yet; 0 lets a leaving VM stop. */
 uint32_t kf_traffic_in_progress(const kf_traffic_t *t);
 
--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -2,6 +2,14 @@
 
 #include "traffic_internal.h"
 
+enum {
+	/*
+	 * Callers send again for about this long.  Until then an answer that
+	 * the outcome is unknown would break flows that a VM still knows.
+	 */
+	SILENCE_GRACE_US = 10000000,
+};
+
 /* Fills in uid and gid of a call without a token. */
 static void
 ingress_identity(const packet_t *pkt, kf_token_t *token)
@@ -85,13 +93,24 @@
 }
 
 static int64_t
-gone_for_us(const kf_traffic_t *t, kf_vm_id_t id)
+gone_for_us(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	int64_t since_us = lease_gone_since_us(t, id, upstream);
+
+	return since_us < 0 ? 0 : t->now.mono_us - since_us;
+}
+
+/*
+ * Whether a VM fell silent so lately that it may still answer, or that its end
+ * is not known yet.
+ */
+static bool
+silent_lately(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
 {
 	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
 
-	if (vm == NULL || vm->liveness != KF_VM_GONE)
-		return 0;
-	return t->now.mono_us - vm->gone_since_us;
+	return vm != NULL && lease_liveness(t, id, upstream) == KF_VM_DEAD &&
+	    t->now.mono_us - vm->heard_us < SILENCE_GRACE_US;
 }
 
 /* Neither owner nor backup can say what became of the request. */
@@ -99,15 +118,21 @@
 ingress_orphan(kf_traffic_t *t, packet_t *pkt)
 {
 	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
+	uint32_t upstream = pkt->token.upstream;
 
 	if (pkt->proc.idempotent) {
 		if (pkt->hops == 0 && ingress_place(t, pkt))
 			ingress_route(t, pkt);
 		return;
 	}
-	if (gone_for_us(t, pkt->token.owner) >= horizon_us &&
+	if (handover_route(t, pkt))
+		return;
+	if (silent_lately(t, pkt->token.owner, upstream) ||
+	    silent_lately(t, pkt->token.backup, upstream))
+		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+	else if (gone_for_us(t, pkt->token.owner, upstream) >= horizon_us &&
 	    (pkt->token.backup.vm == 0 ||
-		gone_for_us(t, pkt->token.backup) >= horizon_us))
+		gone_for_us(t, pkt->token.backup, upstream) >= horizon_us))
 		packet_refuse(t, pkt, KF_REASON_OWNER_LOST);
 	else
 		packet_unknown(t, pkt, KF_REASON_OWNER_LOST);
@@ -148,7 +173,7 @@
 		backup_takeover(t, pkt);
 		return;
 	}
-	liveness = kf_view_liveness(t->view, pkt->token.backup);
+	liveness = lease_liveness(t, pkt->token.backup, pkt->token.upstream);
 	if (liveness >= KF_VM_DEAD)
 		ingress_orphan(t, pkt);
 	else if (vm == NULL || vm->peer_addr.port == 0)
@@ -175,7 +200,7 @@
 		ingress_to_backup(t, pkt);
 		return;
 	}
-	liveness = kf_view_liveness(t->view, pkt->token.owner);
+	liveness = lease_liveness(t, pkt->token.owner, pkt->token.upstream);
 	if (liveness < KF_VM_DEAD && vm != NULL && vm->peer_addr.port != 0) {
 		ingress_send(t, pkt, vm, false);
 		return;
@@ -235,6 +260,10 @@
 
 	t->now = now;
 	kf_counters_add(&t->counters, KF_COUNT_CALLER_PACKETS, 1);
+	if (t->ending) {
+		packet_drop(t, &pkt, KF_REASON_DRAINING);
+		return;
+	}
 	if (t->view == NULL || !t->view->settled) {
 		packet_drop(t, &pkt, KF_REASON_NO_CONFIG);
 		return;
--- a/lib/traffic/lease.c
+++ b/lib/traffic/lease.c
@@ -185,7 +185,7 @@
 bool
 lease_may_fence(const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream)
 {
-	kf_liveness_t liveness = kf_view_liveness(t->view, owner);
+	kf_liveness_t liveness = lease_liveness(t, owner, upstream);
 	const kf_view_vm_t *vm = kf_view_vm(t->view, owner);
 	const lease_t *lease;
 
@@ -198,6 +198,92 @@
 	    t->now.mono_us - lease->heard_us >= FENCE_SILENCE_US;
 }
 
+/* The lease of a VM that has ended, as far as this shard has one. */
+static const lease_t *
+lease_of_ended(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+	const lease_t *lease;
+
+	if (vm == NULL)
+		return NULL;
+	lease = lease_find(t, id, kf_view_shard(vm, upstream));
+	return lease != NULL && lease->ended ? lease : NULL;
+}
+
+/*
+ * Liveness of a VM: what the view says, or gone if it has said so itself, which
+ * comes earlier.
+ */
+kf_liveness_t
+lease_liveness(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	if (lease_of_ended(t, id, upstream) != NULL)
+		return KF_VM_GONE;
+	return kf_view_liveness(t->view, id);
+}
+
+/* When this VM learnt that an incarnation has ended; -1 if it has not. */
+int64_t
+lease_gone_since_us(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	const lease_t *lease = lease_of_ended(t, id, upstream);
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+
+	if (lease != NULL)
+		return lease->ended_us;
+	if (vm != NULL && vm->liveness == KF_VM_GONE)
+		return vm->gone_since_us;
+	return -1;
+}
+
+/* Lists the VMs that have ended, for a handover. */
+u_int
+lease_fill_ended(const kf_traffic_t *t, kf_peer_ended *out, u_int max)
+{
+	apr_hash_index_t *hi;
+	u_int n = 0;
+
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL && n < max;
+	     hi = apr_hash_next(hi)) {
+		const lease_t *lease = apr_hash_this_val(hi);
+
+		if (!lease->ended)
+			continue;
+		out[n].id.vm = lease->key.vm;
+		out[n].id.incarnation = lease->key.incarnation;
+		out[n++].cannot_have_fenced = lease->cannot_have_fenced;
+	}
+	return n;
+}
+
+void
+lease_on_end(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_end *end)
+{
+	lease_t *lease = lease_get(t, from, end->shard);
+
+	if (lease == NULL || lease->ended)
+		return;
+	lease->ended = true;
+	lease->ended_us = t->now.mono_us;
+	lease->cannot_have_fenced = !end->fenced;
+}
+
+void
+lease_send_end(kf_traffic_t *t)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		const lease_t *lease = apr_hash_this_val(hi);
+		kf_vm_id_t id = { lease->key.vm, lease->key.incarnation };
+
+		if (!lease->ended)
+			peer_end(t, lease, kf_flow_fenced(t->flows, id));
+	}
+}
+
 void
 lease_delete_all(kf_traffic_t *t)
 {
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -142,10 +142,11 @@
 	peer_send(t, kf_view_shard_addr(vm, intent->upstream), &msg);
 }
 
-static void
-lease_send(kf_traffic_t *t, kf_vm_id_t to, uint32_t shard, kf_peer_msg *msg)
+/* Sends a message to a shard of a VM; vm may be NULL. */
+void
+peer_message(
+    kf_traffic_t *t, const kf_view_vm_t *vm, uint32_t shard, kf_peer_msg *msg)
 {
-	const kf_view_vm_t *vm = kf_view_vm(t->view, to);
 	kf_addr_t addr;
 
 	if (vm == NULL || vm->peer_addr.port == 0)
@@ -155,6 +156,25 @@
 	peer_send(t, addr, msg);
 }
 
+static void
+lease_send(kf_traffic_t *t, kf_vm_id_t to, uint32_t shard, kf_peer_msg *msg)
+{
+	peer_message(t, kf_view_vm(t->view, to), shard, msg);
+}
+
+void
+peer_end(kf_traffic_t *t, const lease_t *lease, bool fenced)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_END };
+	kf_vm_id_t to = { lease->key.vm, lease->key.incarnation };
+
+	msg.body.kf_peer_body_u.end = (kf_peer_end){
+		.shard = t->config.shard,
+		.fenced = fenced,
+	};
+	lease_send(t, to, lease->key.shard, &msg);
+}
+
 void
 peer_lease(kf_traffic_t *t, const lease_t *lease)
 {
@@ -296,6 +316,15 @@
 	case KF_PEER_LEASE:
 		lease_on_request(t, id, &msg.body.kf_peer_body_u.lease);
 		break;
+	case KF_PEER_END:
+		lease_on_end(t, id, &msg.body.kf_peer_body_u.end);
+		break;
+	case KF_PEER_HANDOVER:
+		handover_take(t, id, &msg.body.kf_peer_body_u.handover);
+		break;
+	case KF_PEER_HANDOVER_ACK:
+		handover_on_ack(t, id, &msg.body.kf_peer_body_u.handover_ack);
+		break;
 	case KF_PEER_LEASE_ACK:
 		lease_on_ack(t, id, &msg.body.kf_peer_body_u.lease_ack);
 		break;
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -60,6 +60,7 @@
 	t->by_id = apr_hash_make_custom(t->pool, hash_key);
 	t->by_xid = apr_hash_make_custom(t->pool, hash_key);
 	t->serving = apr_hash_make_custom(t->pool, hash_key);
+	t->adoptions = apr_hash_make_custom(t->pool, hash_key);
 	t->leases = apr_hash_make_custom(t->pool, hash_key);
 	t->random.state = t->config.seed;
 	t->balance =
@@ -107,6 +108,7 @@
 		     hi = apr_hash_next(hi))
 			serving_delete(apr_hash_this_val(hi));
 		lease_delete_all(t);
+		handover_delete(t);
 		apr_pool_destroy(t->pool);
 	}
 	kf_balance_delete(t->balance);
@@ -180,6 +182,7 @@
 	kf_flow_expire(t->flows, now.mono_us);
 	if (t->view != NULL) {
 		lease_tick(t);
+		handover_tick(t);
 		serving_tick(t);
 	}
 }
@@ -191,6 +194,19 @@
 	traffic_unstable(t);
 }
 
+void
+kf_traffic_on_end(kf_traffic_t *t, kf_time_t now)
+{
+	t->now = now;
+	t->ending = true;
+}
+
+bool
+kf_traffic_ended(const kf_traffic_t *t)
+{
+	return t->ended;
+}
+
 bool
 kf_traffic_fenced(const kf_traffic_t *t)
 {
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -124,6 +124,7 @@
 } lease_t;
 
 typedef struct recent recent_t;
+typedef struct handover handover_t;
 
 struct kf_traffic {
 	kf_traffic_config_t config;
@@ -144,6 +145,10 @@
 	apr_hash_t *serving; /* serving_t by id */
 	apr_hash_t *leases;  /* lease_t by key */
 	recent_t *recent;
+	bool ending;	       /* takes no more requests */
+	bool ended;	       /* has handed over and may stop */
+	handover_t *handover;  /* while ending */
+	apr_hash_t *adoptions; /* adoption_t by VM id */
 	request_t *requests;
 	request_t *deleted; /* unlinked during a sweep */
 	request_t *requeue; /* taken out of their queues by a view */
@@ -216,6 +221,15 @@
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_intent *intent);
 void backup_on_done(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_done *done);
 
+/* handover.c */
+void handover_tick(kf_traffic_t *t);
+void handover_take(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_handover *part);
+void handover_on_ack(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_handover_ack *ack);
+bool handover_route(kf_traffic_t *t, packet_t *pkt);
+void handover_delete(kf_traffic_t *t);
+
 /* recent.c */
 recent_t *recent_new(void);
 void recent_note(
@@ -232,6 +246,13 @@
 void lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack);
 bool lease_cannot_have_fenced(
     const kf_traffic_t *t, kf_vm_id_t backup, uint32_t upstream);
+void lease_on_end(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_end *end);
+void lease_send_end(kf_traffic_t *t);
+u_int lease_fill_ended(const kf_traffic_t *t, kf_peer_ended *out, u_int max);
+int64_t lease_gone_since_us(
+    const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream);
+kf_liveness_t lease_liveness(
+    const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream);
 bool lease_may_fence(
     const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream);
 void lease_delete_all(kf_traffic_t *t);
@@ -290,6 +311,9 @@
 void peer_lease(kf_traffic_t *t, const lease_t *lease);
 void peer_lease_ack(
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced);
+void peer_end(kf_traffic_t *t, const lease_t *lease, bool fenced);
+void peer_message(
+    kf_traffic_t *t, const kf_view_vm_t *vm, uint32_t shard, kf_peer_msg *msg);
 void peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
 
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -15,7 +15,10 @@
 	KF_PEER_INTENT_NACK = 5,
 	KF_PEER_DONE = 6,
 	KF_PEER_LEASE = 7,
-	KF_PEER_LEASE_ACK = 8
+	KF_PEER_LEASE_ACK = 8,
+	KF_PEER_END = 9,
+	KF_PEER_HANDOVER = 10,
+	KF_PEER_HANDOVER_ACK = 11
 };
 
 /* A VM and the start time of its process in milliseconds. */
@@ -117,6 +120,49 @@
 	unsigned int fenced;	/* answer: the owner is fenced already */
 };
 
+/* The sender's incarnation ends: it dispatches and fences nothing any more. */
+struct kf_peer_end {
+	unsigned int shard;
+	unsigned int fenced;	/* the sender had fenced the receiver */
+};
+
+const KF_PEER_MAX_HANDOVER_FLOWS = 128;
+const KF_PEER_MAX_HANDOVER_REQUESTS = 8;
+const KF_PEER_MAX_ADOPTED = 256;
+
+struct kf_peer_handover_request {
+	unsigned int xid;
+	unsigned int generation;
+	unsigned int refused;
+};
+
+/* A VM that the sender saw end. */
+struct kf_peer_ended {
+	kf_peer_id id;
+	unsigned int cannot_have_fenced;
+};
+
+struct kf_peer_handover_flow {
+	kf_peer_id owner;
+	unsigned hyper flow;
+	unsigned int floor;
+	kf_peer_handover_request requests<KF_PEER_MAX_HANDOVER_REQUESTS>;
+};
+
+/* Part of the records of a leaving VM; complete when all parts have come. */
+struct kf_peer_handover {
+	unsigned int part;
+	unsigned int parts;
+	unsigned int shard;
+	kf_peer_id adopted<KF_PEER_MAX_ADOPTED>;
+	kf_peer_ended ended<KF_PEER_MAX_ADOPTED>;
+	kf_peer_handover_flow flows<KF_PEER_MAX_HANDOVER_FLOWS>;
+};
+
+struct kf_peer_handover_ack {
+	unsigned int part;
+};
+
 union kf_peer_body switch (kf_peer_type type) {
 case KF_PEER_HEARTBEAT:
 	kf_peer_heartbeat heartbeat;
@@ -134,6 +180,12 @@
 	kf_peer_lease lease;
 case KF_PEER_LEASE_ACK:
 	kf_peer_lease lease_ack;
+case KF_PEER_END:
+	kf_peer_end end;
+case KF_PEER_HANDOVER:
+	kf_peer_handover handover;
+case KF_PEER_HANDOVER_ACK:
+	kf_peer_handover_ack handover_ack;
 };
 
 struct kf_peer_msg {
