Let flows end whose owner and backup no view lists any more

Membership forgets an ended VM after 300 s. A caller that had been idle for that long and whose owner and backup had both been replaced then had its requests dropped for ever: an unlisted VM counts as not heard yet. An idempotent request is now placed at once. A non-idempotent one is refused as not run when the token is older than the retransmission horizon, views have been settled for as long, and no listed VM is dead or unknown, so that no partition can hide the owner; until then it is dropped as before. A forwarded idempotent request that finds no owner is logged as dropped.

--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -84,30 +84,77 @@
 	return true;
 }
 
-static int64_t
-gone_for_us(const kf_traffic_t *t, kf_vm_id_t id)
+/* Whether this VM has known a whole fleet for long enough. */
+static bool
+ingress_fleet_complete(const kf_traffic_t *t, int64_t horizon_us)
+{
+	uint32_t i;
+
+	if (t->now.mono_us - t->settled_us < horizon_us)
+		return false;
+	for (i = 0; i < t->view->vm_count; i++) {
+		kf_liveness_t liveness = t->view->vms[i].liveness;
+
+		if (liveness == KF_VM_UNKNOWN || liveness == KF_VM_DEAD)
+			return false;
+	}
+	return true;
+}
+
+/* A token whose expiry its key has shortened is older than it seems. */
+static bool
+ingress_token_older(const kf_traffic_t *t, const packet_t *pkt, int64_t age_s)
+{
+	int64_t expiry_s = pkt->token.expiry_s;
+	int64_t latest_s = kf_keyring_not_after_s(t->view->keys,
+			       kf_get_u32(pkt->token_bytes + 4)) -
+	    KF_TOKEN_KEY_MARGIN_S;
+
+	if (expiry_s < latest_s)
+		expiry_s -= t->config.token_lifetime_s;
+	return t->now.wall_ms / 1000 - expiry_s >= age_s;
+}
+
+/*
+ * Whether a VM ended so long ago that no copy of a request it executed is on
+ * its way.  No view lists a VM that ended longer ago than that; one that lives
+ * is known everywhere within seconds, unless a partition hides it, which the
+ * other VMs beyond it show.
+ */
+static bool
+ingress_long_gone(const kf_traffic_t *t, const packet_t *pkt, kf_vm_id_t id)
 {
+	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
 	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
 
-	if (vm == NULL || vm->liveness != KF_VM_GONE)
-		return 0;
-	return t->now.mono_us - vm->gone_since_us;
+	if (id.vm == 0)
+		return true;
+	if (vm == NULL)
+		return ingress_token_older(t, pkt, KF_RETRANSMIT_HORIZON_S) &&
+		    ingress_fleet_complete(t, horizon_us);
+	return vm->liveness == KF_VM_GONE &&
+	    t->now.mono_us - vm->gone_since_us >= horizon_us;
+}
+
+static bool
+ingress_both_long_gone(const kf_traffic_t *t, const packet_t *pkt)
+{
+	return ingress_long_gone(t, pkt, pkt->token.owner) &&
+	    ingress_long_gone(t, pkt, pkt->token.backup);
 }
 
 /* Neither owner nor backup can say what became of the request. */
 static void
 ingress_orphan(kf_traffic_t *t, packet_t *pkt)
 {
-	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
-
 	if (pkt->proc.idempotent) {
-		if (pkt->hops == 0 && ingress_place(t, pkt))
+		if (pkt->hops > 0)
+			packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+		else if (ingress_place(t, pkt))
 			ingress_route(t, pkt);
 		return;
 	}
-	if (gone_for_us(t, pkt->token.owner) >= horizon_us &&
-	    (pkt->token.backup.vm == 0 ||
-		gone_for_us(t, pkt->token.backup) >= horizon_us))
+	if (ingress_both_long_gone(t, pkt))
 		packet_refuse(t, pkt, KF_REASON_OWNER_LOST);
 	else
 		packet_unknown(t, pkt, KF_REASON_OWNER_LOST);
@@ -138,7 +185,7 @@
 	const kf_view_vm_t *vm;
 	kf_liveness_t liveness;
 
-	if (pkt->token.backup.vm == 0) {
+	if (pkt->token.backup.vm == 0 || ingress_both_long_gone(t, pkt)) {
 		ingress_orphan(t, pkt);
 		return;
 	}
@@ -184,7 +231,7 @@
 	 * An idempotent request needs no record of the old owner, so it is
 	 * placed at once.  An owner not heard yet may still be alive.
 	 */
-	if (pkt->proc.idempotent && liveness >= KF_VM_DEAD)
+	if (pkt->proc.idempotent && (liveness >= KF_VM_DEAD || vm == NULL))
 		ingress_orphan(t, pkt);
 	else
 		ingress_to_backup(t, pkt);
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -128,6 +128,8 @@
 		free(t->candidates);
 		t->candidates = candidates;
 	}
+	if (t->view == NULL || !t->view->settled)
+		t->settled_us = now.mono_us;
 	kf_view_retain(view);
 	kf_view_release(t->view);
 	t->view = view;
@@ -146,7 +148,6 @@
 		lease_tick(t);
 		serving_tick(t);
 	}
-	t->last_tick_us = now.mono_us;
 }
 
 uint32_t
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -132,8 +132,8 @@
 	kf_share_sequence_t shares;
 	kf_random_t random;
 	uint32_t next_xid;
-	int64_t last_tick_us;
-	kf_time_t now; /* of the event being handled */
+	int64_t settled_us; /* since when views have been settled */
+	kf_time_t now;	    /* of the event being handled */
 	apr_pool_t *pool;
 	apr_hash_t *by_id;   /* request_t by id.flow and id.xid */
 	apr_hash_t *by_xid;  /* request_t by upstream_xid */
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -468,6 +468,25 @@
 	ExpectAnswered(read);
 }
 
+/* Guards against a false refusal while a partition may hide the owner. */
+TEST_F(Traffic, ForgottenOwnerBehindAPartition)
+{
+	Options options;
+
+	options.vms = 4;
+	Make(options);
+	int caller = Flow();
+	size_t third = w->ThirdOf(caller);
+
+	w->absent = { w->OwnerOf(caller), w->BackupOf(caller) };
+	w->SetLive(third, 6 - third - w->OwnerOf(caller) - w->BackupOf(caller),
+	    KF_VM_DEAD);
+	w->View(third);
+	w->now_us += (int64_t)130 * 1000000;
+	int r = w->Send(caller, WRITE, third);
+	ExpectNothing(r);
+}
+
 /* Guards against a refusal that a backup without a record makes false. */
 TEST_F(Traffic, RefusalWaitsForTheAcknowledgement)
 {
