Give each traffic core its own copy of the keys

All traffic threads of a daemon share one view, and so its keyring, whose MAC contexts are not safe for that: in a test with three threads that renewed one token each, 19,643, 19,931 and 19,933 of 20,000 calls with a valid token were refused as forged. The token code was ruled out; with one thread there was no refusal. A core now copies the keys when it adopts a view. CoresOfOneViewRunInParallel failed before and passes now.

--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -73,7 +73,7 @@
 	}
 	pkt->token.flow = flow;
 	ingress_identity(pkt, &pkt->token);
-	if (kf_token_seal(&pkt->token, t->view->keys, t->now.wall_ms / 1000,
+	if (kf_token_seal(&pkt->token, t->keys, t->now.wall_ms / 1000,
 		pkt->route.caller.ip, pkt->token_bytes) != KF_OK) {
 		packet_drop(t, pkt, KF_REASON_NO_CONFIG);
 		return false;
@@ -106,8 +106,8 @@
 ingress_token_older(const kf_traffic_t *t, const packet_t *pkt, int64_t age_s)
 {
 	int64_t expiry_s = pkt->token.expiry_s;
-	int64_t latest_s = kf_keyring_not_after_s(t->view->keys,
-			       kf_get_u32(pkt->token_bytes + 4)) -
+	int64_t latest_s =
+	    kf_keyring_not_after_s(t->keys, kf_get_u32(pkt->token_bytes + 4)) -
 	    KF_TOKEN_KEY_MARGIN_S;
 
 	if (expiry_s < latest_s)
--- a/lib/traffic/packet.c
+++ b/lib/traffic/packet.c
@@ -44,7 +44,7 @@
 {
 	kf_status_t status;
 
-	status = kf_token_open(token, len, t->view->keys, t->now.wall_ms / 1000,
+	status = kf_token_open(token, len, t->keys, t->now.wall_ms / 1000,
 	    pkt->route.caller.ip, &pkt->token);
 	if (status == KF_ERR_NOT_FOUND)
 		return KF_REASON_NO_CONFIG;
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -10,7 +10,7 @@
 
 	msg->from.vm = t->config.self.vm;
 	msg->from.incarnation = t->config.self.incarnation;
-	if (kf_peer_seal(msg, t->view->keys, t->now.wall_ms / 1000, t->peer_buf,
+	if (kf_peer_seal(msg, t->keys, t->now.wall_ms / 1000, t->peer_buf,
 		sizeof(t->peer_buf), &len) == KF_OK)
 		t->config.ops.send_peer(
 		    t->config.ops.ctx, to, t->peer_buf, len);
@@ -85,7 +85,7 @@
 	};
 	size_t len;
 
-	if (kf_token_seal(token, t->view->keys, t->now.wall_ms / 1000,
+	if (kf_token_seal(token, t->keys, t->now.wall_ms / 1000,
 		req->route.caller.ip, sealed) != KF_OK)
 		return;
 	if (!req->new_flow) {
@@ -271,7 +271,7 @@
 	kf_counters_add(&t->counters, KF_COUNT_PEER_PACKETS, 1);
 	if (t->view == NULL)
 		return;
-	if (kf_peer_open(data, len, t->view->keys, now.wall_ms / 1000, &msg) !=
+	if (kf_peer_open(data, len, t->keys, now.wall_ms / 1000, &msg) !=
 	    KF_OK) {
 		kf_counters_add(&t->counters, KF_COUNT_PEER_REJECTED, 1);
 		return;
--- a/lib/traffic/reply.c
+++ b/lib/traffic/reply.c
@@ -81,7 +81,7 @@
 	kf_put_u32(body, KF_RPC_AUTH_SHORT);
 	kf_put_u32(body + 4, KF_TOKEN_BYTES);
 	return kf_token_seal(
-	    token, t->view->keys, t->now.wall_ms / 1000, caller_ip, body + 8);
+	    token, t->keys, t->now.wall_ms / 1000, caller_ip, body + 8);
 }
 
 static void
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -105,29 +105,44 @@
 	kf_admission_delete(t->admission);
 	kf_flow_table_delete(t->flows);
 	kf_view_release(t->view);
+	kf_keyring_delete(t->keys);
 	free(t->candidates);
 	free(t);
 }
 
-void
-kf_traffic_on_view(kf_traffic_t *t, kf_time_t now, kf_view_t *view)
+/* Makes what depends on the view's documents; false keeps the old view. */
+static bool
+traffic_adopt(kf_traffic_t *t, const kf_view_t *view)
 {
 	bool new_decl = t->view == NULL || t->view->decl != view->decl;
-	kf_candidate_t *candidates;
+	kf_candidate_t *candidates = NULL;
+	kf_keyring_t *keys;
 
-	t->now = now;
-	if (new_decl) {
+	keys = kf_keyring_copy(view->keys);
+	if (new_decl)
 		candidates =
 		    calloc(view->decl->upstream_count + 1, sizeof(*candidates));
-		if (candidates == NULL ||
-		    kf_balance_resize(t->balance, view->decl) != KF_OK) {
-			/* Keeps the old view; the next one is tried again. */
-			free(candidates);
-			return;
-		}
+	if (keys == NULL || (new_decl && candidates == NULL) ||
+	    (new_decl && kf_balance_resize(t->balance, view->decl) != KF_OK)) {
+		kf_keyring_delete(keys);
+		free(candidates);
+		return false;
+	}
+	kf_keyring_delete(t->keys);
+	t->keys = keys;
+	if (new_decl) {
 		free(t->candidates);
 		t->candidates = candidates;
 	}
+	return true;
+}
+
+void
+kf_traffic_on_view(kf_traffic_t *t, kf_time_t now, kf_view_t *view)
+{
+	t->now = now;
+	if (!traffic_adopt(t, view))
+		return;
 	if (t->view == NULL || !t->view->settled)
 		t->settled_us = now.mono_us;
 	kf_view_retain(view);
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -126,6 +126,7 @@
 struct kf_traffic {
 	kf_traffic_config_t config;
 	kf_view_t *view;
+	kf_keyring_t *keys; /* own copy: a ring is of one thread */
 	kf_balance_t *balance;
 	kf_admission_t *admission;
 	kf_flow_table_t *flows;
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "support/traffic_world.h"
 
 namespace {
@@ -971,6 +973,80 @@
 		EXPECT_EQ(std::string::npos, w->log[i].find("dispatch"));
 }
 
+struct Denials {
+	int tokens = 0, denied = 0;
+	Bytes token;
+};
+
+void
+CountReply(void *ctx, const kf_route_t *, const uint8_t *data, size_t len)
+{
+	Denials *d = static_cast<Denials *>(ctx);
+	kf_rpc_reply_t reply;
+
+	if (kf_rpc_reply_parse(data, len, &reply) != KF_OK ||
+	    reply.reply_stat == KF_RPC_MSG_DENIED) {
+		d->denied++;
+		return;
+	}
+	d->tokens++;
+	d->token.assign(reply.verf.body + 8, reply.verf.body + reply.verf.len);
+}
+
+void
+IgnoreDecision(void *, const kf_decision_t *)
+{
+}
+
+/* Renews one token again and again on a core of its own. */
+void
+RenewTokens(World *w, kf_view_t *view, uint32_t shard, Denials *d)
+{
+	kf_route_t route = { { 0x7f000100, 5000 }, { 0x7f000001, 2049 }, {} };
+	kf_traffic_config_t config = {};
+	kf_rpc_call_t call = {};
+	uint8_t buf[512];
+
+	config.self = World::VmId(0);
+	config.shard = shard;
+	config.paths = 1;
+	config.token_lifetime_s = 600;
+	config.flow_limits = { 16, 1024, 1000000, 1000000 };
+	kf_admission_config_init(&config.admission);
+	config.ops.ctx = d;
+	config.ops.send_caller = CountReply;
+	config.ops.decision = IgnoreDecision;
+	kf_traffic_t *t = kf_traffic_new(&config);
+	kf_traffic_on_view(t, w->Now(), view);
+	call.prog = 0x20001000;
+	for (int i = 0; i < 20000; i++) {
+		if (!d->token.empty())
+			call.cred = { KF_RPC_AUTH_SHORT,
+				(uint32_t)d->token.size(), d->token.data() };
+		size_t len = kf_rpc_call_write(&call, buf, sizeof(buf));
+		kf_traffic_on_caller(t, w->Now(), &route, buf, len);
+	}
+	kf_traffic_delete(t);
+}
+
+/* Guards against MAC state that the threads of a daemon share. */
+TEST_F(Traffic, CoresOfOneViewRunInParallel)
+{
+	kf_view_t *view = w->NewView(0);
+	Denials denials[3];
+	std::vector<std::thread> threads;
+
+	for (uint32_t i = 0; i < 3; i++)
+		threads.emplace_back(
+		    RenewTokens, w.get(), view, i, &denials[i]);
+	for (uint32_t i = 0; i < 3; i++) {
+		threads[i].join();
+		EXPECT_EQ(20000, denials[i].tokens);
+		EXPECT_EQ(0, denials[i].denied);
+	}
+	kf_view_release(view);
+}
+
 /* Guards against a decision before anything is known of the fleet. */
 TEST_F(Traffic, UnsettledViewDropsEverything)
 {
