Grant no lease without a record of it; satisfy the static analyser

A backup that had no memory for a lease record still answered the request, and could then have fenced an owner that held a lease. Found by reading; no test makes that allocation fail.

--- a/lib/traffic/lease.c
+++ b/lib/traffic/lease.c
@@ -47,7 +47,7 @@
 	lease->granted_us = INT64_MIN / 2;
 	lease->requested_us = INT64_MIN / 2;
 	lease->heard_us = INT64_MIN / 2;
-	apr_hash_set(t->leases, &lease->key, sizeof(lease->key), lease);
+	table_add(t->leases, &lease->key, sizeof(lease->key), lease);
 	return lease;
 }
 
@@ -135,13 +135,25 @@
 	}
 }
 
+static bool
+lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard)
+{
+	lease_t *lease = lease_get(t, from, shard);
+
+	if (lease == NULL)
+		return false;
+	lease->heard_us = t->now.mono_us;
+	return true;
+}
+
 void
 lease_on_request(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request)
 {
 	bool fenced = kf_flow_fenced(t->flows, from);
 
-	if (!fenced)
-		lease_heard(t, from, request->shard);
+	/* Without a record of the lease this VM might fence the owner. */
+	if (!fenced && !lease_heard(t, from, request->shard))
+		return;
 	peer_lease_ack(t, from, request, fenced);
 }
 
@@ -156,15 +168,6 @@
 	lease->granted_us = lease->requested_us;
 }
 
-void
-lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard)
-{
-	lease_t *lease = lease_get(t, from, shard);
-
-	if (lease != NULL)
-		lease->heard_us = t->now.mono_us;
-}
-
 bool
 lease_cannot_have_fenced(
     const kf_traffic_t *t, kf_vm_id_t backup, uint32_t upstream)
--- a/lib/traffic/serving.c
+++ b/lib/traffic/serving.c
@@ -43,7 +43,7 @@
 		free(s);
 		return NULL;
 	}
-	apr_hash_set(t->serving, &s->id, sizeof(s->id), s);
+	table_add(t->serving, &s->id, sizeof(s->id), s);
 	serving_bind(t, s, index);
 	return s;
 }
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -37,6 +37,13 @@
 	return (unsigned int)XXH3_64bits(key, (size_t)*len);
 }
 
+/* apr_hash_set takes a const value, so the analyser would report a leak. */
+void
+table_add(apr_hash_t *table, const void *key, size_t len, void *value)
+{
+	apr_hash_set(table, key, (apr_ssize_t)len, value);
+}
+
 static void
 on_queue_refused(void *ctx, void *request, kf_reason_t reason)
 {
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -151,6 +151,9 @@
 	uint8_t peer_buf[DATAGRAM_MAX_BYTES + 1024];
 };
 
+/* traffic.c */
+void table_add(apr_hash_t *table, const void *key, size_t len, void *value);
+
 /* packet.c */
 kf_reason_t packet_parse(kf_traffic_t *t, packet_t *pkt);
 kf_reason_t packet_set_token(
@@ -215,7 +218,6 @@
 /* lease.c */
 void lease_update(kf_traffic_t *t);
 void lease_tick(kf_traffic_t *t);
-void lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard);
 void lease_on_request(
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request);
 void lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack);
