Let a leaving backup release its owners for good

A lease lasts 3 s, but the end of a VM that leaves is often known later: without an ICMP error it takes silence and the platform's list. After a planned stop of its backup an owner then answered each request under an idle flow's token as unknown, at the deadline and without running it.

A leaving VM now answers a lease request with KF_LEASE_RELEASED: it records the promise to fence that owner only on definite evidence of its end. An owner that learns of the backup's end dispatches alone, whenever that is. The field fenced of the LEASE messages becomes state; 0 and 1 keep their meaning. A longer lease was ruled out: it delays the takeover from a silent owner by the same time. BackupLeaves failed before and passes now; LeavingBackupFencesOnlyAnOwnerThatHasEnded checks the promise.

--- a/lib/traffic/lease.c
+++ b/lib/traffic/lease.c
@@ -94,7 +94,8 @@
 			continue;
 		lease->ended = true;
 		lease->ended_us = t->now.mono_us;
-		lease->cannot_have_fenced = lease_valid(t, lease);
+		lease->cannot_have_fenced =
+		    lease->released || lease_valid(t, lease);
 	}
 }
 
@@ -135,26 +136,27 @@
 	}
 }
 
-static bool
-lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard)
-{
-	lease_t *lease = lease_get(t, from, shard);
-
-	if (lease == NULL)
-		return false;
-	lease->heard_us = t->now.mono_us;
-	return true;
-}
-
+/*
+ * Answers an owner.  A leaving VM is soon known to have ended, but often later
+ * than a lease lasts, so it promises for good.  Without a record of the answer
+ * this VM might still fence the owner.
+ */
 void
 lease_on_request(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request)
 {
-	bool fenced = kf_flow_fenced(t->flows, from);
+	lease_t *lease;
 
-	/* Without a record of the lease this VM might fence the owner. */
-	if (!fenced && !lease_heard(t, from, request->shard))
+	if (kf_flow_fenced(t->flows, from)) {
+		peer_lease_ack(t, from, request, KF_LEASE_FENCED);
 		return;
-	peer_lease_ack(t, from, request, fenced);
+	}
+	lease = lease_get(t, from, request->shard);
+	if (lease == NULL)
+		return;
+	lease->heard_us = t->now.mono_us;
+	lease->release = lease->release || t->view->leaving;
+	peer_lease_ack(t, from, request,
+	    lease->release ? KF_LEASE_RELEASED : KF_LEASE_GRANTED);
 }
 
 void
@@ -162,10 +164,12 @@
 {
 	lease_t *lease = lease_find(t, from, ack->shard);
 
-	if (lease == NULL || lease->ended || ack->fenced ||
+	if (lease == NULL || lease->ended || ack->state == KF_LEASE_FENCED ||
 	    ack->sequence != lease->sequence)
 		return;
 	lease->granted_us = lease->requested_us;
+	if (ack->state == KF_LEASE_RELEASED)
+		lease->released = true;
 }
 
 bool
@@ -195,7 +199,8 @@
 		return false;
 	lease = lease_find(t, owner, kf_view_shard(vm, upstream));
 	return lease == NULL ||
-	    t->now.mono_us - lease->heard_us >= FENCE_SILENCE_US;
+	    (!lease->release &&
+		t->now.mono_us - lease->heard_us >= FENCE_SILENCE_US);
 }
 
 void
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -170,14 +170,14 @@
 
 void
 peer_lease_ack(
-    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced)
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, u_int state)
 {
 	kf_peer_msg msg = { .body.type = KF_PEER_LEASE_ACK };
 
 	msg.body.kf_peer_body_u.lease_ack = (kf_peer_lease){
 		.sequence = request->sequence,
 		.shard = t->config.shard,
-		.fenced = fenced,
+		.state = state,
 	};
 	lease_send(t, to, request->shard, &msg);
 }
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -113,8 +113,10 @@
 
 typedef struct lease {
 	lease_key_t key;
-	bool wanted; /* it is the backup of an upstream owned here */
-	bool ended;  /* the VM is gone */
+	bool wanted;   /* it is the backup of an upstream owned here */
+	bool ended;    /* the VM is gone */
+	bool released; /* it will not fence this VM while this VM lives */
+	bool release;  /* this VM will not fence it while it lives */
 	bool cannot_have_fenced; /* it ended before it could fence this VM */
 	uint32_t sequence;	 /* of the last request */
 	int64_t requested_us;	 /* when the last request was sent */
@@ -279,7 +281,7 @@
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
 void peer_lease(kf_traffic_t *t, const lease_t *lease);
 void peer_lease_ack(
-    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced);
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, u_int state);
 void peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
 
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -107,6 +107,11 @@
 	opaque reply<KF_PEER_MAX_PAYLOAD>;
 };
 
+const KF_LEASE_GRANTED = 0;
+const KF_LEASE_FENCED = 1; /* the owner is fenced already */
+/* The backup is leaving and will fence the owner only once that has ended. */
+const KF_LEASE_RELEASED = 2;
+
 /*
  * An owner's request that its backup does not fence it for a while, and the
  * backup's answer.
@@ -114,7 +119,7 @@
 struct kf_peer_lease {
 	unsigned int sequence;
 	unsigned int shard;	/* of the sender of the request */
-	unsigned int fenced;	/* answer: the owner is fenced already */
+	unsigned int state;	/* answer: KF_LEASE_... */
 };
 
 union kf_peer_body switch (kf_peer_type type) {
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -403,6 +403,51 @@
 	ExpectAnswered(next);
 }
 
+/*
+ * Guards against flows that a planned stop of their backup leaves in doubt,
+ * when its end is known only after its lease has run out.
+ */
+TEST_F(Traffic, BackupLeaves)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+
+	w->leaving[backup] = true;
+	w->ViewAll();
+	w->Run(2000);
+	w->Kill(backup);
+	w->Run(10000);
+	w->SetLiveAll(backup, KF_VM_GONE);
+	w->ViewAll();
+	int r = w->Send(caller, WRITE, owner);
+	w->Run(50);
+	ExpectAnswered(r);
+}
+
+/* Guards against a leaving backup that fences an owner it has released. */
+TEST_F(Traffic, LeavingBackupFencesOnlyAnOwnerThatHasEnded)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller), backup = w->BackupOf(caller);
+
+	w->leaving[backup] = true;
+	w->ViewAll();
+	w->Run(1500);
+	w->paused[owner] = true;
+	w->Run(4000);
+	w->SetLiveAll(owner, KF_VM_DEAD);
+	w->ViewAll();
+	int r = w->Send(caller, WRITE, backup);
+	w->Run(50);
+	ExpectNothing(r);
+	w->Kill(owner);
+	w->SetLiveAll(owner, KF_VM_GONE);
+	w->ViewAll();
+	w->Deliver(r, backup);
+	w->Run(50);
+	ExpectAnswered(r);
+}
+
 /* Guards against dispatch without an acknowledgement from a silent backup. */
 TEST_F(Traffic, BackupSilentButNotGone)
 {
