--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -43,6 +43,13 @@
 	return (unsigned int)XXH3_64bits(key, (size_t)*len);
 }
 
+/* apr_hash_set takes a const value, so the analyser would report a leak. */
+void
+table_add(apr_hash_t *table, const void *key, size_t len, void *value)
+{
+	apr_hash_set(table, key, (apr_ssize_t)len, value);
+}
+
 static void
 on_queue_refused(void *ctx, void *request, kf_reason_t reason)
 {
@@ -115,6 +122,7 @@
 	kf_admission_delete(t->admission);
 	kf_flow_table_delete(t->flows);
 	kf_view_release(t->view);
+	kf_keyring_delete(t->keys);
 	free(t->candidates);
 	free(t->recent);
 	free(t);
@@ -145,27 +153,43 @@
 	return false;
 }
 
-void
-kf_traffic_on_view(kf_traffic_t *t, kf_time_t now, kf_view_t *view)
+/* Makes what depends on the view's documents; false keeps the old view. */
+static bool
+traffic_adopt(kf_traffic_t *t, const kf_view_t *view)
 {
 	bool new_decl = t->view == NULL || t->view->decl != view->decl;
-	kf_candidate_t *candidates;
+	kf_candidate_t *candidates = NULL;
+	kf_keyring_t *keys;
 
-	t->now = now;
-	if (new_decl) {
+	keys = kf_keyring_copy(view->keys);
+	if (new_decl)
 		candidates =
 		    calloc(view->decl->upstream_count + 1, sizeof(*candidates));
-		if (candidates == NULL ||
-		    kf_balance_resize(t->balance, view->decl) != KF_OK) {
-			/* Keeps the old view; the next one is tried again. */
-			free(candidates);
-			return;
-		}
+	if (keys == NULL || (new_decl && candidates == NULL) ||
+	    (new_decl && kf_balance_resize(t->balance, view->decl) != KF_OK)) {
+		kf_keyring_delete(keys);
+		free(candidates);
+		return false;
+	}
+	kf_keyring_delete(t->keys);
+	t->keys = keys;
+	if (new_decl) {
 		free(t->candidates);
 		t->candidates = candidates;
 	}
+	return true;
+}
+
+void
+kf_traffic_on_view(kf_traffic_t *t, kf_time_t now, kf_view_t *view)
+{
+	t->now = now;
+	if (!traffic_adopt(t, view))
+		return;
 	if (t->view == NULL || view_routes_differ(t->view, view))
 		traffic_unstable(t);
+	if (t->view == NULL || !t->view->settled)
+		t->settled_us = now.mono_us;
 	kf_view_retain(view);
 	kf_view_release(t->view);
 	t->view = view;
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -113,8 +113,10 @@
 
 typedef struct lease {
 	lease_key_t key;
-	bool wanted; /* it is the backup of an upstream owned here */
-	bool ended;  /* the VM is gone */
+	bool wanted;   /* it is the backup of an upstream owned here */
+	bool ended;    /* the VM is gone */
+	bool released; /* it will not fence this VM while this VM lives */
+	bool release;  /* this VM will not fence it while it lives */
 	bool cannot_have_fenced; /* it ended before it could fence this VM */
 	uint32_t sequence;	 /* of the last request */
 	int64_t requested_us;	 /* when the last request was sent */
@@ -129,6 +131,7 @@
 struct kf_traffic {
 	kf_traffic_config_t config;
 	kf_view_t *view;
+	kf_keyring_t *keys; /* own copy: a ring is of one thread */
 	kf_balance_t *balance;
 	kf_admission_t *admission;
 	kf_flow_table_t *flows;
@@ -138,7 +141,8 @@
 	bool fenced;
 	/* Until then copies of a request may be at another VM. */
 	int64_t unstable_until_us;
-	kf_time_t now; /* of the event being handled */
+	int64_t settled_us; /* since when views have been settled */
+	kf_time_t now;	    /* of the event being handled */
 	apr_pool_t *pool;
 	apr_hash_t *by_id;   /* request_t by id.flow and id.xid */
 	apr_hash_t *by_xid;  /* request_t by upstream_xid */
@@ -160,6 +164,9 @@
 	uint8_t peer_buf[DATAGRAM_MAX_BYTES + 1024];
 };
 
+/* traffic.c */
+void table_add(apr_hash_t *table, const void *key, size_t len, void *value);
+
 /* packet.c */
 kf_reason_t packet_parse(kf_traffic_t *t, packet_t *pkt);
 kf_reason_t packet_set_token(
@@ -240,7 +247,6 @@
 /* lease.c */
 void lease_update(kf_traffic_t *t);
 void lease_tick(kf_traffic_t *t);
-void lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard);
 void lease_on_request(
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request);
 void lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack);
@@ -310,7 +316,7 @@
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
 void peer_lease(kf_traffic_t *t, const lease_t *lease);
 void peer_lease_ack(
-    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced);
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, u_int state);
 void peer_end(kf_traffic_t *t, const lease_t *lease, bool fenced);
 void peer_message(
     kf_traffic_t *t, const kf_view_vm_t *vm, uint32_t shard, kf_peer_msg *msg);
