--- a/lib/membership/gossip.c
+++ b/lib/membership/gossip.c
@@ -227,7 +227,6 @@
 	kf_vm_id_t id = { from.vm, from.incarnation };
 	kf_status_t status;
 	record_t *rec;
-	u_int i;
 
 	membership_check_pause(m, now_us);
 	if (id.vm == 0 || id.incarnation == 0 || src.ip != hb->addr)
@@ -250,8 +249,8 @@
 	if (status != KF_OK)
 		return status;
 	apply_heartbeat(m, now_us, rec, hb);
-	for (i = 0; i < hb->evidence.evidence_len; i++)
-		apply_evidence(m, now_us, &hb->evidence.evidence_val[i]);
+	kf_membership_on_evidence(
+	    m, now_us, hb->evidence.evidence_val, hb->evidence.evidence_len);
 	return KF_OK;
 }
 
@@ -493,10 +492,8 @@
 }
 
 static void
-add_evidence(
-    kf_membership_t *m, int64_t now_us, kf_peer_heartbeat *hb, record_t *rec)
+write_evidence(int64_t now_us, const record_t *rec, kf_peer_evidence *evidence)
 {
-	kf_peer_evidence *evidence = &m->evidence[hb->evidence.evidence_len++];
 	bool silent = rec->pub.liveness >= KF_VM_SUSPECT;
 
 	evidence->id.vm = rec->pub.id.vm;
@@ -506,15 +503,28 @@
 	evidence->zone = rec->pub.zone;
 	evidence->state = pack_state(now_us - record_life_us(rec), &rec->pub,
 	    silent ? KF_PEER_SILENT : 0);
+}
+
+static void
+add_evidence(
+    kf_membership_t *m, int64_t now_us, kf_peer_heartbeat *hb, record_t *rec)
+{
+	write_evidence(now_us, rec, &m->evidence[hb->evidence.evidence_len++]);
 	if (rec->relay > 0)
 		rec->relay--;
 }
 
 static bool
-is_relayable(const kf_peer_heartbeat *hb, const record_t *rec)
+is_known(const record_t *rec)
 {
 	return rec->pub.id.incarnation != 0 &&
-	    rec->pub.liveness != KF_VM_UNKNOWN && !is_included(hb, rec);
+	    rec->pub.liveness != KF_VM_UNKNOWN;
+}
+
+static bool
+is_relayable(const kf_peer_heartbeat *hb, const record_t *rec)
+{
+	return is_known(rec) && !is_included(hb, rec);
 }
 
 /* The change relayed least often, of the own zone first. */
@@ -541,9 +551,9 @@
 	return best;
 }
 
-/* The next VM that is alive, mostly of the own zone. */
+/* The next VM without regard to changes, mostly of the own zone. */
 static record_t *
-next_alive(kf_membership_t *m, const kf_peer_heartbeat *hb)
+next_known(kf_membership_t *m, const kf_peer_heartbeat *hb)
 {
 	bool any_zone = membership_random(m, OTHER_ZONE_PERIOD) == 0;
 	size_t i;
@@ -551,7 +561,7 @@
 	for (i = 0; i < m->count; i++) {
 		record_t *rec = m->records[m->cursor++ % m->count];
 
-		if (rec->pub.liveness == KF_VM_ALIVE &&
+		if (rec->pub.liveness != KF_VM_GONE &&
 		    (any_zone || rec->pub.zone == m->self.zone) &&
 		    is_relayable(hb, rec))
 			return rec;
@@ -570,7 +580,7 @@
 	while (hb->evidence.evidence_len < limit) {
 		rec = next_change(m, hb);
 		if (rec == NULL && !mesh)
-			rec = next_alive(m, hb);
+			rec = next_known(m, hb);
 		if (rec == NULL)
 			break;
 		add_evidence(m, now_us, hb, rec);
@@ -588,3 +598,43 @@
 	hb->state = pack_state(0, &m->self, to->observe ? KF_PEER_OBSERVE : 0);
 	fill_evidence(m, now_us, hb);
 }
+
+size_t
+kf_membership_snapshot(
+    const kf_membership_t *m, int64_t now_us, kf_peer_evidence *out, size_t max)
+{
+	size_t count = 0, i;
+
+	for (i = 0; i < m->count && count < max; i++) {
+		const record_t *rec = m->records[i];
+
+		if (is_known(rec) && rec->pub.liveness != KF_VM_GONE)
+			write_evidence(now_us, rec, &out[count++]);
+	}
+	return count;
+}
+
+void
+kf_membership_on_evidence(kf_membership_t *m, int64_t now_us,
+    const kf_peer_evidence *evidence, size_t count)
+{
+	size_t i;
+
+	membership_check_pause(m, now_us);
+	for (i = 0; i < count; i++)
+		apply_evidence(m, now_us, &evidence[i]);
+}
+
+size_t
+kf_membership_unheard(const kf_membership_t *m)
+{
+	size_t count = 0, i;
+
+	for (i = 0; i < m->count; i++) {
+		const record_t *rec = m->records[i];
+
+		count += rec->listed && rec->pub.zone == m->self.zone &&
+		    rec->pub.liveness == KF_VM_UNKNOWN;
+	}
+	return count;
+}
--- a/lib/membership/include/kf/membership.h
+++ b/lib/membership/include/kf/membership.h
@@ -141,6 +141,20 @@
 size_t kf_membership_digest_max(
     const kf_membership_t *m, const kf_peer_heartbeat *hb);
 
+/*
+ * Writes what is known of up to max VMs, for a peer that has started or
+ * paused; heartbeats alone take minutes to tell it of 700 VMs.
+ */
+size_t kf_membership_snapshot(const kf_membership_t *m, int64_t now_us,
+    kf_peer_evidence *out, size_t max);
+
+/* Takes a peer's snapshot. */
+void kf_membership_on_evidence(kf_membership_t *m, int64_t now_us,
+    const kf_peer_evidence *evidence, size_t count);
+
+/* Returns how many listed VMs of the own zone are not heard of. */
+size_t kf_membership_unheard(const kf_membership_t *m);
+
 void kf_membership_set_leaving(kf_membership_t *m);
 
 /* Index 0 is the VM itself; then members; then ended incarnations. */
--- a/lib/membership/internal.h
+++ b/lib/membership/internal.h
@@ -9,10 +9,11 @@
 	EVIDENCE_MAX = 4,
 	OBSERVERS = 3,
 	/*
-	 * Times a change is relayed: 5 receivers each time reach 16,000 VMs
-	 * in 7 rounds; the rest covers loss.
+	 * Times a change is relayed: 8 rounds of 5 receivers.  One receiver
+	 * a round is random in the zone; with 12 relays, 1 VM of 200 missed
+	 * a death.
 	 */
-	RELAY_COUNT = 12,
+	RELAY_COUNT = 40,
 	/* A first sighting is no news while this VM itself is new. */
 	NEW_VM_US = 30000000,
 	/*
@@ -20,6 +21,11 @@
 	 * interval from a random other zone, 10 are expected in this time.
 	 */
 	ZONE_SUSPECT_US = 5000000,
+	/*
+	 * A lagging list may omit a VM because an earlier incarnation ended;
+	 * only an incarnation known this long is removed by it.
+	 */
+	LIST_LAG_US = 30000000,
 	/* Evidence this much later than an accusation contradicts it. */
 	REFUTE_US = 500000,
 	/* Errors this soon after a heartbeat may be of an earlier process. */
@@ -32,7 +38,8 @@
 	kf_member_t pub;
 	kf_addr_t listed_addr;
 	bool listed;
-	bool unlisted;	      /* a later list omits it */
+	bool was_listed;
+	bool unlisted;	      /* removed from the list while it was known */
 	bool list_leaving;    /* the list says that it leaves */
 	bool unknown;	      /* not heard since the start or a pause */
 	bool observed;	      /* it promised a heartbeat per interval */
@@ -43,6 +50,7 @@
 	uint32_t displaced;   /* heartbeats of another VM at its address */
 	uint32_t revived;     /* heartbeats since it was considered gone */
 	uint32_t relay;	      /* remaining relays of its latest change */
+	int64_t first_us;     /* when this incarnation became known */
 	int64_t direct_us;    /* last heartbeat; -1: none */
 	int64_t since_us;     /* silence counts from here if not heard later */
 	int64_t displaced_us; /* first heartbeat counted in displaced */
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -233,6 +233,8 @@
 	rec->pub.id.incarnation = incarnation;
 	rec->pub.leaving = false;
 	rec->list_leaving = false;
+	rec->unlisted = false;
+	rec->first_us = now_us;
 	rec->pub.liveness = KF_VM_UNKNOWN;
 	rec->pub.gone_since_us = 0;
 	rec->pub.heard_us = -1;
@@ -319,9 +321,11 @@
 	for (i = 0; i < m->count; i++) {
 		record_t *rec = m->records[i];
 
-		if (!rec->listed || contains(ids, count, rec->pub.id.vm))
+		if (!rec->was_listed || contains(ids, count, rec->pub.id.vm))
 			continue;
 		rec->listed = false;
+		if (now_us - rec->first_us < LIST_LAG_US)
+			continue;
 		rec->unlisted = true;
 		record_update(m, now_us, rec);
 	}
@@ -368,6 +372,7 @@
 		return;
 	move_listed(m, now_us, rec, entry->addr);
 	rec->listed = true;
+	rec->was_listed = true;
 	rec->unlisted = false;
 	set_list_leaving(m, rec, entry->leaving);
 	if (strcmp(rec->pub.name, entry->name) != 0) {
