Date accusations by their observer; handle silent zones and idle VMs

A VM that relayed an accusation dated it by its own later evidence, so the accusation stayed ahead of every refutation. Only the observer's date is relayed now.

Further faults found on the way, each with a case that failed before: evidence of a removed VM could be relayed between peers for ever (evidence older than 300 s now adds no VM); a listed VM that never ran could be an observer for ever (after 300 s it comes last). VMs lost with their whole zone have a case of their own.

Ruled out: preferring heard VMs as observers at once.

Liveness in a fleet over 8 VMs rests on sampling, so a VM may be suspected for a moment.

--- a/lib/membership/gossip.c
+++ b/lib/membership/gossip.c
@@ -1,5 +1,3 @@
-#include <xxhash.h>
-
 #include "internal.h"
 
 enum {
@@ -14,6 +12,7 @@
 	SEED_BYTES_PER_S = 32,
 	/* One relayed entry of this many is of another zone. */
 	OTHER_ZONE_PERIOD = 8,
+	OBSERVER_WAIT_US = 300000000,
 	AGE_UNIT_US = 10000,
 	AGE_MAX = 0xffff,
 };
@@ -108,8 +107,7 @@
 
 /* Moves a record on to a newer incarnation; false if id has ended. */
 static bool
-adopt(kf_membership_t *m, int64_t now_us, record_t *rec, kf_vm_id_t id,
-    bool direct)
+adopt(kf_membership_t *m, int64_t now_us, record_t *rec, kf_vm_id_t id)
 {
 	uint64_t known = rec->pub.id.incarnation;
 
@@ -118,8 +116,7 @@
 	if (id.incarnation < known || membership_is_ended(m, id))
 		return false;
 	membership_renew(m, now_us, rec, id.incarnation);
-	if (direct || known != 0 || !rec->listed ||
-	    now_us - m->start_us > NEW_VM_US)
+	if (known != 0 || !rec->listed || now_us - m->start_us > NEW_VM_US)
 		rec->relay = RELAY_COUNT;
 	return true;
 }
@@ -129,8 +126,9 @@
     kf_membership_t *m, int64_t now_us, const kf_peer_evidence *evidence)
 {
 	kf_vm_id_t id = { evidence->id.vm, evidence->id.incarnation };
-	int64_t heard_us =
-	    now_us - (int64_t)(evidence->state >> 16) * AGE_UNIT_US;
+	int64_t age_us = (int64_t)(evidence->state >> 16) * AGE_UNIT_US;
+	/* The clock may have started after the VM was heard. */
+	int64_t heard_us = age_us < now_us ? now_us - age_us : 0;
 	record_t *rec;
 
 	if (id.vm == m->self.id.vm) {
@@ -140,10 +138,11 @@
 	if (id.incarnation == 0 || id.vm == 0)
 		return;
 	rec = membership_find(m, id.vm);
-	if (rec == NULL && membership_is_ended(m, id))
+	if (rec == NULL &&
+	    (membership_is_ended(m, id) || age_us >= KF_TOMBSTONE_US))
 		return;
 	rec = membership_obtain(m, now_us, id.vm);
-	if (rec == NULL || !adopt(m, now_us, rec, id, false) ||
+	if (rec == NULL || !adopt(m, now_us, rec, id) ||
 	    rec->pub.liveness == KF_VM_GONE)
 		return;
 	if (rec->direct_us < 0)
@@ -243,7 +242,7 @@
 	rec = membership_obtain(m, now_us, id.vm);
 	if (rec == NULL)
 		return KF_ERR_NO_MEMORY;
-	if (!adopt(m, now_us, rec, id, true))
+	if (!adopt(m, now_us, rec, id))
 		return refuse(m, now_us, rec, id);
 	status = accept_sequence(m, rec, hb->sequence);
 	if (status != KF_OK)
@@ -295,30 +294,39 @@
 	return false;
 }
 
+/*
+ * VMs of the own zone come first.  A VM that was never heard may run all
+ * the same, as news of a large zone takes minutes; later it comes last.
+ */
 static uint64_t
-observer_score(const kf_membership_t *m, const record_t *rec)
+observer_score(const kf_membership_t *m, int64_t now_us, const record_t *rec)
 {
-	uint32_t pair[2] = { m->self.id.vm, rec->pub.id.vm };
-	uint64_t score = XXH64(pair, sizeof(pair), 0);
+	bool runs = rec->pub.liveness != KF_VM_UNKNOWN ||
+	    now_us - rec->since_us < OBSERVER_WAIT_US;
 
-	/* VMs of the own zone come first. */
-	return score >> 1 | (uint64_t)(rec->pub.zone == m->self.zone) << 63;
+	return rec->score >> 2 |
+	    (uint64_t)(rec->pub.zone == m->self.zone) << 62 |
+	    (uint64_t)runs << 63;
 }
 
 static record_t *
-best_observer(const kf_membership_t *m, const target_list_t *list)
+best_observer(
+    const kf_membership_t *m, int64_t now_us, const target_list_t *list)
 {
+	uint64_t best_score = 0;
 	record_t *best = NULL;
 	size_t i;
 
 	for (i = 0; i < m->count; i++) {
 		record_t *rec = m->records[i];
+		uint64_t score = observer_score(m, now_us, rec);
 
 		if (rec->pub.liveness >= KF_VM_DEAD || is_target(list, rec))
 			continue;
-		if (best == NULL ||
-		    observer_score(m, rec) > observer_score(m, best))
+		if (best == NULL || score > best_score) {
 			best = rec;
+			best_score = score;
+		}
 	}
 	return best;
 }
@@ -359,13 +367,13 @@
 }
 
 static void
-add_sample(kf_membership_t *m, target_list_t *list)
+add_sample(kf_membership_t *m, int64_t now_us, target_list_t *list)
 {
 	record_t *rec;
 	size_t i;
 
 	for (i = 0; i < OBSERVERS; i++) {
-		rec = best_observer(m, list);
+		rec = best_observer(m, now_us, list);
 		if (rec != NULL)
 			add_target(list, rec, true);
 	}
@@ -441,7 +449,7 @@
 	if (membership_is_mesh(m))
 		add_mesh(m, &list);
 	else
-		add_sample(m, &list);
+		add_sample(m, now_us, &list);
 	m->receivers = list.count > 0 ? list.count : 1;
 	add_seeds(m, &list);
 	return list.count;
@@ -491,6 +499,18 @@
 	return false;
 }
 
+/*
+ * Only an observer dates an accusation.  If others moved it to later
+ * evidence of their own, it would stay ahead of every refutation.
+ */
+static int64_t
+evidence_us(const record_t *rec, bool silent)
+{
+	if (silent && rec->accused && !rec->observed)
+		return rec->silent_us;
+	return record_life_us(rec);
+}
+
 static void
 write_evidence(int64_t now_us, const record_t *rec, kf_peer_evidence *evidence)
 {
@@ -501,8 +521,8 @@
 	evidence->addr = rec->pub.control.ip;
 	evidence->ports = pack_ports(&rec->pub);
 	evidence->zone = rec->pub.zone;
-	evidence->state = pack_state(now_us - record_life_us(rec), &rec->pub,
-	    silent ? KF_PEER_SILENT : 0);
+	evidence->state = pack_state(now_us - evidence_us(rec, silent),
+	    &rec->pub, silent ? KF_PEER_SILENT : 0);
 }
 
 static void
@@ -514,11 +534,16 @@
 		rec->relay--;
 }
 
+/* The silence of a zone is this VM's own view and is not passed on. */
 static bool
 is_known(const record_t *rec)
 {
-	return rec->pub.id.incarnation != 0 &&
-	    rec->pub.liveness != KF_VM_UNKNOWN;
+	kf_liveness_t liveness = rec->pub.liveness;
+
+	if (rec->pub.id.incarnation == 0 || liveness == KF_VM_UNKNOWN)
+		return false;
+	return liveness == KF_VM_ALIVE || liveness == KF_VM_GONE ||
+	    rec->observed || rec->accused;
 }
 
 static bool
--- a/lib/membership/internal.h
+++ b/lib/membership/internal.h
@@ -18,9 +18,11 @@
 	NEW_VM_US = 30000000,
 	/*
 	 * Silence of a whole zone, per other zone: at one heartbeat per
-	 * interval from a random other zone, 10 are expected in this time.
+	 * interval from a random other zone, 20 are expected in this time.
+	 * With 10, a zone whose only live VM reached a third of the receivers
+	 * was suspected at times.
 	 */
-	ZONE_SUSPECT_US = 5000000,
+	ZONE_SUSPECT_US = 10000000,
 	/*
 	 * A lagging list may omit a VM because an earlier incarnation ended;
 	 * only an incarnation known this long is removed by it.
@@ -45,6 +47,8 @@
 	bool observed;	      /* it promised a heartbeat per interval */
 	bool observer;	      /* we promised it one */
 	bool accused;	      /* an observer reports silence */
+	uint64_t score;	      /* rendezvous of this VM's observers */
+	size_t zone_slot;     /* where its zone was found last */
 	uint32_t sequence;    /* of its last heartbeat */
 	uint32_t unreachable; /* errors since it was last heard */
 	uint32_t displaced;   /* heartbeats of another VM at its address */
--- a/lib/membership/liveness.c
+++ b/lib/membership/liveness.c
@@ -8,28 +8,36 @@
 	return rec->pub.heard_us;
 }
 
-static const zone_t *
-find_zone(const kf_membership_t *m, uint32_t id)
+/* The zone of a record, NULL if it is the own zone or not heard of. */
+static zone_t *
+find_zone(kf_membership_t *m, record_t *rec)
 {
-	size_t i;
+	uint32_t id = rec->pub.zone;
+	size_t i = rec->zone_slot;
 
+	if (id == m->self.zone)
+		return NULL;
+	if (i < m->zone_count && m->zones[i].id == id)
+		return &m->zones[i];
 	for (i = 0; i < m->zone_count; i++) {
-		if (m->zones[i].id == id)
+		if (m->zones[i].id == id) {
+			rec->zone_slot = i;
 			return &m->zones[i];
+		}
 	}
 	return NULL;
 }
 
 static void
-hear_zone(kf_membership_t *m, uint32_t id, int64_t heard_us)
+hear_zone(kf_membership_t *m, record_t *rec, int64_t heard_us)
 {
-	zone_t *zone = (zone_t *)find_zone(m, id);
+	zone_t *zone = find_zone(m, rec);
 
-	if (id == m->self.zone)
+	if (rec->pub.zone == m->self.zone)
 		return;
 	if (zone == NULL && m->zone_count < ZONES_MAX) {
 		zone = &m->zones[m->zone_count++];
-		zone->id = id;
+		zone->id = rec->pub.zone;
 		zone->heard_us = heard_us;
 	}
 	if (zone != NULL && heard_us > zone->heard_us)
@@ -38,9 +46,9 @@
 
 /* Liveness of a VM by the silence of its whole zone. */
 static kf_liveness_t
-zone_liveness(const kf_membership_t *m, int64_t now_us, uint32_t id)
+zone_liveness(kf_membership_t *m, int64_t now_us, record_t *rec)
 {
-	const zone_t *zone = find_zone(m, id);
+	const zone_t *zone = find_zone(m, rec);
 	int64_t limit_us = ZONE_SUSPECT_US * (int64_t)m->zone_count;
 
 	if (zone == NULL || now_us - zone->heard_us < limit_us)
@@ -93,14 +101,14 @@
 }
 
 static kf_liveness_t
-heard_liveness(const kf_membership_t *m, int64_t now_us, const record_t *rec)
+heard_liveness(kf_membership_t *m, int64_t now_us, record_t *rec)
 {
 	if (rec->observed)
 		return silence_liveness(
 		    now_us - later(record_life_us(rec), rec->since_us));
 	if (rec->accused)
 		return accused_liveness(now_us, rec);
-	return zone_liveness(m, now_us, rec->pub.zone);
+	return zone_liveness(m, now_us, rec);
 }
 
 /* Definite evidence besides port-unreachable errors. */
@@ -115,7 +123,7 @@
 }
 
 static kf_liveness_t
-compute(const kf_membership_t *m, int64_t now_us, const record_t *rec)
+compute(kf_membership_t *m, int64_t now_us, record_t *rec)
 {
 	kf_liveness_t liveness;
 
@@ -149,7 +157,9 @@
 	m->version++;
 	if (is == KF_VM_GONE)
 		rec->pub.gone_since_us = now_us;
-	if (was != KF_VM_UNKNOWN && is_silent(was) != is_silent(is))
+	/* What follows from an accusation or a silent zone is no news. */
+	if (was != KF_VM_UNKNOWN && is_silent(was) != is_silent(is) &&
+	    (rec->observed || is == KF_VM_GONE))
 		rec->relay = RELAY_COUNT;
 }
 
@@ -159,11 +169,13 @@
 {
 	if (heard_us > rec->pub.heard_us)
 		rec->pub.heard_us = heard_us;
-	hear_zone(m, rec->pub.zone, heard_us);
+	hear_zone(m, rec, heard_us);
 	if (heard_us > rec->displaced_us)
 		rec->displaced = 0;
 	if (rec->accused && heard_us < rec->silent_us + REFUTE_US)
 		return;
+	if (rec->accused)
+		rec->relay = RELAY_COUNT;
 	rec->accused = false;
 	rec->unknown = false;
 	record_update(m, now_us, rec);
@@ -223,10 +235,12 @@
 	forget_liveness(m, now_us);
 }
 
+/* Peers ignore evidence of the same age, so that no VM is relayed forever. */
 static bool
 is_forgettable(int64_t now_us, const record_t *rec)
 {
-	int64_t last_us = later(rec->pub.heard_us, rec->since_us);
+	int64_t last_us =
+	    rec->pub.heard_us >= 0 ? rec->pub.heard_us : rec->since_us;
 
 	if (rec->listed)
 		return false;
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -129,6 +131,7 @@
 record_t *
 membership_obtain(kf_membership_t *m, int64_t now_us, uint32_t vm)
 {
+	uint32_t pair[2] = { m->self.id.vm, vm };
 	size_t i = lower_bound(m, vm);
 	record_t *rec;
 
@@ -141,6 +144,7 @@
 		return NULL;
 	}
 	rec->pub.id.vm = vm;
+	rec->score = XXH64(pair, sizeof(pair), 0);
 	rec->pub.heard_us = -1;
 	rec->direct_us = -1;
 	rec->since_us = now_us;
