--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -8,6 +8,8 @@
 enum {
 	PERCENT = 100,
 	EWMA_SHIFT = 3, /* a sample weighs 1/8 */
+	/* Intervals vary as much as their mean; 1/16 halves the noise. */
+	INTERVAL_SHIFT = 4,
 
 	/* Slot time charged to a class before its first sample. */
 	DEFAULT_SERVICE_US = 1000,
@@ -40,6 +42,8 @@
 	kf_queue_t queue;
 	double finish; /* virtual time */
 	int64_t service_us;
+	int64_t dispatched_us; /* last, since the queue filled; -1: none */
+	int64_t interval_us;   /* between dispatches; 0: not known */
 } class_state_t;
 
 typedef struct upstream {
@@ -223,6 +227,18 @@
 	    (adm->count - at) * sizeof(*adm->upstreams));
 }
 
+static void
+upstream_resume(upstream_t *upstream, int64_t now_us)
+{
+	int cls;
+
+	upstream->progress_us = now_us;
+	for (cls = 0; cls < KF_CLASS_COUNT; cls++) {
+		if (upstream->classes[cls].dispatched_us >= 0)
+			upstream->classes[cls].dispatched_us = now_us;
+	}
+}
+
 /*
  * Moves the clock.  After a pause of the process the time without a release
  * says nothing about the upstreams, so it is counted anew.
@@ -236,7 +252,7 @@
 		return;
 	if (now_us - adm->now_us > KF_ADMISSION_PAUSE_US) {
 		for (i = 0; i < adm->count; i++)
-			adm->upstreams[i].progress_us = now_us;
+			upstream_resume(&adm->upstreams[i], now_us);
 	}
 	adm->now_us = now_us;
 }
@@ -420,7 +436,12 @@
 	return work_us;
 }
 
-/* Expected time until the answer of a request with `ahead` of its class. */
+/*
+ * Expected time until the answer of a request with `ahead` of its class.
+ * The queues alone promise too much to a class that shares the upstream with
+ * requests that never have to wait; the dispatches seen since the class has
+ * been waiting correct that.
+ */
 static int64_t
 expected_answer_us(const kf_admission_t *adm, const upstream_t *upstream,
     int cls, uint32_t ahead)
@@ -428,6 +449,9 @@
 	double service_us = (double)class_service_us(upstream, cls);
 	double stalled_us = (double)(adm->now_us - upstream->progress_us);
 	double limit = upstream_limit(upstream);
+	double seen_us =
+	    (double)upstream->classes[cls].interval_us * (ahead + 1);
+	double wait_us;
 	double work_us = ahead * service_us +
 	    other_work_us(adm, upstream, cls, (ahead + 1) * service_us);
 	double first_us = service_us / limit;
@@ -435,7 +459,10 @@
 	/* Slots that have not moved for a while are expected to stay so. */
 	if (stalled_us > first_us)
 		first_us = stalled_us;
-	return (int64_t)(first_us + work_us / limit + service_us);
+	wait_us = first_us + work_us / limit;
+	if (wait_us < seen_us)
+		wait_us = seen_us;
+	return (int64_t)(wait_us + service_us);
 }
 
 int64_t
@@ -546,6 +573,10 @@
 		return KF_ADMIT_DEADLINE;
 	if (!make_room(adm, request->cls, node.charge_bytes))
 		return KF_ADMIT_OVERLOAD;
+	if (queue->count == 0) {
+		upstream->classes[request->cls].dispatched_us = -1;
+		upstream->classes[request->cls].interval_us = 0;
+	}
 	kf_queue_insert(&adm->pool, queue, place, &node);
 	adm->used_bytes += node.charge_bytes;
 	adm->class_bytes[request->cls] += node.charge_bytes;
@@ -587,6 +618,19 @@
 	return best;
 }
 
+static void
+interval_sample(class_state_t *state, int64_t now_us)
+{
+	int64_t interval_us = now_us - state->dispatched_us;
+
+	if (state->dispatched_us >= 0 && state->interval_us == 0)
+		state->interval_us = interval_us;
+	else if (state->dispatched_us >= 0)
+		state->interval_us +=
+		    (interval_us - state->interval_us) / (1 << INTERVAL_SHIFT);
+	state->dispatched_us = now_us;
+}
+
 void *
 kf_admission_next(kf_admission_t *adm, int64_t now_us, uint32_t id)
 {
@@ -603,6 +647,7 @@
 	if (cls < 0)
 		return NULL;
 	take_slot(adm, upstream, cls);
+	interval_sample(&upstream->classes[cls], adm->now_us);
 	return queue_take(adm, upstream, cls, upstream->classes[cls].queue.head)
 	    .request;
 }
--- a/lib/upstream/ejection.c
+++ b/lib/upstream/ejection.c
@@ -31,7 +31,8 @@
 
 	if (ejection->trial && ejection->failures_in_row > 0)
 		return true;
-	if (ejection->failures_in_row >= config->eject_failures)
+	if (ejection->failures_in_row + ejection->probe_failures >=
+	    config->eject_failures)
 		return true;
 	return ejection->window_count == config->window_requests &&
 	    failed * PERCENT >
@@ -44,6 +45,7 @@
 {
 	window_add(ejection, config, 0);
 	ejection->failures_in_row = 0;
+	ejection->probe_failures = 0;
 	ejection->trial = false;
 	if (!is_bad(ejection, config))
 		ejection->last_resort = false;
@@ -57,10 +59,24 @@
 	ejection->failures_in_row++;
 }
 
+/*
+ * An answered probe does not clear failures of requests: an upstream that
+ * answers only its health checks is not healthy.
+ */
+void
+kf_ejection_on_probe(kf_ejection_t *ejection, bool answered)
+{
+	if (answered)
+		ejection->probe_failures = 0;
+	else
+		ejection->probe_failures++;
+}
+
 void
 kf_ejection_forget(kf_ejection_t *ejection)
 {
 	ejection->failures_in_row = 0;
+	ejection->probe_failures = 0;
 	ejection->window = 0;
 	ejection->window_count = 0;
 	ejection->last_resort = false;
--- a/lib/upstream/ejection.h
+++ b/lib/upstream/ejection.h
@@ -12,7 +12,8 @@
  */
 
 typedef struct kf_ejection {
-	uint32_t failures_in_row;
+	uint32_t failures_in_row; /* of requests */
+	uint32_t probe_failures;  /* in a row, without any answer */
 	uint32_t window; /* latest outcomes, bit 0 the last; 1: failure */
 	uint32_t window_count;
 	bool ejected;
@@ -30,6 +31,8 @@
 void kf_ejection_on_failure(
     kf_ejection_t *ejection, const kf_upstream_config_t *config);
 
+void kf_ejection_on_probe(kf_ejection_t *ejection, bool answered);
+
 /* Ejects the upstream if its counts say so.  Returns true if it did. */
 bool kf_ejection_decide(kf_ejection_t *ejection,
     const kf_upstream_config_t *config, int64_t now_us, bool may_eject);
--- a/lib/upstream/include/kf/upstream.h
+++ b/lib/upstream/include/kf/upstream.h
@@ -37,12 +37,12 @@
  *	silent_us and another path or the fresh path has answered after the
  *	first of them was sent.  The fresh path is a source port not used
  *	before, opened for one probe.  A slow request does not silence a
- *	path, because the probe on the same path is answered.  Timeouts on a
- *	silent path do not count against the upstream; the caller reports
- *	none for requests in flight on a path when it replaces the path.
+ *	path, because the probe on the same path is answered.  Timeouts of
+ *	requests sent on a path that is silent, or has been replaced since,
+ *	do not count against the upstream.
  *
- *	PAUSES.  When kf_upstream_state_tick comes more than a second late,
- *	timeouts seen then are not counted: the replies may be waiting in
+ *	PAUSES.  When ticks are more than a second apart, timeouts of
+ *	requests sent before are not counted: the replies may be waiting in
  *	this process's own socket buffers.
  *
  *	Any reply to a probe counts as answered, so that a server without the
@@ -115,7 +115,8 @@
 void kf_upstream_state_on_answer(
     kf_upstream_state_t *state, int path, int64_t now_us, int64_t latency_us);
 void kf_upstream_state_on_failure(kf_upstream_state_t *state, int path,
-    int64_t now_us, kf_upstream_failure_t kind, bool may_eject);
+    int64_t now_us, int64_t sent_us, kf_upstream_failure_t kind,
+    bool may_eject);
 
 /* From the verifier of a reply or from a STATUS probe. */
 void kf_upstream_state_on_report(
--- a/lib/upstream/path.c
+++ b/lib/upstream/path.c
@@ -11,6 +11,7 @@
 	memset(path, 0, sizeof(*path));
 	path->answered_us = NEVER_US;
 	path->probed_us = now_us;
+	path->opened_us = now_us;
 }
 
 void
--- a/lib/upstream/path.h
+++ b/lib/upstream/path.h
@@ -17,6 +17,7 @@
 	uint32_t unanswered;
 	int64_t answered_us;
 	int64_t probed_us;
+	int64_t opened_us;
 } kf_path_t;
 
 void kf_path_init(kf_path_t *path, int64_t now_us);
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -7,8 +7,6 @@
 enum {
 	EWMA_WEIGHT = 8, /* a sample weighs 1/8 */
 	PAUSE_US = 1000000,
-	/* Requests that expired in a pause are reported soon after it. */
-	PAUSE_GRACE_US = 200000,
 };
 
 static const double slow_start_floor = 0.1;
@@ -112,7 +110,7 @@
 	state->config = *config;
 	kf_ejection_init(&state->ejection, config, now_us);
 	state->ticked_us = now_us;
-	state->pause_end_us = now_us - PAUSE_GRACE_US;
+	state->pause_end_us = INT64_MIN;
 	state->started_us = now_us;
 	/* The first probe is due at once: it learns the incarnation. */
 	state->activity_us = now_us - config->probe_idle_us;
@@ -169,10 +167,13 @@
 	kf_ejection_forget(&state->ejection);
 }
 
+/* A probe sent before the ejection is not the half-open probe. */
 static void
 decide(kf_upstream_state_t *state, int64_t now_us, bool may_eject)
 {
-	kf_ejection_decide(&state->ejection, &state->config, now_us, may_eject);
+	if (kf_ejection_decide(
+		&state->ejection, &state->config, now_us, may_eject))
+		state->probe_pending = false;
 }
 
 void
@@ -197,13 +198,6 @@
 		kf_ejection_on_success(&state->ejection, &state->config);
 }
 
-static bool
-in_pause(const kf_upstream_state_t *state, int64_t now_us)
-{
-	return now_us - state->ticked_us > PAUSE_US ||
-	    now_us - state->pause_end_us < PAUSE_GRACE_US;
-}
-
 static void
 on_wrong_incarnation(kf_upstream_state_t *state, int path, int64_t now_us)
 {
@@ -244,16 +238,27 @@
 	    answered_elsewhere(state, i, path->unanswered_us[0]);
 }
 
+/*
+ * Whether a timeout says something about the upstream as it is now, and not
+ * about a pause of this process, a silent path or a time before an ejection.
+ */
 static bool
-number_silent(const kf_upstream_state_t *state, int path, int64_t now_us)
+timeout_counts(
+    const kf_upstream_state_t *state, int path, int64_t now_us, int64_t sent_us)
 {
-	return path >= 0 && (uint32_t)path < state->path_count &&
-	    path_silent(state, (uint32_t)path, now_us);
+	if (now_us - state->ticked_us > PAUSE_US ||
+	    sent_us < state->pause_end_us ||
+	    sent_us < state->ejection.readmitted_us)
+		return false;
+	if (path < 0 || (uint32_t)path >= state->path_count)
+		return true;
+	return sent_us >= state->paths[path].opened_us &&
+	    !path_silent(state, (uint32_t)path, now_us);
 }
 
 void
 kf_upstream_state_on_failure(kf_upstream_state_t *state, int path,
-    int64_t now_us, kf_upstream_failure_t kind, bool may_eject)
+    int64_t now_us, int64_t sent_us, kf_upstream_failure_t kind, bool may_eject)
 {
 	if (kind == KF_UPSTREAM_WRONG_INCARNATION) {
 		on_wrong_incarnation(state, path, now_us);
@@ -262,7 +267,7 @@
 	if (state->ejection.ejected)
 		return;
 	if (kind == KF_UPSTREAM_TIMEOUT &&
-	    (in_pause(state, now_us) || number_silent(state, path, now_us)))
+	    !timeout_counts(state, path, now_us, sent_us))
 		return;
 	kf_ejection_on_failure(&state->ejection, &state->config);
 	decide(state, now_us, may_eject);
@@ -394,9 +399,8 @@
 }
 
 /*
- * An answered probe does not clear failures of requests: an upstream that
- * answers only its health checks is not healthy.  An unanswered one counts
- * unless something was answered since, on any path.
+ * An unanswered probe counts unless something was answered since it was
+ * sent, on any path.
  */
 void
 kf_upstream_state_on_probe_result(kf_upstream_state_t *state, int path,
@@ -412,9 +416,8 @@
 		on_half_open_result(state, now_us, answered);
 		return;
 	}
-	if (answered || state->answered_us >= state->probe_sent_us)
-		return;
-	kf_ejection_on_failure(&state->ejection, &state->config);
+	kf_ejection_on_probe(&state->ejection,
+	    answered || state->answered_us >= state->probe_sent_us);
 	decide(state, now_us, may_eject);
 }
 
