--- a/lib/declaration/include/kf/declaration.h
+++ b/lib/declaration/include/kf/declaration.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "kf/addr.h"
+#include "kf/ini.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -25,6 +26,7 @@
 	KF_NAME_BYTES = 64,
 	KF_MAX_LABELS = 8,
 	KF_MAX_PROCEDURES = 32,
+	KF_MAX_SELECTORS = 64, /* of one service */
 	KF_SHARE_POINTS = 65536,
 };
 
@@ -57,6 +59,7 @@
 	kf_addr_t addr;
 	kf_class_t cls;
 	int64_t deadline_ms;
+	uint32_t program; /* ONC RPC program; 0: any */
 	uint32_t procedure_count;
 	kf_procedure_t procedures[KF_MAX_PROCEDURES];
 	uint32_t first_selector; /* selectors of a service are adjacent */
@@ -99,21 +102,24 @@
 	kf_service_t *services;
 	kf_upstream_t *upstreams;
 	kf_selector_t *selectors;
-	uint32_t *upstreams_by_id; /* indexes ordered by id */
+	uint32_t *upstreams_by_id;  /* indexes ordered by id */
+	uint32_t *services_by_id;   /* indexes ordered by id */
+	uint32_t *services_by_addr; /* indexes ordered by address */
+	uint32_t *matches;	    /* storage of every selector's upstreams */
 } kf_declaration_t;
 
-/*
- * Receives every error of a document: file name, line (0 if none), text.
- */
-typedef void kf_error_fn(
-    void *ctx, const char *file, int line, const char *text);
-
 /*
  * Parses and validates text.  Returns NULL after reporting every error;
- * a document with an error is refused whole.
+ * a document with an error is refused whole.  A document larger than
+ * KF_DOCUMENT_MAX_BYTES is refused.
  */
 kf_declaration_t *kf_declaration_parse(const char *file, const char *text,
     size_t len, kf_error_fn *on_error, void *ctx);
+
+/* The same with another size limit, for capacity measurements. */
+kf_declaration_t *kf_declaration_parse_sized(const char *file, const char *text,
+    size_t len, size_t max_bytes, kf_error_fn *on_error, void *ctx);
+
 void kf_declaration_delete(kf_declaration_t *decl);
 
 /* Hash of a name; never 0. */
@@ -137,6 +143,13 @@
     const kf_selector_t *selector, const kf_upstream_t *upstream);
 
 const char *kf_class_name(kf_class_t cls);
+const char *kf_zone_preference_name(kf_zone_preference_t preference);
+
+enum { KF_LABELS_TEXT_BYTES = KF_MAX_LABELS * (int)sizeof(kf_label_t) + 1 };
+
+/* Writes "key=value key=value" and returns buf. */
+const char *kf_labels_format(
+    const kf_label_t *labels, uint32_t count, char buf[KF_LABELS_TEXT_BYTES]);
 
 #ifdef __cplusplus
 }
