--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -211,7 +211,8 @@
 
 	dispatch_cancel(t, req);
 	if (s != NULL)
-		serving_failed(t, s, req->path, KF_UPSTREAM_TIMEOUT);
+		serving_failed(
+		    t, s, req->path, req->sent_us, KF_UPSTREAM_TIMEOUT);
 	request_record(t, req, KF_MAY_HAVE_RUN, KF_REASON_DEADLINE, NULL, 0);
 	kf_counters_add(&t->counters, KF_COUNT_MAY_HAVE_RUN, 1);
 	reply_unknown(t, &req->route, req->id.xid);
@@ -298,7 +299,8 @@
 {
 	if (reply->reject_stat == 1 &&
 	    reply->auth_stat == KF_RPC_AUTH_REJECTEDVERF) {
-		serving_failed(t, s, req->path, KF_UPSTREAM_WRONG_INCARNATION);
+		serving_failed(t, s, req->path, req->sent_us,
+		    KF_UPSTREAM_WRONG_INCARNATION);
 		dispatch_not_run(t, req, KF_REASON_UPSTREAM_LOST);
 	} else if (reply->reject_stat == 1 &&
 	    reply->auth_stat == KF_RPC_AUTH_FAILED) {
@@ -388,7 +390,7 @@
 	s = serving_find(t, upstream);
 	if (s == NULL || t->view == NULL)
 		return;
-	serving_failed(t, s, path, KF_UPSTREAM_UNREACHABLE);
+	serving_failed(t, s, path, t->now.mono_us, KF_UPSTREAM_UNREACHABLE);
 	request_sweep_begin(t);
 	for (req = t->requests; req != NULL; req = next) {
 		if (!req->deleted && req->state == REQUEST_DISPATCHED &&
--- a/lib/traffic/serving.c
+++ b/lib/traffic/serving.c
@@ -134,11 +134,11 @@
 }
 
 void
-serving_failed(
-    kf_traffic_t *t, serving_t *s, uint32_t path, kf_upstream_failure_t failure)
+serving_failed(kf_traffic_t *t, serving_t *s, uint32_t path, int64_t sent_us,
+    kf_upstream_failure_t failure)
 {
 	kf_upstream_state_on_failure(s->state, (int)path, t->now.mono_us,
-	    failure, serving_may_eject(t, s));
+	    sent_us, failure, serving_may_eject(t, s));
 	serving_check_ejected(t, s);
 }
 
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -281,7 +281,7 @@
 void serving_on_probe(
     kf_traffic_t *t, serving_t *s, const kf_rpc_reply_t *reply);
 void serving_failed(kf_traffic_t *t, serving_t *s, uint32_t path,
-    kf_upstream_failure_t failure);
+    int64_t sent_us, kf_upstream_failure_t failure);
 void serving_delete(serving_t *s);
 bool serving_owned(const kf_traffic_t *t, const serving_t *s);
 bool serving_usable(const kf_traffic_t *t, const serving_t *s);
