--- a/standin/platform/platform.c
+++ b/standin/platform/platform.c
@@ -363,8 +363,7 @@
 	    platform_on_request, platform, MHD_OPTION_SOCK_ADDR,
 	    (struct sockaddr *)&sin, MHD_OPTION_NOTIFY_COMPLETED,
 	    platform_on_completed, platform, MHD_OPTION_CONNECTION_LIMIT,
-	    (unsigned)KF_PLATFORM_MAX_CONNECTIONS,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+	    (unsigned)KF_PLATFORM_MAX_CONNECTIONS, MHD_OPTION_END);
 	if (platform->http == NULL)
 		return kf_status_set(
 		    KF_ERR_IO, "cannot listen for HTTP: %s", strerror(errno));
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -39,7 +39,8 @@
 stop() {
 	kf_pid=$(pid_of "$1")
 	kill -"${2:-TERM}" "$kf_pid" 2>/dev/null
-	wait "$kf_pid"
+	# The shell reports a process killed by a signal on standard error.
+	wait "$kf_pid" 2>/dev/null
 	status=$?
 	kf_rest=
 	for kf_other in $kf_pids; do
@@ -69,7 +70,11 @@
 	kf_status=$?
 	trap - EXIT INT TERM
 	stop_all
-	rm -rf "$work"
+	if [ -n "${KF_KEEP:-}" ]; then
+		echo "logs: $work" >&2
+	else
+		rm -rf "$work"
+	fi
 	exit "$kf_status"
 }
 trap cleanup EXIT
--- a/tests/process/standin.sh
+++ b/tests/process/standin.sh
@@ -248,6 +248,9 @@
 	start platform "$bin/standin-platform" --listen "$net.30:8080" \
 	    --control "$net.30:8081" --dir "$work/docs" --first-version 7
 	wait_line platform.log event=ready
+	# Guards against two platforms that share an address, so that a test
+	# reads the documents of another one.
+	refused "$bin/standin-platform" --listen "$net.30:8080"
 	get /v1/doc/declaration
 	expect "first read" "$code $version $(cat "$work/body")" "200 7 one"
 	get '/v1/doc/declaration?after=7'
