Test the load generator's handling of tokens without a balancer

Cause: how the caller treats AUTH_SHORT, AUTH_TOOWEAK, AUTH_REJECTEDCRED, AUTH_FAILED and SYSTEM_ERR decides what the invariants' tests measure, and only runs with a balancer showed it. The test now revokes until the refusals were seen and compares answers with what the signal interrupted. Conclusion: the caller repeats idempotent requests after SYSTEM_ERR and never non-idempotent ones.

--- a/standin/upstream/main.c
+++ b/standin/upstream/main.c
@@ -14,6 +14,7 @@
 	OPT_REPLY_BYTES,
 	OPT_LEDGER_ENTRIES,
 	OPT_STOCK,
+	OPT_TOKENS,
 	OPT_SEED,
 };
 
@@ -46,6 +47,9 @@
 	    "Request numbers counted in memory (1048576)", 0 },
 	{ "stock", OPT_STOCK, NULL, 0,
 	    "Behaves as a server that knows no load reports", 0 },
+	{ "tokens", OPT_TOKENS, NULL, 0,
+	    "Issues and requires tokens, to test callers without a balancer",
+	    0 },
 	{ "seed", OPT_SEED, "N", 0, "Seed of the service times (1)", 0 },
 	{ 0 },
 };
@@ -201,6 +205,10 @@
 		o->defaults.stock = true;
 		return 0;
 	}
+	if (key == OPT_TOKENS) {
+		o->defaults.tokens = true;
+		return 0;
+	}
 	if (key == ARGP_KEY_END && o->count == 0)
 		argp_error(state, "--upstream is required");
 	if (arg == NULL)
--- a/standin/upstream/server.c
+++ b/standin/upstream/server.c
@@ -134,6 +134,45 @@
 	return status;
 }
 
+static kf_status_t
+command_revoke(void *ctx, int argc, char **argv, FILE *out)
+{
+	kf_sim_upstream_t *upstream;
+
+	(void)argc;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
+	kf_sim_upstream_revoke(upstream);
+	fprintf(out, "upstream=%s revoked=1", argv[1]);
+	return KF_OK;
+}
+
+static kf_status_t
+command_fault(void *ctx, int argc, char **argv, FILE *out)
+{
+	static const char *const names[KF_SIM_FAULT_COUNT] = { "refuse", "fail",
+		"corrupt" };
+	kf_sim_upstream_t *upstream;
+	kf_status_t status;
+	uint64_t count = 0;
+	int fault = 0;
+
+	(void)argc;
+	upstream = server_find(ctx, argv[1]);
+	if (upstream == NULL)
+		return KF_ERR_NOT_FOUND;
+	status = kf_sim_parse_u64(argv[2], UINT32_MAX, &count);
+	if (status != KF_OK)
+		return status;
+	while (fault + 1 < KF_SIM_FAULT_COUNT &&
+	    strcmp(names[fault], argv[0]) != 0)
+		fault++;
+	kf_sim_upstream_fault(upstream, (kf_sim_fault_t)fault, (uint32_t)count);
+	fprintf(out, "upstream=%s %s=%s", argv[1], argv[0], argv[2]);
+	return KF_OK;
+}
+
 static void
 server_print_totals(const kf_sim_server_t *server, FILE *out)
 {
@@ -181,6 +220,10 @@
 	{ "lie", 2, 2, "NAME good|bad|off", command_lie },
 	{ "restart", 1, 1, "NAME", command_restart },
 	{ "silence", 2, 2, "NAME PORT|ANY", command_silence },
+	{ "revoke", 1, 1, "NAME", command_revoke },
+	{ "refuse", 2, 2, "NAME COUNT", command_fault },
+	{ "fail", 2, 2, "NAME COUNT", command_fault },
+	{ "corrupt", 2, 2, "NAME COUNT", command_fault },
 	{ "stats", 0, 1, "[NAME]", command_stats },
 	{ "quit", 0, 0, "", command_quit },
 	{ NULL, 0, 0, NULL, NULL },
--- a/standin/upstream/upstream.c
+++ b/standin/upstream/upstream.c
@@ -4,6 +4,7 @@
 
 #include "kf/call_info.h"
 
+#include "tokens.h"
 #include "upstream.h"
 
 /* A cold upstream (empty caches) takes this many times as long. */
@@ -44,6 +45,7 @@
 	uint64_t started;
 	uint64_t answered;
 	uint64_t shed;
+	uint64_t refused;
 	uint64_t late;
 	uint64_t cancelled;
 	uint64_t wrong_incarnation;
@@ -70,6 +72,8 @@
 	bool frozen;
 	double slow;
 	kf_sim_lie_t lie;
+	kf_sim_tokens_t tokens;
+	uint32_t faults[KF_SIM_FAULT_COUNT];
 	slot_t slots[KF_SIM_MAX_SLOTS];
 	uint32_t in_flight;
 	request_t *queue; /* ring */
@@ -140,6 +144,7 @@
 upstream_accept(kf_sim_upstream_t *u, const request_t *request,
     const uint8_t *results, size_t len)
 {
+	uint8_t token[KF_SIM_TOKEN_VERIFIER_BYTES];
 	uint8_t verf[KF_LOAD_REPORT_BYTES];
 	kf_load_report_t report;
 	kf_rpc_reply_t reply = { .xid = request->xid,
@@ -148,7 +153,12 @@
 		.results = results,
 		.results_len = len };
 
-	if (u->options.stock) {
+	if (u->options.tokens) {
+		kf_sim_tokens_issue(&u->tokens, token);
+		reply.verf.flavor = KF_RPC_AUTH_SHORT;
+		reply.verf.len = sizeof(token);
+		reply.verf.body = token;
+	} else if (u->options.stock) {
 		reply.verf.flavor = request->verf_flavor;
 		reply.verf.len = request->verf_len;
 		reply.verf.body = request->verf;
@@ -162,6 +172,25 @@
 	upstream_send(u, request, &reply);
 }
 
+static bool
+upstream_take_fault(kf_sim_upstream_t *u, kf_sim_fault_t fault)
+{
+	if (u->faults[fault] == 0)
+		return false;
+	u->faults[fault]--;
+	return true;
+}
+
+static void
+upstream_fail(kf_sim_upstream_t *u, const request_t *request)
+{
+	kf_rpc_reply_t reply = { .xid = request->xid,
+		.reply_stat = KF_RPC_MSG_ACCEPTED,
+		.accept_stat = KF_RPC_SYSTEM_ERR };
+
+	upstream_send(u, request, &reply);
+}
+
 static void
 upstream_answer(
     kf_sim_upstream_t *u, const request_t *request, uint32_t executions)
@@ -173,6 +202,12 @@
 		.filler_len = u->options.reply_bytes };
 	size_t len = 0;
 
+	if (upstream_take_fault(u, KF_SIM_FAULT_FAIL)) {
+		upstream_fail(u, request);
+		return;
+	}
+	if (upstream_take_fault(u, KF_SIM_FAULT_CORRUPT))
+		result.number++;
 	memcpy(result.upstream, u->options.name, sizeof(result.upstream));
 	if (request->has_number)
 		len = kf_sim_result_write(&result, results, sizeof(results));
@@ -373,6 +408,26 @@
 	return false;
 }
 
+/* Credentials and faults; false if the call was refused. */
+static bool
+upstream_admit(
+    kf_sim_upstream_t *u, const request_t *request, const kf_rpc_call_t *call)
+{
+	uint32_t why = 0;
+
+	if (u->options.tokens)
+		why = kf_sim_tokens_check(&u->tokens, &call->cred,
+		    request->has_number &&
+			kf_sim_number_non_idempotent(request->number));
+	if (why == 0 && upstream_take_fault(u, KF_SIM_FAULT_REFUSE))
+		why = KF_RPC_AUTH_FAILED;
+	if (why == 0)
+		return true;
+	u->stats.refused++;
+	upstream_deny(u, request, why);
+	return false;
+}
+
 static void
 request_init(request_t *request, kf_addr_t src, const kf_rpc_call_t *call)
 {
@@ -408,7 +463,8 @@
 		upstream_control(u, &request, &call);
 		return;
 	}
-	if (!upstream_read_info(u, &request, &call))
+	if (!upstream_read_info(u, &request, &call) ||
+	    !upstream_admit(u, &request, &call))
 		return;
 	/* Procedure 0 does nothing and takes no slot. */
 	if (call.proc == 0)
@@ -579,6 +635,19 @@
 	upstream_begin(u);
 }
 
+void
+kf_sim_upstream_revoke(kf_sim_upstream_t *u)
+{
+	kf_sim_tokens_revoke(&u->tokens);
+}
+
+void
+kf_sim_upstream_fault(
+    kf_sim_upstream_t *u, kf_sim_fault_t fault, uint32_t count)
+{
+	u->faults[fault] = count;
+}
+
 static kf_status_t
 upstream_silence_one(kf_sim_upstream_t *u, kf_addr_t addr)
 {
@@ -619,6 +688,7 @@
 		{ "started", s->started },
 		{ "answered", s->answered },
 		{ "shed", s->shed },
+		{ "refused", s->refused },
 		{ "late", s->late },
 		{ "cancelled", s->cancelled },
 		{ "wrong_incarnation", s->wrong_incarnation },
--- a/standin/upstream/upstream.h
+++ b/standin/upstream/upstream.h
@@ -27,6 +27,14 @@
 	KF_SIM_LIE_BAD,	 /* reports a full upstream */
 } kf_sim_lie_t;
 
+/* Faults of the next calls, in the order in which a call meets them. */
+typedef enum kf_sim_fault {
+	KF_SIM_FAULT_REFUSE = 0, /* AUTH_FAILED, not run */
+	KF_SIM_FAULT_FAIL,	 /* runs, then SYSTEM_ERR */
+	KF_SIM_FAULT_CORRUPT,	 /* runs, then another request's number */
+	KF_SIM_FAULT_COUNT
+} kf_sim_fault_t;
+
 typedef struct kf_sim_upstream_options {
 	char name[KF_SIM_NAME_BYTES];
 	kf_addr_t addr;
@@ -37,6 +45,7 @@
 	uint64_t cold_s;
 	size_t reply_bytes;
 	bool stock;
+	bool tokens; /* acts as a service behind a balancer */
 	uint64_t seed;
 } kf_sim_upstream_options_t;
 
@@ -59,6 +68,10 @@
  * heard so far.
  */
 kf_status_t kf_sim_upstream_silence(kf_sim_upstream_t *upstream, uint16_t port);
+/* Makes every token issued so far invalid. */
+void kf_sim_upstream_revoke(kf_sim_upstream_t *upstream);
+void kf_sim_upstream_fault(
+    kf_sim_upstream_t *upstream, kf_sim_fault_t fault, uint32_t count);
 void kf_sim_upstream_print(const kf_sim_upstream_t *upstream, FILE *out);
 
 #endif
--- a/tests/process/standin.sh
+++ b/tests/process/standin.sh
@@ -190,6 +190,93 @@
 	    $((before + 1))
 }
 
+call_t() { # CALLER ARGUMENT...
+	caller=$1
+	shift
+	rm -f "$work/results"
+	"$bin/standin-caller" --service "$net.13:7000" --duration-s 1 \
+	    --caller "$caller" --flows 4 --think-ms 5 --service-tag 3 --seed 3 \
+	    --results "$work/results" "$@" >"$work/tokens.log" ||
+	    fail "caller failed"
+	"$bin/standin-check" --ledger "$work/ledger-t" \
+	    --results "$work/results" >"$work/check.log" 2>&1 ||
+	    fail "$(cat "$work/check.log")"
+}
+
+start_token_upstream() {
+	start tokens "$bin/standin-upstream" --tokens --service-time-us 1000 \
+	    --ledger "$work/ledger-t" --control "$net.10:7002" \
+	    --upstream "name=t,address=$net.13:7000,slots=3,service=3"
+	wait_line tokens.log event=ready
+}
+
+# Guards against a load generator that does not treat tokens as the stock
+# client does: establishes a flow when it must and uses the newest token.
+test_caller_tokens() {
+	call_t 1 --mix 1=1,2=1 --non-idempotent 2
+	requests=$(value requests "$work/tokens.log")
+	expect_some requests "$requests"
+	expect answered "$(value answered "$work/tokens.log")" "$requests"
+	expect_some tokens "$(value tokens "$work/tokens.log")"
+	call_t 2 --mix 2=1 --non-idempotent 2
+	expect established "$(value established "$work/tokens.log")" 4
+	expect retried "$(value retried "$work/tokens.log")" 4
+}
+
+# Guards against a revoked token that breaks a flow.  Each of the 4 flows is
+# refused for want of a token at first, then for its old one, then again for
+# want of one.  An answer under way while tokens are revoked carries a valid
+# one, so they are revoked until every kind of refusal was seen often enough.
+test_caller_revoked() {
+	before=$(control "$net.10:7002" stats t | value refused)
+	start revoked "$bin/standin-caller" --service "$net.13:7000" \
+	    --duration-s 60 --caller 3 --flows 4 --service-tag 3 --progress \
+	    --mix 2=1 --non-idempotent 2
+	wait_line revoked.log 'answered=[1-9]'
+	wait_for "refusals without a token" 10 refusals $((before + 4))
+	wait_for "refusals of old tokens" 10 revoke_until $((before + 12))
+	stop revoked
+	# Only what the signal interrupted may lack an answer.
+	expect answered "$(value answered "$work/revoked.log")" \
+	    "$(($(value requests "$work/revoked.log") -
+		$(value unfinished "$work/revoked.log")))"
+}
+
+revoke_until() {
+	control "$net.10:7002" revoke t >"$work/control.log"
+	refusals "$1"
+}
+
+refusals() {
+	[ "$(control "$net.10:7002" stats t | value refused)" -ge "$1" ]
+}
+
+# Guards against a repeated non-idempotent request, against a lost
+# idempotent one, and against verdicts that count wrongly.
+test_caller_outcomes() {
+	control "$net.10:7002" fail t 3 >"$work/control.log"
+	call_t 4 --mix 2=1 --non-idempotent 2
+	expect unknown "$(value unknown_outcome "$work/tokens.log")" 3
+	expect repeated "$(value repeated "$work/check.log")" 0
+	control "$net.10:7002" fail t 3 >"$work/control.log"
+	before=$(wc -l <"$work/ledger-t")
+	call_t 5 --mix 1=1
+	expect unknown "$(value unknown_outcome "$work/tokens.log")" 0
+	# The failures may meet one request more than once.
+	expect executions "$(($(wc -l <"$work/ledger-t") - before))" \
+	    "$(($(value requests "$work/tokens.log") + 3))"
+	control "$net.10:7002" refuse t 3 >"$work/control.log"
+	call_t 6 --mix 1=1
+	expect refused "$(value refused "$work/tokens.log")" 3
+	control "$net.10:7002" refuse t 3 >"$work/control.log"
+	call_t 7 --mix 1=1 --retry-refused
+	expect refused "$(value refused "$work/tokens.log")" 0
+	control "$net.10:7002" corrupt t 1 >"$work/control.log"
+	call_t 8 --mix 1=1
+	expect wrong "$(value wrong_answer "$work/tokens.log")" 1
+	stop tokens
+}
+
 # Guards against a process that does not end or gives no summary.
 test_upstream_stop() {
 	stop upstream INT
@@ -368,6 +455,10 @@
 test_silence
 test_bad_datagrams
 test_upstream_stop
+start_token_upstream
+test_caller_tokens
+test_caller_revoked
+test_caller_outcomes
 test_fabric
 test_platform_reads
 test_platform_watch
