--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -71,11 +71,15 @@
 	size_t len;
 	int path;
 
-	if (s == NULL || s->index == KF_VIEW_NONE ||
-	    t->now.mono_us >= req->deadline_us) {
+	if (t->now.mono_us >= req->deadline_us) {
 		dispatch_release(t, req, -1);
-		owner_refuse(t, req,
-		    s == NULL ? KF_REASON_NO_UPSTREAM : KF_REASON_DEADLINE);
+		owner_refuse(t, req, KF_REASON_DEADLINE);
+		return;
+	}
+	/* A view may have come between the slot and the acknowledgement. */
+	if (s == NULL || !serving_accepts(t, s, req->service)) {
+		dispatch_release(t, req, -1);
+		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
 	req->upstream_xid = next_xid(t);
@@ -191,6 +195,7 @@
 	}
 	dispatch_release(t, req, -1);
 	kf_counters_add(&t->counters, KF_COUNT_RETRIED, 1);
+	req->may_have_run = true;
 	request_decision(t, req, KF_EVENT_RETRY, KF_REASON_UPSTREAM_LOST, NULL);
 	owner_replace(t, req, index);
 }
@@ -226,6 +231,20 @@
 		peer_intent(t, req);
 }
 
+/*
+ * The backup has not acknowledged the request in time.  A silent backup may
+ * answer again, so the request is forgotten and a copy of it starts anew; one
+ * that is gone may have run it.
+ */
+static void
+dispatch_no_ack(kf_traffic_t *t, request_t *req)
+{
+	if (kf_view_liveness(t->view, req->token.backup) == KF_VM_GONE)
+		request_unknown(t, req, KF_REASON_IN_DOUBT);
+	else
+		request_forget(t, req);
+}
+
 static void
 dispatch_timeout(kf_traffic_t *t, request_t *req)
 {
@@ -240,7 +259,7 @@
 	case REQUEST_MOVING:
 	case REQUEST_REFUSING:
 		if (late)
-			request_unknown(t, req, KF_REASON_IN_DOUBT);
+			dispatch_no_ack(t, req);
 		else
 			dispatch_wait_ack(t, req);
 		break;
@@ -292,15 +311,26 @@
 	}
 }
 
+/* The caller has been told that the outcome is unknown, which stays true. */
+static void
+dispatch_late_denial(kf_traffic_t *t, request_t *req)
+{
+	dispatch_release(t, req, -1);
+	request_decision(t, req, KF_EVENT_DROP, KF_REASON_LATE_REPLY, NULL);
+	request_delete(t, req);
+}
+
 static void
 dispatch_reply(
     kf_traffic_t *t, request_t *req, serving_t *s, const kf_rpc_reply_t *reply)
 {
 	kf_load_report_t report;
 
-	if (reply->reply_stat == KF_RPC_MSG_DENIED &&
-	    req->state == REQUEST_DISPATCHED) {
-		dispatch_denied(t, req, s, reply);
+	if (reply->reply_stat == KF_RPC_MSG_DENIED) {
+		if (req->state == REQUEST_DISPATCHED)
+			dispatch_denied(t, req, s, reply);
+		else
+			dispatch_late_denial(t, req);
 		return;
 	}
 	kf_upstream_state_on_answer(s->state, (int)req->path, t->now.mono_us,
@@ -329,7 +359,7 @@
 		packet_drop(t, &late, KF_REASON_MALFORMED);
 		return;
 	}
-	if (reply.xid == s->probe_xid) {
+	if (s->probe_xid != 0 && reply.xid == s->probe_xid) {
 		serving_on_probe(t, s, &reply);
 		return;
 	}
--- a/lib/traffic/packet.c
+++ b/lib/traffic/packet.c
@@ -1,7 +1,19 @@
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "traffic_internal.h"
 
+/* An upstream takes calls of its control program from balancers only. */
+static bool
+packet_program_served(const packet_t *pkt)
+{
+	if (pkt->call.prog == KF_UPSTREAM_PROG)
+		return false;
+	return pkt->service->program == 0 ||
+	    pkt->service->program == pkt->call.prog;
+}
+
 /* Parses the call and finds its service and token. */
 kf_reason_t
 packet_parse(kf_traffic_t *t, packet_t *pkt)
@@ -12,6 +24,8 @@
 	    kf_declaration_service_at(t->view->decl, pkt->route.service);
 	if (pkt->service == NULL)
 		return KF_REASON_NO_SERVICE;
+	if (!packet_program_served(pkt))
+		return KF_REASON_NO_SERVICE;
 	pkt->proc = kf_service_procedure(pkt->service, pkt->call.proc);
 	pkt->new_flow = pkt->call.cred.flavor != KF_RPC_AUTH_SHORT;
 	if (pkt->new_flow)
@@ -45,6 +59,20 @@
 	return KF_REASON_NONE;
 }
 
+/*
+ * Identity of a call without a token: copies of it get the same flow id on
+ * every VM.
+ */
+uint64_t
+packet_hash(const packet_t *pkt)
+{
+	uint32_t key[4] = { pkt->route.caller.ip, pkt->route.caller.port,
+		pkt->call.xid, pkt->service->id };
+	uint64_t hash = XXH3_64bits(key, sizeof(key));
+
+	return hash == 0 ? 1 : hash;
+}
+
 static void
 packet_decision(
     kf_traffic_t *t, const packet_t *pkt, kf_event_t event, kf_reason_t reason)
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -6,13 +6,19 @@
 
 #include "kf/call_info.h"
 #include "kf/peer_seal.h"
+#include "kf/proxy.h"
 #include "kf/rpc.h"
 #include "kf/traffic.h"
 #include "kf/upstream.h"
 
 enum {
 	DATAGRAM_MAX_BYTES = 65507,
+	/* A reply travels behind a PROXY header. */
+	REPLY_MAX_BYTES = DATAGRAM_MAX_BYTES - KF_PROXY_HEADER_BYTES,
+	/* A request forwarded this often is served where it is. */
 	FORWARD_HOPS_MAX = 2,
+	/* A copy follows the moves of its request, and then to a backup. */
+	COPY_HOPS_MAX = 2 * FORWARD_HOPS_MAX + 1,
 	/* Interval at which an unacknowledged INTENT is sent again. */
 	INTENT_RETRY_US = 50000,
 	ATTEMPTS_MAX = 3,
@@ -29,10 +35,10 @@
 	uint8_t token_bytes[KF_TOKEN_BYTES];
 	kf_token_t token;
 	bool has_token;
-	bool expired;	/* the token is past its expiry */
-	bool new_flow;	/* the call came without a token */
-	uint32_t hops;	/* times forwarded */
-	bool to_backup; /* the sender holds the owner for dead */
+	bool expired;	   /* the token is past its expiry */
+	bool new_flow;	   /* the call came without a token */
+	uint32_t hops;	   /* times forwarded */
+	bool may_have_run; /* an attempt at another VM got no reply */
 } packet_t;
 
 typedef enum request_state {
@@ -49,7 +55,8 @@
 typedef struct request {
 	struct request *next;
 	struct request *prev;
-	kf_request_id_t id; /* key of by_id */
+	struct request *requeue_next; /* taken out of a queue by a view */
+	kf_request_id_t id;	      /* key of by_id */
 	request_state_t state;
 	kf_route_t route;
 	kf_token_t token;	/* as it came with the request */
@@ -65,6 +72,7 @@
 	bool alone;    /* the backup need not acknowledge */
 	bool acked;    /* the backup has acknowledged */
 	bool new_flow;
+	bool may_have_run; /* idempotent: an attempt or a copy of it */
 	bool has_slot;
 	bool deleted; /* freed at the end of the sweep */
 	kf_reason_t refuse_reason;
@@ -83,7 +91,8 @@
 /* What this shard keeps of an upstream it sends requests to. */
 typedef struct serving {
 	uint32_t id;
-	uint32_t index; /* into the declaration, or KF_VIEW_NONE */
+	uint32_t index;	  /* into the declaration, or KF_VIEW_NONE */
+	uint32_t service; /* id */
 	kf_addr_t addr;
 	kf_upstream_state_t *state;
 	bool ejected;	    /* as last logged */
@@ -114,6 +123,8 @@
 	int64_t ended_us;
 } lease_t;
 
+typedef struct recent recent_t;
+
 struct kf_traffic {
 	kf_traffic_config_t config;
 	kf_view_t *view;
@@ -123,15 +134,19 @@
 	kf_share_sequence_t shares;
 	kf_random_t random;
 	uint32_t next_xid;
-	int64_t last_tick_us;
+	bool fenced;
+	/* Until then copies of a request may be at another VM. */
+	int64_t unstable_until_us;
 	kf_time_t now; /* of the event being handled */
 	apr_pool_t *pool;
 	apr_hash_t *by_id;   /* request_t by id.flow and id.xid */
 	apr_hash_t *by_xid;  /* request_t by upstream_xid */
 	apr_hash_t *serving; /* serving_t by id */
 	apr_hash_t *leases;  /* lease_t by key */
+	recent_t *recent;
 	request_t *requests;
 	request_t *deleted; /* unlinked during a sweep */
+	request_t *requeue; /* taken out of their queues by a view */
 	bool sweeping;
 	uint32_t request_count;
 	kf_candidate_t *candidates; /* scratch, one per upstream */
@@ -144,6 +159,7 @@
 kf_reason_t packet_parse(kf_traffic_t *t, packet_t *pkt);
 kf_reason_t packet_set_token(
     kf_traffic_t *t, packet_t *pkt, const uint8_t *token, size_t len);
+uint64_t packet_hash(const packet_t *pkt);
 void packet_drop(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_refuse(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_unknown(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
@@ -173,6 +189,7 @@
 void reply_denied(
     kf_traffic_t *t, const kf_route_t *route, uint32_t xid, kf_reason_t reason);
 void reply_unknown(kf_traffic_t *t, const kf_route_t *route, uint32_t xid);
+void reply_no_program(kf_traffic_t *t, const packet_t *pkt);
 void reply_null(kf_traffic_t *t, const packet_t *pkt, const kf_token_t *token);
 size_t reply_build(kf_traffic_t *t, const request_t *req,
     const kf_rpc_reply_t *upstream_reply, const kf_token_t *token);
@@ -199,6 +216,13 @@
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_intent *intent);
 void backup_on_done(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_done *done);
 
+/* recent.c */
+recent_t *recent_new(void);
+void recent_note(
+    kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t reason);
+bool recent_find(
+    const kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t *reason);
+
 /* lease.c */
 void lease_update(kf_traffic_t *t);
 void lease_tick(kf_traffic_t *t);
@@ -234,6 +258,8 @@
 void serving_delete(serving_t *s);
 bool serving_owned(const kf_traffic_t *t, const serving_t *s);
 bool serving_usable(const kf_traffic_t *t, const serving_t *s);
+bool serving_accepts(
+    const kf_traffic_t *t, const serving_t *s, uint32_t service);
 
 /* request.c */
 request_t *request_new(kf_traffic_t *t, const packet_t *pkt);
@@ -246,6 +272,7 @@
 void request_moved(kf_traffic_t *t, request_t *req, const kf_token_t *token);
 void request_refuse_now(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void request_unknown(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void request_forget(kf_traffic_t *t, request_t *req);
 void request_silent(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void request_record(kf_traffic_t *t, request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
