Check the invariants of the traffic core over random scripts

Two properties over random interleavings of three cores: one with deaths, pauses, disagreeing views, lost, late and doubled datagrams, restarted and silent upstreams; one with planned changes only, where every request must get its answer first. A third test breaks one rule at a time and expects the check for it to fail.

--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -58,7 +58,8 @@
 	int answered = 0;
 	int denied = 0;
 	int unknown = 0;
-	uint32_t auth_stat = 0; /* of the last denial */
+	bool refused_first = false; /* told something else than its answer */
+	uint32_t auth_stat = 0;	    /* of the last denial */
 	bool idempotent() const
 	{
 		return proc < 10;
@@ -68,6 +69,7 @@
 struct Caller {
 	kf_addr_t addr;
 	kf_addr_t service;
+	uint32_t service_id;
 	Bytes token; /* empty: AUTH_SYS */
 	uint32_t next_xid;
 };
@@ -261,6 +263,7 @@
 			if (strcmp(decl->services[i].name, service) == 0)
 				c.service = decl->services[i].addr;
 		}
+		c.service_id = kf_name_id(service);
 		c.next_xid = 100;
 		callers.push_back(c);
 		return (int)callers.size() - 1;
@@ -269,8 +272,6 @@
 	int NewRequest(int caller, uint32_t proc)
 	{
 		Caller &c = callers[(size_t)caller];
-		const kf_service_t *service =
-		    kf_declaration_service_at(Declaration(), c.service);
 		uint8_t args[8], sys[32], buf[1024];
 		kf_rpc_sys_t id = { 42, 43 };
 		kf_rpc_call_t call = {};
@@ -278,7 +279,7 @@
 
 		r.caller = caller;
 		r.xid = c.next_xid++;
-		r.service = service == nullptr ? 0 : service->id;
+		r.service = c.service_id;
 		r.proc = proc;
 		kf_put_u32(args, (uint32_t)requests.size());
 		kf_put_u32(args + 4, r.service);
@@ -713,6 +714,10 @@
 			return;
 		}
 		Request &r = requests[i];
+		if (r.answered == 0 &&
+		    (reply.reply_stat == KF_RPC_MSG_DENIED ||
+			reply.accept_stat != KF_RPC_SUCCESS))
+			r.refused_first = true;
 		if (reply.reply_stat == KF_RPC_MSG_DENIED ||
 		    (mutations.deny_unknown && reply.accept_stat != 0)) {
 			r.denied++;
--- /dev/null
+++ b/tests/unit/traffic_property_test.cc
@@ -0,0 +1,501 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "support/traffic_world.h"
+
+namespace {
+
+using namespace kf_test;
+
+enum { VMS = 3, CALLERS = 3, TOKEN_LIFETIME_S = 100 };
+
+/* Small limits, so that scripts reach evictions, full tables and expiry. */
+void
+SmallLimits(kf_traffic_config_t *config)
+{
+	config->token_lifetime_s = TOKEN_LIFETIME_S;
+	config->flow_limits.max_flows = 24;
+	config->flow_limits.max_reply_bytes = 3000;
+	config->flow_limits.idle_expiry_us =
+	    (int64_t)(TOKEN_LIFETIME_S + KF_RETRANSMIT_HORIZON_S) * 1000000;
+}
+
+/* Runs one script: each number chooses an event and its details. */
+class Script {
+      public:
+	Script(bool planned, const Mutations &mutations)
+	    : planned_(planned), w_(MakeOptions())
+	{
+		w_.mutations = mutations;
+		/* Without failures nothing may end by its deadline. */
+		text_.deadline_ms = planned ? 60000 : 2000;
+		w_.Declare(text_.Build());
+		w_.ViewAll();
+		w_.Run(20);
+		for (int i = 0; i < CALLERS; i++) {
+			w_.Establish(i == 2 ? "certs" : "orders", (size_t)i);
+			sent_us_.push_back(w_.now_us);
+		}
+		Publish();
+	}
+
+	void Step(uint32_t number)
+	{
+		unsigned kind = number % 64;
+
+		w_.log.push_back("# event " + std::to_string(kind));
+		StepKind(number, kind);
+	}
+	void StepKind(uint32_t number, unsigned kind)
+	{
+
+		pick_ = number / 64;
+		if (kind < 24)
+			DeliverOne();
+		else if (kind < 32)
+			SendNew();
+		else if (kind < 38)
+			Resend();
+		else if (kind < 45)
+			Advance(10 + (int64_t)Pick(5) * 10);
+		else if (kind < 48)
+			w_.Settle();
+		else if (kind < 52)
+			w_.View(Pick(VMS));
+		else if (kind < 54)
+			Redeclare();
+		else if (kind == 54)
+			Leave();
+		else if (!planned_)
+			Disturb(kind);
+	}
+	/* Heals everything and lets all requests end. */
+	void Finish()
+	{
+		for (size_t vm = 0; vm < VMS; vm++) {
+			w_.paused[vm] = false;
+			Believe(vm, KF_VM_ALIVE);
+		}
+		for (auto &u : w_.upstreams) {
+			u.second.mode = ANSWER;
+			w_.Release(u.first);
+		}
+		w_.ViewAll();
+		w_.Settle();
+		w_.Run(planned_ ? 200 : 4000);
+		if (w_.violation.empty() && w_.InProgress() != 0)
+			w_.violation = "a request never ends";
+		for (const Request &r : w_.requests) {
+			if (planned_ && w_.violation.empty() &&
+			    (r.answered == 0 || r.refused_first))
+				w_.violation = "request not answered";
+		}
+	}
+	const std::string &Violation() const
+	{
+		return w_.violation;
+	}
+	const World &GetWorld() const
+	{
+		return w_;
+	}
+
+      private:
+	static Options MakeOptions()
+	{
+		Options options;
+
+		options.vms = VMS;
+		options.config = SmallLimits;
+		return options;
+	}
+	unsigned Pick(size_t bound)
+	{
+		unsigned result = pick_ % (unsigned)bound;
+
+		pick_ /= (unsigned)bound;
+		return result;
+	}
+	bool Deliverable(size_t i) const
+	{
+		return w_.Deliverable(w_.events[i]);
+	}
+	void DeliverOne()
+	{
+		if (w_.events.empty())
+			return;
+		size_t i = Pick(w_.events.size());
+		if (!Deliverable(i))
+			return;
+		unsigned fate = Pick(16);
+		if (!planned_ && fate == 0)
+			w_.events.erase(w_.events.begin() + (long)i);
+		else
+			/* A copy of a call is the upstream's concern. */
+			w_.Step(i,
+			    !planned_ && fate < 3 &&
+				w_.events[i].kind != Event::CALL);
+	}
+	size_t RunningVm()
+	{
+		size_t vm = Pick(VMS);
+
+		while (!w_.Runs(vm) && vm < 2 * VMS)
+			vm = vm + 1 < VMS ? vm + 1 : 2 * VMS;
+		return vm;
+	}
+	void SendNew()
+	{
+		static const uint32_t procs[] = { 11, 11, 11, 12, 1, 2, 3, 0 };
+		int caller = (int)Pick(CALLERS);
+		uint32_t proc = procs[Pick(8)];
+		size_t vm = RunningVm();
+
+		if (vm >= VMS)
+			return;
+		w_.Send(caller, proc, vm);
+		sent_us_.push_back(w_.now_us);
+	}
+	/* A caller gives a request up at the retransmission horizon. */
+	void Resend()
+	{
+		size_t back = Pick(8) + 1, vm = RunningVm();
+
+		if (vm >= VMS || back > w_.requests.size())
+			return;
+		size_t i = w_.requests.size() - back;
+		if (w_.now_us - sent_us_[i] <
+		    (int64_t)(KF_RETRANSMIT_HORIZON_S - 20) * 1000000)
+			w_.Deliver((int)i, vm);
+	}
+	void Advance(int64_t ms)
+	{
+		w_.now_us += ms * 1000;
+		w_.Tick();
+	}
+	void Publish()
+	{
+		for (size_t vm = 0; vm < VMS; vm++)
+			w_.View(vm);
+	}
+	/* Each VM adopts the declaration with its next view. */
+	void Redeclare()
+	{
+		static const char *const names[] = { "", "a", "b", "c" };
+
+		text_.revision++;
+		text_.drained = names[Pick(4)];
+		text_.removed = names[Pick(4)];
+		text_.moved = Pick(4) == 0 ? names[Pick(4)] : "";
+		text_.slots = 1 + Pick(3);
+		if (text_.removed == text_.drained)
+			text_.removed = "";
+		/* orders keeps an upstream. */
+		if (text_.moved == text_.drained ||
+		    text_.moved == text_.removed)
+			text_.moved = "";
+		if (!text_.moved.empty() && !text_.removed.empty())
+			text_.removed = "";
+		if (!planned_ && Pick(16) == 0)
+			text_.orders = false;
+		else
+			text_.orders = true;
+		if (!w_.Declare(text_.Build()))
+			w_.violation = "bad declaration: " + w_.errors;
+	}
+	/* A planned stop: the VM exits when it has had nothing to do for 2 s.
+	 */
+	void Leave()
+	{
+		size_t vm = Pick(VMS);
+
+		if (w_.dead[vm] || w_.paused[vm])
+			return;
+		if (!w_.leaving[vm]) {
+			if (Living() > 1 && Renew())
+				w_.leaving[vm] = true;
+			return;
+		}
+		w_.Settle();
+		Publish();
+		w_.Run(2500);
+		w_.Settle();
+		if (kf_traffic_in_progress(w_.Traffic(vm)) != 0)
+			return;
+		w_.Kill(vm);
+		if (planned_ || Pick(2) == 0) {
+			w_.SetLiveAll(vm, KF_VM_GONE);
+			Publish();
+		}
+	}
+	/*
+	 * Planned stops follow one another, and no flow is idle while it loses
+	 * its owner and its backup.
+	 */
+	bool Renew()
+	{
+		size_t vm = RunningVm();
+
+		if (!planned_)
+			return true;
+		for (size_t i = 0; i < VMS; i++) {
+			if (w_.leaving[i] && !w_.dead[i])
+				return false;
+		}
+		if (vm >= VMS)
+			return false;
+		Publish();
+		for (int i = 0; i < CALLERS; i++) {
+			w_.Send(i, 0, vm);
+			sent_us_.push_back(w_.now_us);
+		}
+		return true;
+	}
+	unsigned Living() const
+	{
+		unsigned n = 0;
+
+		for (size_t vm = 0; vm < VMS; vm++)
+			n += !w_.dead[vm] && !w_.leaving[vm];
+		return n;
+	}
+	/* Definite evidence exists only of VMs that have ended. */
+	void Believe(size_t vm, kf_liveness_t liveness)
+	{
+		for (size_t i = 0; i < VMS; i++) {
+			if (i != vm && !w_.dead[vm])
+				w_.SetLive(i, vm, liveness);
+		}
+	}
+	void BelieveOne(size_t observer, size_t vm)
+	{
+		static const kf_liveness_t states[] = { KF_VM_ALIVE,
+			KF_VM_UNKNOWN, KF_VM_SUSPECT, KF_VM_DEAD };
+		unsigned state = Pick(5);
+
+		if (observer == vm || gone_.count({ observer, vm }) != 0)
+			return;
+		if (w_.dead[vm] && state == 4) {
+			gone_.insert({ observer, vm });
+			w_.SetLive(observer, vm, KF_VM_GONE);
+		} else {
+			w_.SetLive(observer, vm,
+			    w_.dead[vm] ? KF_VM_DEAD : states[state % 4]);
+		}
+		if (w_.Runs(observer))
+			w_.View(observer);
+	}
+	void Disturb(unsigned kind)
+	{
+		static const char *const names[] = { "a", "b", "c", "d" };
+		std::string name = names[Pick(4)];
+		size_t vm = Pick(VMS);
+
+		switch (kind) {
+		case 55:
+			w_.paused[vm] = !w_.paused[vm];
+			break;
+		case 56:
+			if (Pick(6) == 0 && Living() > 1)
+				w_.Kill(vm);
+			break;
+		case 57:
+		case 58:
+			BelieveOne(vm, Pick(VMS));
+			break;
+		case 59:
+			w_.upstreams[name].mode = (Mode)Pick(5);
+			break;
+		case 60:
+			w_.Release(name);
+			break;
+		case 61:
+			RestartOrBreak(name, vm);
+			break;
+		case 62:
+			for (int i = 0; i < 40; i++)
+				Advance(100);
+			break;
+		default:
+			Sleep();
+			break;
+		}
+	}
+	void RestartOrBreak(const std::string &name, size_t vm)
+	{
+		if (Pick(2) == 0) {
+			w_.upstreams[name].incarnation++;
+			w_.upstreams[name].held.clear();
+		} else if (w_.Runs(vm)) {
+			w_.Unreachable(name, vm, Pick(2));
+		}
+	}
+	/* Nothing stays on its way for as long as callers wait. */
+	void Sleep()
+	{
+		if (Pick(3) != 0)
+			return;
+		w_.events.clear();
+		for (auto &u : w_.upstreams)
+			u.second.held.clear();
+		for (int i = 0; i < 13; i++)
+			Advance(10000);
+		w_.events.clear();
+	}
+
+	bool planned_;
+	unsigned pick_ = 0;
+	Text text_;
+	World w_;
+	std::vector<int64_t> sent_us_;
+	std::set<std::pair<size_t, size_t>> gone_;
+};
+
+std::string
+RunScript(bool planned, const Mutations &mutations,
+    const std::vector<uint32_t> &numbers, bool print = false)
+{
+	Script script(planned, mutations);
+
+	for (uint32_t n : numbers) {
+		script.Step(n);
+		if (!script.Violation().empty())
+			break;
+	}
+	if (script.Violation().empty())
+		script.Finish();
+	if (print) {
+		for (const std::string &line : script.GetWorld().log)
+			printf("%s\n", line.c_str());
+	}
+	return script.Violation();
+}
+
+/* Leaves out events as long as the script breaks the same rule. */
+std::vector<uint32_t>
+Shorten(bool planned, const Mutations &mutations, std::vector<uint32_t> script,
+    const std::string &violation)
+{
+	for (size_t block = script.size() / 2; block > 0; block /= 2) {
+		for (size_t i = 0; i + block <= script.size();) {
+			std::vector<uint32_t> shorter = script;
+
+			shorter.erase(shorter.begin() + (long)i,
+			    shorter.begin() + (long)(i + block));
+			if (RunScript(planned, mutations, shorter) == violation)
+				script = shorter;
+			else
+				i += block;
+		}
+	}
+	return script;
+}
+
+/*
+ * Returns the rule that a script breaks, or nothing.  Events depend on the ones
+ * before, so Shorten replaces the library's shrinking of single numbers.
+ */
+std::string
+CheckScripts(bool planned, int scripts)
+{
+	const size_t length = planned ? 120 : 200;
+	rc::detail::TestParams params;
+	rc::detail::TestMetadata metadata;
+	std::vector<uint32_t> failed;
+	std::string violation;
+
+	params.seed = 20261204;
+	params.maxSuccess = scripts;
+	params.disableShrinking = true;
+	rc::detail::checkTestable(
+	    [&]() {
+		    auto numbers = *rc::gen::resize(rc::kNominalSize,
+			rc::gen::container<std::vector<uint32_t>>(
+			    length, rc::gen::arbitrary<uint32_t>()));
+
+		    violation = RunScript(planned, Mutations(), numbers);
+		    failed = numbers;
+		    RC_ASSERT(violation.empty());
+	    },
+	    metadata, params);
+	if (violation.empty())
+		return "";
+	failed = Shorten(planned, Mutations(), failed, violation);
+	printf("%zu events:\n", failed.size());
+	RunScript(planned, Mutations(), failed, true);
+	return violation;
+}
+
+/* Whether some script reports exactly this violation. */
+bool
+Sees(bool planned, const Mutations &mutations, const std::string &expected)
+{
+	kf_random_t random = { 20261204 };
+	const int scripts = 3000;
+
+	for (int i = 0; i < scripts; i++) {
+		std::vector<uint32_t> numbers;
+
+		for (int j = 0; j < 200; j++)
+			numbers.push_back((uint32_t)kf_random_next(&random));
+		if (RunScript(planned, mutations, numbers) == expected)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Guards against a second execution, a false refusal, an answer or upstream of
+ * another request, work for a draining upstream and requests that never end,
+ * when VMs die, pause and disagree and datagrams are lost, late or doubled.
+ */
+TEST(TrafficProperty, HoldsUnderFailures)
+{
+	EXPECT_EQ("", CheckScripts(false, 6000));
+}
+
+/* Guards against planned changes that leave a request without its answer. */
+TEST(TrafficProperty, EveryRequestIsAnsweredAtPlannedChanges)
+{
+	EXPECT_EQ("", CheckScripts(true, 3000));
+}
+
+struct Mutant {
+	const char *name;
+	bool Mutations::*rule;
+	bool planned;
+	const char *expected;
+};
+
+/* Guards against checks that cannot fail. */
+TEST(TrafficProperty, EveryRuleIsNeeded)
+{
+	static const Mutant mutants[] = {
+		{ "ack_nacks", &Mutations::ack_nacks, false,
+		    "request executed twice" },
+		{ "forge_acks", &Mutations::forge_acks, false,
+		    "request executed twice" },
+		{ "deny_unknown", &Mutations::deny_unknown, false,
+		    "refused as not run after execution" },
+		{ "swap_answers", &Mutations::swap_answers, false,
+		    "answer of another request" },
+		{ "misroute", &Mutations::misroute, true,
+		    "request to an upstream of another service" },
+		{ "stale_views", &Mutations::stale_views, true,
+		    "new request to a draining upstream" },
+		{ "lose_answers", &Mutations::lose_answers, true,
+		    "request not answered" },
+		{ "no_ticks", &Mutations::no_ticks, false,
+		    "a request never ends" },
+	};
+
+	for (const Mutant &m : mutants) {
+		Mutations mutations;
+
+		mutations.*m.rule = true;
+		/* A mutation may break several rules; each must be seen. */
+		EXPECT_TRUE(Sees(m.planned, mutations, m.expected)) << m.name;
+	}
+}
+
+} // namespace
