--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -29,6 +29,7 @@
 	if (stored[0] == STORED_REPLY) {
 		t->config.ops.send_caller(
 		    t->config.ops.ctx, &pkt->route, stored + 1, len - 1);
+		packet_decision(t, pkt, KF_EVENT_REPLAY, KF_REASON_NONE);
 		return;
 	}
 	/* The new owner may have ended in turn; its backup then decides. */
--- a/lib/traffic/packet.c
+++ b/lib/traffic/packet.c
@@ -73,7 +73,7 @@
 	return hash == 0 ? 1 : hash;
 }
 
-static void
+void
 packet_decision(
     kf_traffic_t *t, const packet_t *pkt, kf_event_t event, kf_reason_t reason)
 {
@@ -88,7 +88,8 @@
 		.revision = t->view == NULL ? 0 : t->view->decl->revision,
 	};
 
-	kf_counters_reason(&t->counters, reason);
+	if (reason != KF_REASON_NONE)
+		kf_counters_reason(&t->counters, reason);
 	t->config.ops.decision(t->config.ops.ctx, &decision);
 }
 
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -161,6 +161,8 @@
 kf_reason_t packet_set_token(
     kf_traffic_t *t, packet_t *pkt, const uint8_t *token, size_t len);
 uint64_t packet_hash(const packet_t *pkt);
+void packet_decision(
+    kf_traffic_t *t, const packet_t *pkt, kf_event_t event, kf_reason_t reason);
 void packet_drop(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_refuse(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_unknown(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
--- /dev/null
+++ b/tests/unit/golden_test.cc
@@ -0,0 +1,354 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "support/traffic_world.h"
+
+/*
+ * Golden sessions.  A file in tests/golden/traffic holds commands, on lines
+ * that start with "> ", each followed by the decisions and datagrams that it
+ * causes.  The runner executes the commands and compares the whole text.  With
+ * KF_GOLDEN_UPDATE set it writes the files instead.
+ *
+ *	new VMS			start over; slow start is over
+ *	set KEY VALUE		of the declaration: drained, removed, moved,
+ *				slots, deadline_ms, canary ("upstream share
+ *				from start_s ramp_s")
+ *	declare			publish the declaration with a new revision
+ *	flow NAME CORE		establish a flow of service orders
+ *	call NAME PROC CORE	send a request; 11 and 12 are non-idempotent
+ *	again N CORE		send the same datagram of request N again
+ *	flood NAME PROC CORE N	send N requests
+ *	warm NAME N		answer N requests unseen, for the retry budget
+ *	run MS			let time pass
+ *	believe VM LIVENESS	all others hold the VM for ...
+ *	pause|resume|kill|leave VM
+ *	mode UPSTREAM MODE	answer, hold, silent, shed, wrong
+ *	release UPSTREAM	answer what the upstream holds
+ *	silence UPSTREAM PATH	nothing passes on the path until it is replaced
+ *	places N		upstreams of N new flows
+ *	result			outcome of each request since the last result
+ */
+namespace {
+
+using namespace kf_test;
+namespace fs = std::filesystem;
+
+const fs::path kDir =
+    fs::path(__FILE__).parent_path() / ".." / "golden" / "traffic";
+
+class Session {
+      public:
+	std::string Run(const std::string &script)
+	{
+		std::istringstream in(script);
+		std::string line, out;
+
+		while (std::getline(in, line)) {
+			if (line.rfind("# ", 0) == 0 || line.empty())
+				out += line + "\n";
+			if (line.rfind("> ", 0) != 0)
+				continue;
+			out += line + "\n";
+			Command(line.substr(2));
+			out += Output();
+		}
+		return out;
+	}
+
+      private:
+	typedef void (Session::*Handler)(std::istringstream &);
+
+	void Command(const std::string &line)
+	{
+		static const std::map<std::string, Handler> handlers = {
+			{ "new", &Session::New },
+			{ "set", &Session::Set },
+			{ "declare", &Session::Declare },
+			{ "flow", &Session::Flow },
+			{ "call", &Session::Call },
+			{ "again", &Session::Again },
+			{ "flood", &Session::Flood },
+			{ "warm", &Session::Warm },
+			{ "run", &Session::RunFor },
+			{ "believe", &Session::Believe },
+			{ "pause", &Session::Pause },
+			{ "resume", &Session::Resume },
+			{ "kill", &Session::Kill },
+			{ "leave", &Session::Leave },
+			{ "mode", &Session::SetMode },
+			{ "release", &Session::Release },
+			{ "silence", &Session::Silence },
+			{ "places", &Session::Places },
+			{ "result", &Session::Result },
+		};
+		std::istringstream in(line);
+		std::string name;
+
+		in >> name;
+		auto it = handlers.find(name);
+		if (it == handlers.end())
+			extra_ += "unknown command\n";
+		else
+			(this->*it->second)(in);
+	}
+	std::string Output()
+	{
+		std::string out = extra_;
+
+		extra_.clear();
+		if (w_ == nullptr)
+			return out;
+		for (std::string line : w_->log) {
+			while (line.back() == ' ')
+				line.pop_back();
+			out += line + "\n";
+		}
+		w_->log.clear();
+		if (!w_->violation.empty())
+			out += "VIOLATION " + w_->violation + "\n";
+		return out;
+	}
+	size_t Number(std::istringstream &in)
+	{
+		size_t n = 0;
+
+		in >> n;
+		return n;
+	}
+	std::string Word(std::istringstream &in)
+	{
+		std::string word;
+
+		in >> word;
+		return word;
+	}
+
+	void New(std::istringstream &in)
+	{
+		Options options;
+
+		options.vms = (uint32_t)Number(in);
+		w_ = std::make_unique<World>(options);
+		text_ = Text();
+		w_->Declare(text_.Build());
+		w_->ViewAll();
+		w_->Run(31000);
+		w_->log.clear();
+		reported_ = 0;
+	}
+	void Set(std::istringstream &in)
+	{
+		std::string key = Word(in);
+
+		if (key == "canary")
+			SetCanary(in);
+		else if (key == "drained")
+			text_.drained = Word(in);
+		else if (key == "removed")
+			text_.removed = Word(in);
+		else if (key == "slots")
+			text_.slots = (uint32_t)Number(in);
+		else
+			extra_ += "unknown setting\n";
+	}
+	/* Upstream c is of the new generation; a and b share the rest. */
+	void SetCanary(std::istringstream &in)
+	{
+		size_t share = Number(in), from = Number(in);
+		int64_t start_s =
+		    w_->Now().wall_ms / 1000 + (int64_t)Number(in);
+		size_t ramp_s = Number(in);
+		std::string ramp = "ramp_start_s = " + std::to_string(start_s) +
+		    "\nramp_s = " + std::to_string(ramp_s) + "\n";
+
+		text_.selectors = "[selector canary]\nservice = orders\n"
+				  "match = gen=new\nshare_percent = " +
+		    std::to_string(share) +
+		    "\nramp_from_percent = " + std::to_string(from) + "\n" +
+		    ramp +
+		    "[selector rest]\nservice = orders\n"
+		    "match = gen=old\nshare_percent = " +
+		    std::to_string(100 - share) +
+		    "\nramp_from_percent = " + std::to_string(100 - from) +
+		    "\n" + ramp;
+	}
+	void Declare(std::istringstream &)
+	{
+		text_.revision++;
+		if (!w_->Declare(text_.Build()))
+			extra_ += w_->errors;
+		w_->ViewAll();
+		w_->Settle();
+	}
+	void Flow(std::istringstream &in)
+	{
+		std::string name = Word(in);
+
+		callers_[name] = w_->Establish("orders", Number(in));
+		reported_ = w_->requests.size();
+	}
+	void Call(std::istringstream &in)
+	{
+		int caller = callers_[Word(in)];
+		size_t proc = Number(in);
+
+		w_->Send(caller, (uint32_t)proc, Number(in));
+		w_->Settle();
+	}
+	void Again(std::istringstream &in)
+	{
+		size_t request = Number(in);
+
+		w_->Deliver((int)request, Number(in));
+		w_->Settle();
+	}
+	void Flood(std::istringstream &in)
+	{
+		int caller = callers_[Word(in)];
+		size_t proc = Number(in), core = Number(in), n = Number(in);
+
+		for (size_t i = 0; i < n; i++)
+			w_->Send(caller, (uint32_t)proc, core);
+		w_->Settle();
+	}
+	void Warm(std::istringstream &in)
+	{
+		int caller = callers_[Word(in)];
+
+		for (size_t n = Number(in); n > 0; n--) {
+			w_->Send(caller, 1, 0);
+			w_->Settle();
+		}
+		w_->log.clear();
+		reported_ = w_->requests.size();
+	}
+	void RunFor(std::istringstream &in)
+	{
+		w_->Run((int64_t)Number(in));
+	}
+	void Believe(std::istringstream &in)
+	{
+		static const std::map<std::string, kf_liveness_t> states = {
+			{ "alive", KF_VM_ALIVE }, { "dead", KF_VM_DEAD },
+			{ "gone", KF_VM_GONE }, { "unknown", KF_VM_UNKNOWN }
+		};
+		size_t vm = Number(in);
+
+		w_->SetLiveAll(vm, states.at(Word(in)));
+		w_->ViewAll();
+		w_->Settle();
+	}
+	void Pause(std::istringstream &in)
+	{
+		w_->paused[Number(in)] = true;
+	}
+	void Resume(std::istringstream &in)
+	{
+		w_->paused[Number(in)] = false;
+	}
+	void Kill(std::istringstream &in)
+	{
+		w_->Kill(Number(in));
+	}
+	void Leave(std::istringstream &in)
+	{
+		w_->leaving[Number(in)] = true;
+		w_->ViewAll();
+		w_->Settle();
+	}
+	void SetMode(std::istringstream &in)
+	{
+		static const std::map<std::string, Mode> modes = { { "answer",
+								       ANSWER },
+			{ "hold", HOLD }, { "silent", SILENT },
+			{ "shed", SHED }, { "wrong", WRONG_INCARNATION } };
+		std::string name = Word(in);
+
+		w_->upstreams[name].mode = modes.at(Word(in));
+	}
+	void Release(std::istringstream &in)
+	{
+		w_->Release(Word(in));
+		w_->Settle();
+	}
+	void Silence(std::istringstream &in)
+	{
+		std::string name = Word(in);
+
+		w_->upstreams[name].silent_paths.insert((uint32_t)Number(in));
+	}
+	void Places(std::istringstream &in)
+	{
+		std::map<std::string, int> counts;
+		size_t n = Number(in);
+
+		for (size_t i = 0; i < n; i++)
+			counts[w_->UpstreamOf(w_->Establish("orders", 0))]++;
+		w_->log.clear();
+		for (const auto &c : counts)
+			extra_ +=
+			    c.first + " " + std::to_string(c.second) + "\n";
+		reported_ = w_->requests.size();
+	}
+	void Result(std::istringstream &)
+	{
+		std::map<std::string, int> outcomes;
+
+		for (; reported_ < w_->requests.size(); reported_++) {
+			const Request &r = w_->requests[reported_];
+
+			outcomes["executed=" + std::to_string(r.executed) +
+			    " answered=" + std::to_string(r.answered) +
+			    " denied=" + std::to_string(r.denied) +
+			    " unknown=" + std::to_string(r.unknown)]++;
+		}
+		for (const auto &o : outcomes)
+			extra_ += std::to_string(o.second) + " requests " +
+			    o.first + "\n";
+	}
+
+	std::unique_ptr<World> w_;
+	Text text_;
+	std::map<std::string, int> callers_;
+	std::string extra_;
+	size_t reported_ = 0;
+};
+
+std::vector<std::string>
+Sessions()
+{
+	std::vector<std::string> names;
+
+	for (const auto &entry : fs::directory_iterator(kDir))
+		if (entry.path().extension() == ".txt")
+			names.push_back(entry.path().stem().string());
+	std::sort(names.begin(), names.end());
+	return names;
+}
+
+class Golden : public ::testing::TestWithParam<std::string> {};
+
+/* Guards against a decision or message that changes without notice. */
+TEST_P(Golden, Traffic)
+{
+	fs::path path = kDir / (GetParam() + ".txt");
+	std::ostringstream expected;
+	expected << std::ifstream(path).rdbuf();
+	std::string got = Session().Run(expected.str());
+
+	if (getenv("KF_GOLDEN_UPDATE") != nullptr)
+		std::ofstream(path) << got;
+	else
+		EXPECT_EQ(expected.str(), got);
+	EXPECT_EQ(std::string::npos, got.find("VIOLATION"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sessions, Golden, ::testing::ValuesIn(Sessions()),
+    [](const auto &info) { return info.param; });
+
+} // namespace
