Serve counters over HTTP and complete the status report

Cause: operators had counters only through a call to the control program, and the report lacked the age of the last contact with the platform, the parameters of a ramp, zone names and the age of a VM's last heartbeat. The age of a digest came from the view, which is published only when a digest changes, so that it grew for an idle upstream that was heard all the time.

The port is off unless metrics_address is set.

Ruled out: serving HTTP from the control thread, because a scraper that stalls would then hold heartbeats; and letting the HTTP thread sum the threads' counters, because the control thread owns the sum.

The fields of the status change the encoding of one procedure of program 0x20004b58 version 1: knapctl and balancers are built from one revision. Transfer of documents between balancers is unchanged.

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -404,6 +404,12 @@
 	return &c->counters;
 }
 
+int32_t
+kf_control_platform_age_ms(const kf_control_t *c, kf_time_t now)
+{
+	return kf_confdist_confirmed_age_ms(c->confdist, now.mono_us);
+}
+
 bool
 kf_control_knows_ip(const kf_control_t *c, uint32_t ip)
 {
--- a/lib/control/digests.c
+++ b/lib/control/digests.c
@@ -101,15 +101,20 @@
 }
 
 const kf_view_digest_t *
-digests_find(void *ctx, uint32_t upstream_id)
+kf_control_digest(const kf_control_t *c, uint32_t upstream)
 {
-	kf_control_t *c = ctx;
 	digest_entry_t *entry;
 
-	entry = apr_hash_get(c->digests, &upstream_id, sizeof(upstream_id));
+	entry = apr_hash_get(c->digests, &upstream, sizeof(upstream));
 	return entry == NULL ? NULL : &entry->digest;
 }
 
+const kf_view_digest_t *
+digests_find(void *ctx, uint32_t upstream_id)
+{
+	return kf_control_digest(ctx, upstream_id);
+}
+
 void
 digests_delete(kf_control_t *c)
 {
--- a/lib/control/include/kf/control.h
+++ b/lib/control/include/kf/control.h
@@ -98,6 +98,14 @@
 const kf_membership_t *kf_control_membership(const kf_control_t *c);
 const kf_view_t *kf_control_view(const kf_control_t *c);
 const kf_counters_t *kf_control_counters(const kf_control_t *c);
+/* The last digest of an upstream, newer than the view's, or NULL. */
+const kf_view_digest_t *kf_control_digest(
+    const kf_control_t *c, uint32_t upstream);
+/*
+ * Age of the last answer of the platform to this VM or to one that it heard
+ * from, or KF_CONFIRMED_NEVER_MS.
+ */
+int32_t kf_control_platform_age_ms(const kf_control_t *c, kf_time_t now);
 /* Whether an IP address belongs to a VM of the fleet or to a seed. */
 bool kf_control_knows_ip(const kf_control_t *c, uint32_t ip);
 
--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -13,6 +13,7 @@
 
 #include "control_thread.h"
 #include "fetch.h"
+#include "metrics.h"
 #include "status_report.h"
 
 enum {
@@ -32,6 +33,7 @@
 	kf_logger_t *logger;
 	kf_control_t *core;
 	fetch_t *fetch;
+	metrics_t *metrics; /* NULL: off */
 	traffic_thread_t **traffic;
 	uint32_t traffic_count;
 	apr_pool_t *report_pool;
@@ -93,9 +95,11 @@
 rpc_status(void *ctx, kf_rpc_status *status)
 {
 	control_thread_t *t = ctx;
+	status_sum_t sum = { 0 };
 
-	status_report_fill(status, t->report_pool, t->settings.name, t->now,
-	    t->core, t->traffic, t->traffic_count);
+	status_report_sum(&sum, t->core, t->traffic, t->traffic_count);
+	status_report_fill(
+	    status, t->report_pool, &t->settings, t->now, t->core, &sum);
 }
 
 /*
@@ -195,6 +199,15 @@
 	return t->core == NULL ? KF_ERR_NO_MEMORY : KF_OK;
 }
 
+static kf_status_t
+open_metrics(control_thread_t *t)
+{
+	if (t->settings.metrics_address.port == 0)
+		return KF_OK;
+	t->metrics = metrics_new(t->settings.metrics_address);
+	return t->metrics == NULL ? KF_ERR_IO : KF_OK;
+}
+
 control_thread_t *
 control_thread_new(const kf_settings_t *settings, kf_vm_id_t self,
     traffic_thread_t **traffic, uint32_t traffic_count, kf_logger_t *logger)
@@ -216,7 +229,7 @@
 	if (kf_udp_open(settings->control_address, KF_UDP_ERRORS,
 		&t->control_fd) != KF_OK ||
 	    open_signals(t) != KF_OK || open_rpc(t) != KF_OK ||
-	    make_core(t, self) != KF_OK ||
+	    open_metrics(t) != KF_OK || make_core(t, self) != KF_OK ||
 	    (t->fetch = fetch_new(settings->platform_url)) == NULL) {
 		control_thread_delete(t);
 		return NULL;
@@ -229,6 +242,7 @@
 {
 	if (t == NULL)
 		return;
+	metrics_delete(t->metrics);
 	fetch_delete(t->fetch);
 	kf_control_delete(t->core);
 	if (t->control_fd >= 0)
@@ -335,6 +349,21 @@
 	return in_progress;
 }
 
+static void
+update_metrics(control_thread_t *t)
+{
+	metrics_values_t values = {
+		.revision = kf_control_doc(t->core, KF_DOC_DECLARATION)
+				.version.revision,
+		.platform_age_ms = kf_control_platform_age_ms(t->core, t->now),
+	};
+
+	if (t->metrics == NULL)
+		return;
+	status_report_sum(&values.sum, t->core, t->traffic, t->traffic_count);
+	metrics_set(t->metrics, &values);
+}
+
 /* Returns false when a leaving VM may stop. */
 static bool
 control_tick(control_thread_t *t)
@@ -343,6 +372,7 @@
 		t->digest_us = t->now.mono_us;
 		if (collect_traffic(t) > 0)
 			t->busy_us = t->now.mono_us;
+		update_metrics(t);
 	}
 	kf_control_on_tick(t->core, t->now);
 	return !t->leaving || t->now.mono_us - t->busy_us < DRAIN_IDLE_US;
--- a/lib/net/status_report.c
+++ b/lib/net/status_report.c
@@ -17,10 +17,35 @@
 	return index == KF_VIEW_NONE ? "-" : view->vms[index].name;
 }
 
+/* Returns -1 if the event never happened. */
+static int64_t
+age_ms(kf_time_t now, int64_t at_us, int64_t never_us)
+{
+	return at_us == never_us ? -1 : (now.mono_us - at_us) / 1000;
+}
+
+/* VM lists and heartbeats carry zone ids; names come from the declaration. */
+static char *
+zone_text(apr_pool_t *pool, const kf_settings_t *settings,
+    const kf_view_t *view, uint32_t zone)
+{
+	uint32_t i;
+
+	if (zone == settings->zone)
+		return text(pool, settings->zone_name);
+	for (i = 0; view != NULL && i < view->decl->upstream_count; i++) {
+		if (view->decl->upstreams[i].zone == zone)
+			return text(pool, view->decl->upstreams[i].zone_name);
+	}
+	return apr_psprintf(pool, "%08x", zone);
+}
+
 static void
-fill_vms(kf_rpc_status *status, apr_pool_t *pool, const kf_control_t *control)
+fill_vms(kf_rpc_status *status, apr_pool_t *pool, kf_time_t now,
+    const kf_settings_t *settings, const kf_control_t *control)
 {
 	const kf_membership_t *m = kf_control_membership(control);
+	const kf_view_t *view = kf_control_view(control);
 	size_t count = kf_membership_count(m), i;
 	kf_member_t member;
 
@@ -34,20 +59,24 @@
 		vm->name = text(pool, member.name);
 		vm->id = member.id.vm;
 		vm->incarnation = member.id.incarnation;
-		vm->zone = member.zone;
-		vm->addr = member.peer.ip;
-		vm->port = member.peer.port;
+		vm->zone = zone_text(pool, settings, view, member.zone);
+		vm->addr = member.control.ip;
+		vm->port = member.control.port;
 		vm->liveness = (u_int)(i == 0 ? KF_VM_ALIVE : member.liveness);
 		vm->leaving = member.leaving;
+		vm->heard_age_ms =
+		    i == 0 ? 0 : age_ms(now, member.heard_us, -1);
 	}
 }
 
 static void
-fill_upstream(kf_rpc_upstream *out, apr_pool_t *pool, const kf_view_t *view,
-    uint32_t index, kf_time_t now)
+fill_upstream(kf_rpc_upstream *out, apr_pool_t *pool, kf_time_t now,
+    const kf_control_t *control, uint32_t index)
 {
+	const kf_view_t *view = kf_control_view(control);
 	const kf_upstream_t *u = &view->decl->upstreams[index];
 	const kf_view_upstream_t *vu = &view->upstreams[index];
+	const kf_view_digest_t *digest = kf_control_digest(control, u->id);
 
 	out->name = text(pool, u->name);
 	out->service = text(pool, view->decl->services[u->service].name);
@@ -55,20 +84,42 @@
 	out->owner = text(pool, vm_name(view, vu->owner));
 	out->backup = text(pool, vm_name(view, vu->backup));
 	out->slots = u->slots;
-	out->load = vu->digest.load;
-	out->flags = vu->digest.flags;
 	out->draining = u->draining;
-	out->incarnation = vu->digest.incarnation;
-	out->heard_age_ms = vu->digest.heard_us == 0
-	    ? -1
-	    : (int)((now.mono_us - vu->digest.heard_us) / 1000);
+	out->heard_age_ms = -1;
+	if (digest == NULL)
+		return;
+	out->load = digest->load;
+	out->flags = digest->flags;
+	out->incarnation = digest->incarnation;
+	out->heard_age_ms = age_ms(now, digest->heard_us, 0);
+}
+
+static u_int
+share_milli_percent(double percent)
+{
+	return (u_int)(percent * 1000 + 0.5);
+}
+
+static void
+fill_selector(kf_rpc_selector *out, apr_pool_t *pool, kf_time_t now,
+    const kf_declaration_t *decl, const kf_selector_t *s)
+{
+	out->name = text(pool, s->name);
+	out->service = text(pool, decl->services[s->service].name);
+	out->declared_share = share_milli_percent(s->share_percent);
+	out->effective_share =
+	    share_milli_percent(kf_selector_share(s, now.wall_ms));
+	out->ramp_from_share = share_milli_percent(s->ramp_from_percent);
+	out->ramp_start_s = s->ramp_start_s;
+	out->ramp_s = s->ramp_s;
+	out->upstreams = s->upstream_count;
 }
 
 static void
-fill_declaration(kf_rpc_status *status, apr_pool_t *pool, const kf_view_t *view,
-    kf_time_t now)
+fill_declaration(kf_rpc_status *status, apr_pool_t *pool, kf_time_t now,
+    const kf_control_t *control)
 {
-	const kf_declaration_t *decl = view->decl;
+	const kf_declaration_t *decl = kf_control_view(control)->decl;
 	uint32_t i;
 
 	status->revision = decl->revision;
@@ -77,21 +128,13 @@
 	    pool, (decl->upstream_count + 1) * sizeof(kf_rpc_upstream));
 	for (i = 0; i < decl->upstream_count; i++)
 		fill_upstream(
-		    &status->upstreams.upstreams_val[i], pool, view, i, now);
+		    &status->upstreams.upstreams_val[i], pool, now, control, i);
 	status->selectors.selectors_len = decl->selector_count;
 	status->selectors.selectors_val = apr_pcalloc(
 	    pool, (decl->selector_count + 1) * sizeof(kf_rpc_selector));
-	for (i = 0; i < decl->selector_count; i++) {
-		const kf_selector_t *s = &decl->selectors[i];
-		kf_rpc_selector *out = &status->selectors.selectors_val[i];
-
-		out->name = text(pool, s->name);
-		out->service = text(pool, decl->services[s->service].name);
-		out->declared_share = (u_int)(s->share_percent * 1000 + 0.5);
-		out->effective_share =
-		    (u_int)(kf_selector_share(s, now.wall_ms) * 1000 + 0.5);
-		out->upstreams = s->upstream_count;
-	}
+	for (i = 0; i < decl->selector_count; i++)
+		fill_selector(&status->selectors.selectors_val[i], pool, now,
+		    decl, &decl->selectors[i]);
 }
 
 static void
@@ -120,39 +163,55 @@
 }
 
 void
-status_report_fill(kf_rpc_status *status, apr_pool_t *pool, const char *name,
-    kf_time_t now, const kf_control_t *control, traffic_thread_t **traffic,
-    uint32_t traffic_count)
+status_report_sum(status_sum_t *sum, const kf_control_t *control,
+    traffic_thread_t **traffic, uint32_t traffic_count)
 {
-	const kf_view_t *view = kf_control_view(control);
-	kf_counters_t sum = { 0 };
 	traffic_snapshot_t snapshot;
 	uint32_t i;
 
-	status->name = text(pool, name);
-	status->keys_version =
-	    kf_control_doc(control, KF_DOC_KEYS).version.platform_version;
-	status->vms_version =
-	    kf_control_doc(control, KF_DOC_VMS).version.platform_version;
-	kf_counters_sum(&sum, kf_control_counters(control));
+	kf_counters_sum(&sum->counters, kf_control_counters(control));
 	for (i = 0; i < traffic_count; i++) {
-		kf_counters_sum(&sum, traffic_thread_counters(traffic[i]));
+		kf_counters_sum(
+		    &sum->counters, traffic_thread_counters(traffic[i]));
 		if (traffic_thread_snapshot(traffic[i], &snapshot) != KF_OK)
 			continue;
-		status->requests_in_progress += snapshot.in_progress;
-		status->flows += snapshot.flows.flows;
-		status->flow_bytes +=
+		sum->requests_in_progress += snapshot.in_progress;
+		sum->flows += snapshot.flows.flows;
+		sum->flow_bytes +=
 		    snapshot.flows.memory_bytes + snapshot.flows.reply_bytes;
 		free(snapshot.upstreams);
 	}
-	fill_vms(status, pool, control);
-	fill_counters(status, pool, &sum);
-	if (view == NULL)
-		return;
+}
+
+static void
+fill_view(kf_rpc_status *status, const kf_view_t *view)
+{
 	status->vm = view->self.vm;
 	status->incarnation = view->self.incarnation;
 	status->settled = view->settled;
 	status->leaving = view->leaving;
 	status->declaration_version = view->declaration_version;
-	fill_declaration(status, pool, view, now);
+}
+
+void
+status_report_fill(kf_rpc_status *status, apr_pool_t *pool,
+    const kf_settings_t *settings, kf_time_t now, const kf_control_t *control,
+    const status_sum_t *sum)
+{
+	status->name = text(pool, settings->name);
+	status->keys_version =
+	    kf_control_doc(control, KF_DOC_KEYS).version.platform_version;
+	status->vms_version =
+	    kf_control_doc(control, KF_DOC_VMS).version.platform_version;
+	status->platform_age_ms = kf_control_platform_age_ms(control, now);
+	status->wall_ms = (u_quad_t)now.wall_ms;
+	status->requests_in_progress = sum->requests_in_progress;
+	status->flows = sum->flows;
+	status->flow_bytes = sum->flow_bytes;
+	fill_vms(status, pool, now, settings, control);
+	fill_counters(status, pool, &sum->counters);
+	if (kf_control_view(control) == NULL)
+		return;
+	fill_view(status, kf_control_view(control));
+	fill_declaration(status, pool, now, control);
 }
--- a/lib/rpc/control_prog.x
+++ b/lib/rpc/control_prog.x
@@ -17,11 +17,14 @@
 	string name<KF_RPC_NAME_MAX>;
 	unsigned int id;
 	unsigned hyper incarnation;
-	unsigned int zone;
+	string zone<KF_RPC_NAME_MAX>;
+	/* Address of heartbeats. */
 	unsigned int addr;
 	unsigned int port;
 	unsigned int liveness;
 	unsigned int leaving;
+	/* -1: never. */
+	hyper heard_age_ms;
 };
 
 struct kf_rpc_upstream {
@@ -35,7 +38,8 @@
 	unsigned int flags;
 	unsigned int draining;
 	unsigned hyper incarnation;
-	int heard_age_ms;
+	/* Age of the last digest; -1: none. */
+	hyper heard_age_ms;
 };
 
 struct kf_rpc_counter {
@@ -49,6 +53,10 @@
 	/* Thousandths of a percent. */
 	unsigned int declared_share;
 	unsigned int effective_share;
+	unsigned int ramp_from_share;
+	hyper ramp_start_s;
+	/* 0: no ramp. */
+	hyper ramp_s;
 	unsigned int upstreams;
 };
 
@@ -62,6 +70,9 @@
 	unsigned hyper declaration_version;
 	unsigned hyper keys_version;
 	unsigned hyper vms_version;
+	/* Age of the last answer of the platform known here; -1: none. */
+	int platform_age_ms;
+	hyper wall_ms;
 	unsigned int requests_in_progress;
 	unsigned int flows;
 	unsigned hyper flow_bytes;
--- a/lib/settings/include/kf/settings.h
+++ b/lib/settings/include/kf/settings.h
@@ -47,6 +47,7 @@
 	kf_addr_t peer_address;	   /* shard i adds i to the port */
 	kf_addr_t control_address; /* heartbeats */
 	kf_addr_t rpc_address;	   /* operator RPC over TCP */
+	kf_addr_t metrics_address; /* counters over HTTP; port 0: off */
 	uint32_t traffic_threads;
 	kf_encapsulation_t encapsulation;
 
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -35,6 +35,8 @@
 	    .text = "heartbeats, UDP" },
 	{ "vm", "rpc_address", KF_FIELD_ADDR, PLACE(rpc_address),
 	    .text = "operator RPC, TCP" },
+	{ "vm", "metrics_address", KF_FIELD_ADDR, PLACE(metrics_address),
+	    .fallback = "", .text = "counters over HTTP, TCP; absent: off" },
 	{ "vm", "traffic_threads", KF_FIELD_U32, PLACE(traffic_threads),
 	    .unit = "threads", .min = 1, .max = KF_SETTINGS_MAX_THREADS,
 	    .fallback = "1", .text = "traffic threads" },
@@ -206,6 +208,18 @@
 		    reader, 0, "vm: control_address is a port of peer_address");
 }
 
+/* The RPC server listens on the control address as well. */
+static void
+check_metrics(const kf_settings_t *settings, kf_reader_t *reader)
+{
+	if (kf_addr_equal(settings->metrics_address, settings->rpc_address))
+		kf_reader_error(reader, 0,
+		    "vm: metrics_address and rpc_address are the same");
+	if (kf_addr_equal(settings->metrics_address, settings->control_address))
+		kf_reader_error(reader, 0,
+		    "vm: metrics_address and control_address are the same");
+}
+
 kf_settings_t *
 kf_settings_parse(const char *file, const char *text, size_t len,
     kf_error_fn *on_error, void *ctx)
@@ -227,8 +241,10 @@
 	reader.section_count = build_sections(sections);
 	reader.target = settings;
 	kf_reader_run(&reader, text, len, KF_DOCUMENT_MAX_BYTES);
-	if (reader.error_count == 0)
+	if (reader.error_count == 0) {
 		check_addresses(settings, &reader);
+		check_metrics(settings, &reader);
+	}
 	if (reader.error_count > 0) {
 		kf_settings_delete(settings);
 		return NULL;
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -40,6 +40,7 @@
 	EXPECT_EQ(kf_name_id("b1"), s->vm_id);
 	EXPECT_EQ(kf_name_id("akl-a"), s->zone);
 	EXPECT_EQ(7300, s->ingress_address.port);
+	EXPECT_EQ(0, s->metrics_address.port);
 	EXPECT_EQ(1u, s->traffic_threads);
 	EXPECT_EQ(KF_ENCAPSULATION_PROXY_V2, s->encapsulation);
 	EXPECT_EQ(10000, s->poll_wait_ms);
@@ -55,13 +56,16 @@
 
 TEST(Settings, ValuesAreRead)
 {
-	kf_settings_t *s = Parse(kVm + "traffic_threads = 16\n" +
-	    "encapsulation = none\n" + kPlatform +
-	    "seeds = 127.0.0.2:7000  127.0.0.3:7000\n"
-	    "[log]\nlevel = debug\nfile = /tmp/b1.log\n");
+	kf_settings_t *s =
+	    Parse(kVm + "traffic_threads = 16\n" + "encapsulation = none\n" +
+		"metrics_address = 127.0.0.1:7400\n" + kPlatform +
+		"seeds = 127.0.0.2:7000  127.0.0.3:7000\n"
+		"[log]\nlevel = debug\nfile = /tmp/b1.log\n");
 
 	ASSERT_NE(nullptr, s) << errors;
 	EXPECT_EQ(16u, s->traffic_threads);
+	EXPECT_EQ(0x7f000001u, s->metrics_address.ip);
+	EXPECT_EQ(7400, s->metrics_address.port);
 	EXPECT_EQ(KF_ENCAPSULATION_NONE, s->encapsulation);
 	ASSERT_EQ(2u, s->seed_count);
 	EXPECT_EQ(0x7f000003u, s->seeds[1].ip);
@@ -122,6 +126,19 @@
 	EXPECT_NE(std::string::npos, errors.find("go past port 65535"));
 }
 
+/* Guards against two TCP listeners on one port. */
+TEST(Settings, RefusesMetricsOnAnRpcPort)
+{
+	EXPECT_EQ(nullptr,
+	    Parse(kVm + "metrics_address = 127.0.0.1:7200\n" + kPlatform));
+	EXPECT_EQ(
+	    "s:0: vm: metrics_address and rpc_address are the same\n", errors);
+	EXPECT_EQ(nullptr,
+	    Parse(kVm + "metrics_address = 127.0.0.1:7000\n" + kPlatform));
+	EXPECT_EQ("s:0: vm: metrics_address and control_address are the same\n",
+	    errors);
+}
+
 /* Guards against a default outside the range it belongs to. */
 TEST(Settings, EveryDefaultIsValid)
 {
