Add knapctl show

Cause: nothing showed what running balancers believe, or which of them are behind the newest revision.

Servers are asked one after the other; one that does not answer is named on standard error, gets a row state=unreachable and makes the exit status 1. "--format human" is now called table; the old word still works.

Ruled out: computing effective shares in the tool from the declaration; it would show what a balancer should believe instead of what it does.

--- a/bin/knapctl/command.c
+++ b/bin/knapctl/command.c
@@ -12,7 +12,7 @@
 	{ .name = "format",
 	    .key = 'f',
 	    .arg = "FORMAT",
-	    .doc = "human (default) or kv, one key=value line per row" },
+	    .doc = "table (default) or kv, one key=value line per row" },
 	{ 0 },
 };
 
@@ -33,10 +33,10 @@
 		return ARGP_ERR_UNKNOWN;
 	if (strcmp(arg, "kv") == 0)
 		common->format = FORMAT_KV;
-	else if (strcmp(arg, "human") == 0)
+	else if (strcmp(arg, "table") == 0 || strcmp(arg, "human") == 0)
 		common->format = FORMAT_HUMAN;
 	else
-		argp_error(state, "'%s' is not human or kv", arg);
+		argp_error(state, "'%s' is not table or kv", arg);
 	return 0;
 }
 
--- a/bin/knapctl/command.h
+++ b/bin/knapctl/command.h
@@ -18,7 +18,7 @@
 
 enum {
 	EXIT_OK = 0,
-	EXIT_FINDING = 1, /* refused, or a finding */
+	EXIT_FINDING = 1, /* refused, unreachable, or a finding */
 	EXIT_USAGE = 2,
 };
 
@@ -32,6 +32,7 @@
 int command_diff(int argc, char **argv);
 int command_explain(int argc, char **argv);
 int command_keys(int argc, char **argv);
+int command_show(int argc, char **argv);
 
 /* Options that several subcommands have. */
 typedef struct common_options {
--- a/bin/knapctl/main.c
+++ b/bin/knapctl/main.c
@@ -15,6 +15,7 @@
 	{ "explain", "show where the flows of a declaration go",
 	    command_explain },
 	{ "keys", "list the keys of documents and settings", command_keys },
+	{ "show", "show what running balancers believe", command_show },
 };
 
 enum { COMMAND_COUNT = sizeof(commands) / sizeof(commands[0]) };
@@ -77,7 +78,8 @@
 		    stream, "  %-10s %s\n", commands[i].name, commands[i].text);
 	fprintf(stream,
 	    "\n'knapctl COMMAND --help' lists the options of a command.\n"
-	    "Exit status: 0 no finding, 1 refused or finding, 2 usage.");
+	    "Exit status: 0 no finding, 1 refused, unreachable or finding, 2 "
+	    "usage.");
 	fclose(stream);
 	return list;
 }
@@ -85,7 +87,8 @@
 static const struct argp argp = {
 	.parser = parse_option,
 	.args_doc = "COMMAND [ARGUMENT...]",
-	.doc = "Checks and explains the documents of knapweedfield.\v",
+	.doc = "Checks and explains the documents of knapweedfield and shows "
+	       "the state of its balancers.\v",
 	.help_filter = help_filter,
 };
 
--- a/tests/process/knapctl.sh
+++ b/tests/process/knapctl.sh
@@ -63,7 +63,7 @@
 usage explain --point 65536 $dir/base.ini
 usage explain --at now $dir/base.ini
 usage keys --format xml
-for command in "" check diff explain keys; do
+for command in "" check diff explain keys show; do
 	# shellcheck disable=SC2086
 	"$knapctl" $command --help >/dev/null || fail "$command --help"
 done
