--- /dev/null
+++ b/tests/process/manual.sh
@@ -0,0 +1,67 @@
+#!/bin/sh
+# Compares the options in the manual pages with those of the programs.
+# Guards against a page that lacks an option or describes one that is gone.
+set -u
+bin=$1/bin
+out=$1/test-output/manual
+mkdir -p "$out"
+failed=0
+
+fail() {
+	echo "$*"
+	failed=1
+}
+
+# Long options of a help text on standard input, one a line.
+help_options() {
+	sed -n 's/^  \(-., \|    \)--\([a-z-]*\).*/\2/p'
+}
+
+# Long options with their letters, as "x long" or "- long".
+help_letters() {
+	sed -n 's/^  -\(.\), --\([a-z-]*\).*/\1 \2/p'
+}
+
+page_options() {
+	sed -n 's/^\.It Fl \(. , \)\{0,1\}-\([a-z-]*\).*/\2/p' "$1"
+}
+
+# page PROGRAM HELP: the options of both must be the same.
+page() {
+	page=$(ls man/"$1".[18] 2>/dev/null)
+	[ -f "$page" ] || {
+		fail "no manual page of $1"
+		return
+	}
+	help_options <"$2" | sort -u >"$out/help"
+	page_options "$page" | sort -u >"$out/page"
+	[ -s "$out/help" ] || fail "$1: no options in --help"
+	diff -u "$out/page" "$out/help" ||
+	    fail "$page differs from the options of $1"
+	help_letters <"$2" | while read -r letter long; do
+		grep -qF ".It Fl $letter , -$long" "$page" ||
+		    echo "$page lacks -$letter for --$long"
+	done >"$out/letters"
+	[ ! -s "$out/letters" ] || fail "$(cat "$out/letters")"
+	mandoc -T lint -W warning "$page" || fail "$page: not well-formed"
+}
+
+for program in "$bin"/knapweedd "$bin"/standin-*; do
+	"$program" --help >"$out/text" || fail "$program --help"
+	page "$(basename "$program")" "$out/text"
+done
+"$bin/knapctl" --help >"$out/text"
+for command in $("$bin/knapctl" --help |
+    sed -n '/^Commands:/,/^$/s/^  \([a-z]*\) .*/\1/p'); do
+	"$bin/knapctl" "$command" --help >>"$out/text"
+	grep -q "^\.It Cm $command\$" man/knapctl.1 ||
+	    fail "man/knapctl.1 lacks the command $command"
+done
+page knapctl "$out/text"
+[ "$(grep -c '^Usage: ' "$out/text")" -ge 6 ] || fail "commands not found"
+# A page of a program that is gone.
+for page in man/*.[18]; do
+	[ -x "$bin/$(basename "$page" | sed 's/\.[18]$//')" ] ||
+	    fail "no program of $page"
+done
+exit $failed
