Bound the dispatch recursion, keep warm upstreams warm, outlive a clock set back

Cause: each request that could not be sent emptied the queue one call deeper; a new owner of an upstream began slow start again; peers ignored a process whose clock had been set back across a restart. Ruled out: a longer queue timeout and a stored incarnation (VMs have no disks).

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -381,6 +381,14 @@
 	control_publish_if_changed(c);
 }
 
+uint64_t
+kf_control_newer_self(const kf_control_t *c)
+{
+	uint64_t newest = kf_membership_newer_self(c->membership);
+
+	return newest > c->config.membership.self.incarnation ? newest : 0;
+}
+
 kf_doc_t
 kf_control_doc(const kf_control_t *c, kf_doc_kind_t kind)
 {
--- a/lib/control/include/kf/control.h
+++ b/lib/control/include/kf/control.h
@@ -93,6 +93,13 @@
 
 void kf_control_set_leaving(kf_control_t *c, kf_time_t now);
 
+/*
+ * Returns the newest incarnation of this VM that peers report if it is above
+ * the own one, else 0.  Peers ignore this process then: its clock was set back
+ * while it was restarted.
+ */
+uint64_t kf_control_newer_self(const kf_control_t *c);
+
 /* For operators and for peers that fetch documents. */
 kf_doc_t kf_control_doc(const kf_control_t *c, kf_doc_kind_t kind);
 const kf_membership_t *kf_control_membership(const kf_control_t *c);
--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -32,6 +32,7 @@
 
 struct control_thread {
 	kf_settings_t settings;
+	kf_vm_id_t self;
 	kf_logger_t *logger;
 	kf_control_t *core;
 	fetch_t *fetch;
@@ -42,7 +43,7 @@
 	int control_fd;
 	int signal_fd;
 	bool leaving;
-	bool restart; /* leaves in order to start over */
+	uint64_t restart_above; /* leaves in order to start over; 0: to end */
 	bool ending;
 	int64_t leaving_us;
 	int64_t busy_us; /* when a request was last in progress */
@@ -222,6 +223,7 @@
 	if (t == NULL)
 		return NULL;
 	t->settings = *settings;
+	t->self = self;
 	t->logger = logger;
 	t->traffic = traffic;
 	t->traffic_count = traffic_count;
@@ -305,7 +307,7 @@
 	struct signalfd_siginfo info;
 
 	while (read(t->signal_fd, &info, sizeof(info)) == sizeof(info)) {
-		t->restart = false;
+		t->restart_above = 0;
 		if (t->leaving)
 			continue;
 		t->leaving = true;
@@ -316,15 +318,17 @@
 	}
 }
 
-/* Leaves and starts over as a new incarnation, which no backup has fenced. */
+/* Leaves and starts over as an incarnation above the one given. */
 static void
-restart_fenced(control_thread_t *t)
+restart_above(control_thread_t *t, uint64_t incarnation, const char *reason)
 {
 	if (t->leaving)
 		return;
-	t->leaving = t->restart = true;
+	t->leaving = true;
+	t->restart_above = incarnation;
 	t->busy_us = t->leaving_us = t->now.mono_us;
-	kf_logger_event(t->logger, KF_LOG_WARN, "restarting", "reason=fenced");
+	kf_logger_event(
+	    t->logger, KF_LOG_WARN, "restarting", "reason=%s", reason);
 	kf_control_set_leaving(t->core, t->now);
 }
 
@@ -340,7 +344,7 @@
 			continue;
 		in_progress += snapshot.in_progress;
 		if (snapshot.fenced)
-			restart_fenced(t);
+			restart_above(t, t->self.incarnation, "fenced");
 		for (j = 0; j < snapshot.upstream_count; j++) {
 			const kf_traffic_upstream_t *u = &snapshot.upstreams[j];
 
@@ -395,6 +399,8 @@
 static bool
 control_tick(control_thread_t *t)
 {
+	uint64_t newer;
+
 	if (t->now.mono_us - t->digest_us >= DIGEST_US) {
 		t->digest_us = t->now.mono_us;
 		if (collect_traffic(t) > 0)
@@ -402,10 +408,13 @@
 		update_metrics(t);
 	}
 	kf_control_on_tick(t->core, t->now);
+	newer = kf_control_newer_self(t->core);
+	if (newer != 0)
+		restart_above(t, newer, "newer_incarnation_known");
 	return !t->leaving || !end_traffic(t);
 }
 
-bool
+uint64_t
 control_thread_run(control_thread_t *t)
 {
 	struct pollfd fds[POLL_MAX];
@@ -443,5 +452,5 @@
 			read_signal(t);
 		kf_control_server_handle(fds + FD_RPC, rpc);
 	}
-	return t->restart;
+	return t->restart_above;
 }
--- a/lib/net/control_thread.h
+++ b/lib/net/control_thread.h
@@ -14,7 +14,8 @@
  * DESCRIPTION
  *	Runs on the calling thread until a signal ends it.  SIGTERM and
  *	SIGINT make the VM leave: it stops when no request is in progress.
- *	A VM that a backup has fenced leaves in the same way and starts over.
+ *	A VM that a backup has fenced, or that peers take for an older process
+ *	than one they know, leaves in the same way and starts over.
  */
 
 typedef struct control_thread control_thread_t;
@@ -22,8 +23,11 @@
 control_thread_t *control_thread_new(const kf_settings_t *settings,
     kf_vm_id_t self, traffic_thread_t **traffic, uint32_t traffic_count,
     kf_logger_t *logger);
-/* Returns true if the process is to start over as a new incarnation. */
-bool control_thread_run(control_thread_t *thread);
+/*
+ * Returns 0 if the process is to end, or the incarnation above which it is to
+ * start over.
+ */
+uint64_t control_thread_run(control_thread_t *thread);
 void control_thread_delete(control_thread_t *thread);
 
 #endif
--- a/lib/net/daemon.c
+++ b/lib/net/daemon.c
@@ -22,9 +22,12 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
-/* Runs one incarnation; *restart tells whether another is to follow. */
+/*
+ * Runs an incarnation above *above, and sets that to 0 or to the one that the
+ * next must exceed.
+ */
 static kf_status_t
-run_threads(const kf_settings_t *settings, kf_logger_t *logger, bool *restart)
+run_threads(const kf_settings_t *settings, kf_logger_t *logger, uint64_t *above)
 {
 	traffic_thread_t *traffic[KF_SETTINGS_MAX_THREADS] = { 0 };
 	kf_vm_id_t self = {
@@ -35,6 +38,10 @@
 	kf_status_t status = KF_OK;
 	uint32_t i;
 
+	/* Peers ignore an incarnation below one that they know. */
+	if (self.incarnation <= *above)
+		self.incarnation = *above + 1;
+	*above = 0;
 	for (i = 0; i < settings->traffic_threads; i++) {
 		traffic[i] = traffic_thread_new(settings, self, i, logger);
 		if (traffic[i] == NULL)
@@ -52,7 +59,7 @@
 		    "incarnation=%llu shards=%u",
 		    (unsigned long long)self.incarnation,
 		    settings->traffic_threads);
-		*restart = control_thread_run(control);
+		*above = control_thread_run(control);
 	} else
 		kf_logger_event(logger, KF_LOG_ERROR, "start_failed",
 		    "reason=\"%s\"", kf_status_message());
@@ -67,7 +74,7 @@
 {
 	kf_logger_t *logger;
 	kf_status_t status;
-	bool restart;
+	uint64_t above = 0;
 
 	block_signals();
 	if (apr_initialize() != APR_SUCCESS)
@@ -77,9 +84,8 @@
 	if (logger == NULL)
 		return KF_ERR_IO;
 	do {
-		restart = false;
-		status = run_threads(settings, logger, &restart);
-	} while (status == KF_OK && restart);
+		status = run_threads(settings, logger, &above);
+	} while (status == KF_OK && above != 0);
 	kf_logger_event(logger, KF_LOG_INFO, "stopped", "status=%s",
 	    kf_status_name(status));
 	kf_logger_delete(logger);
--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -102,15 +102,24 @@
 	    t->config.ops.ctx, s->id, s->addr, req->path, t->buf, len);
 }
 
-/* Dispatches queued requests while the upstream has free slots. */
+/*
+ * Dispatches queued requests while the upstream has free slots.  A request that
+ * cannot be sent gives its slot back, which leads here again; the outer call
+ * goes on then, so that a long queue does not take a deep stack.
+ */
 void
 dispatch_pump(kf_traffic_t *t, uint32_t upstream)
 {
+	uint32_t outer = t->pumping;
 	request_t *req;
 
+	if (outer == upstream)
+		return;
+	t->pumping = upstream;
 	while ((req = kf_admission_next(
 		    t->admission, t->now.mono_us, upstream)) != NULL)
 		dispatch_start(t, req);
+	t->pumping = outer;
 }
 
 /* Gives back the request's slot, if it has one. */
--- a/lib/traffic/serving.c
+++ b/lib/traffic/serving.c
@@ -21,6 +21,13 @@
 	    t->admission, t->now.mono_us, u->id, u->slots);
 }
 
+/* Whether an earlier owner saw the upstream past its slow start. */
+static bool
+serving_was_warm(const kf_view_digest_t *digest)
+{
+	return digest->incarnation != 0 && !(digest->flags & KF_DIGEST_COLD);
+}
+
 /* Returns the state of an upstream, made on first use; NULL without memory. */
 serving_t *
 serving_get(kf_traffic_t *t, uint32_t index)
@@ -45,6 +52,8 @@
 	}
 	table_add(t->serving, &s->id, sizeof(s->id), s);
 	serving_bind(t, s, index);
+	if (serving_was_warm(&t->view->upstreams[index].digest))
+		kf_upstream_state_set_warm(s->state, t->now.mono_us);
 	return s;
 }
 
