--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -124,6 +124,30 @@
 	    c->config.ops.ctx, peer, source_addr(c, peer), kind);
 }
 
+/* The liveness and state of a VM as last recorded. */
+typedef struct recorded {
+	kf_vm_id_t id;
+	uint32_t value;
+	int64_t listed_us;
+} recorded_t;
+
+/* Drops what was recorded of VMs that membership no longer lists. */
+static void
+control_forget_members(kf_control_t *c)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, c->liveness); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		recorded_t *entry = apr_hash_this_val(hi);
+
+		if (entry->listed_us == c->now.mono_us)
+			continue;
+		apr_hash_set(c->liveness, &entry->id, sizeof(entry->id), NULL);
+		free(entry);
+	}
+}
+
 /* Records a VM whose liveness or state is not the one last recorded. */
 static void
 control_record_member(kf_control_t *c, const kf_member_t *member)
@@ -131,14 +155,12 @@
 	kf_control_record_t record = {
 		.event = KF_CONTROL_VM_CHANGED,
 		.text = member->name,
-		.state = member->leaving ? "leaving"
-					 : kf_liveness_name(member->liveness),
+		.state = member->leaving && member->liveness == KF_VM_ALIVE
+		    ? "leaving"
+		    : kf_liveness_name(member->liveness),
 		.version = member->id.incarnation,
 	};
-	struct {
-		kf_vm_id_t id;
-		uint32_t value;
-	} * entry, key;
+	recorded_t *entry, key;
 	uint32_t value =
 	    (uint32_t)member->liveness * 2 + (member->leaving ? 1 : 0);
 
@@ -153,8 +175,11 @@
 		entry->id.vm = member->id.vm;
 		entry->id.incarnation = member->id.incarnation;
 		apr_hash_set(c->liveness, &entry->id, sizeof(entry->id), entry);
-	} else if (entry->value == value)
+	} else if (entry->value == value) {
+		entry->listed_us = c->now.mono_us;
 		return;
+	}
+	entry->listed_us = c->now.mono_us;
 	entry->value = value;
 	c->config.ops.record(c->config.ops.ctx, &record);
 }
@@ -191,6 +216,7 @@
 		vm->heard_us = member.heard_us;
 		n++;
 	}
+	control_forget_members(c);
 	*vm_count = n;
 	return vms;
 }
@@ -314,6 +340,7 @@
 	control_zone_members(c);
 	kf_confdist_tick(c->confdist, now.mono_us, &actions);
 	heartbeat_send_due(c);
+	digests_expire(c);
 	control_settle(c);
 	control_publish_if_changed(c);
 }
--- a/lib/control/control_internal.h
+++ b/lib/control/control_internal.h
@@ -59,6 +59,7 @@
 uint32_t digests_collect(kf_control_t *c, kf_peer_digest *out, uint32_t max);
 void digests_take(kf_control_t *c, const kf_peer_heartbeat *hb);
 const kf_view_digest_t *digests_find(void *ctx, uint32_t upstream_id);
+void digests_expire(kf_control_t *c);
 void digests_delete(kf_control_t *c);
 
 #endif
--- a/lib/control/digests.c
+++ b/lib/control/digests.c
@@ -2,6 +2,8 @@
 
 #include "control_internal.h"
 
+enum { DIGEST_KEEP_US = 60000000 };
+
 static digest_entry_t *
 digests_get(kf_control_t *c, uint32_t upstream)
 {
@@ -115,6 +117,24 @@
 	return kf_control_digest(ctx, upstream_id);
 }
 
+/* Drops what has not been heard for long: upstreams that are gone. */
+void
+digests_expire(kf_control_t *c)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, c->digests); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		digest_entry_t *entry = apr_hash_this_val(hi);
+
+		if (c->now.mono_us - entry->digest.heard_us < DIGEST_KEEP_US)
+			continue;
+		apr_hash_set(c->digests, &entry->upstream,
+		    sizeof(entry->upstream), NULL);
+		free(entry);
+	}
+}
+
 void
 digests_delete(kf_control_t *c)
 {
--- a/lib/traffic/handover.c
+++ b/lib/traffic/handover.c
@@ -42,6 +42,7 @@
 	uint32_t taken;
 	uint8_t *seen;
 	bool complete;
+	int64_t taken_us;
 	kf_peer_ended *ended; /* VMs that it saw end */
 	u_int ended_count;
 } adoption_t;
@@ -220,6 +221,33 @@
 	return true;
 }
 
+static void
+adoption_delete(adoption_t *a)
+{
+	free(a->seen);
+	free(a->ended);
+	free(a);
+}
+
+/* No valid token names a VM that ended longer ago than this. */
+static void
+adoptions_expire(kf_traffic_t *t)
+{
+	int64_t keep_us =
+	    (t->config.token_lifetime_s + KF_RETRANSMIT_HORIZON_S) * 1000000;
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, t->adoptions); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		adoption_t *a = apr_hash_this_val(hi);
+
+		if (t->now.mono_us - a->taken_us < keep_us)
+			continue;
+		apr_hash_set(t->adoptions, &a->id, sizeof(a->id), NULL);
+		adoption_delete(a);
+	}
+}
+
 /* Hands over once an ending VM has no request in progress. */
 void
 handover_tick(kf_traffic_t *t)
@@ -227,6 +255,7 @@
 	handover_t *h = t->handover;
 	uint32_t part;
 
+	adoptions_expire(t);
 	if (!t->ending || t->ended || t->request_count > 0)
 		return;
 	if (h == NULL) {
@@ -290,6 +319,7 @@
 	a->id.vm = id.vm;
 	a->id.incarnation = id.incarnation;
 	a->parts = parts;
+	a->taken_us = t->now.mono_us;
 	a->seen = calloc(parts + 1, 1);
 	if (a->seen == NULL) {
 		free(a);
@@ -483,13 +513,8 @@
 	apr_hash_index_t *hi;
 
 	for (hi = apr_hash_first(NULL, t->adoptions); hi != NULL;
-	     hi = apr_hash_next(hi)) {
-		adoption_t *a = apr_hash_this_val(hi);
-
-		free(a->seen);
-		free(a->ended);
-		free(a);
-	}
+	     hi = apr_hash_next(hi))
+		adoption_delete(apr_hash_this_val(hi));
 	if (t->handover == NULL)
 		return;
 	free(t->handover->flows);
