Retry an idempotent request when its upstream stays silent

An attempt now ends after half of the service's deadline if another upstream of the selector is eligible and the retry budget allows; the upstream gets CANCEL, because the slot is given back. A shorter limit was ruled out: it would cut off slow but working upstreams. SilentUpstreamIsReplacedWithinTheDeadline failed before and passes now; SlowReadIsLeftToTheOnlyUpstream guards the other case.

--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -183,16 +183,11 @@
 	owner_replace(t, req, index);
 }
 
-/* No reply will come; an idempotent request is tried again. */
-void
-dispatch_lost(kf_traffic_t *t, request_t *req)
+static void
+dispatch_retry_elsewhere(kf_traffic_t *t, request_t *req)
 {
 	uint32_t index = place_index(t, req->upstream);
 
-	if (!req->idempotent || !retry_allowed(t, req)) {
-		request_unknown(t, req, KF_REASON_UPSTREAM_LOST);
-		return;
-	}
 	dispatch_release(t, req, -1);
 	req->may_have_run = true;
 	kf_counters_add(&t->counters, KF_COUNT_RETRIED, 1);
@@ -200,6 +195,16 @@
 	owner_replace(t, req, index);
 }
 
+/* No reply will come; an idempotent request is tried again. */
+void
+dispatch_lost(kf_traffic_t *t, request_t *req)
+{
+	if (req->idempotent && retry_allowed(t, req))
+		dispatch_retry_elsewhere(t, req);
+	else
+		request_unknown(t, req, KF_REASON_UPSTREAM_LOST);
+}
+
 /*
  * The deadline has passed without a reply.  The caller is told, but the slot
  * stays taken, because the upstream may still be working on the request.
@@ -219,6 +224,36 @@
 	req->state = REQUEST_ABANDONED;
 }
 
+/*
+ * An upstream that has ended without an ICMP error leaves its requests without
+ * a reply.  An idempotent one is tried elsewhere while there is time.
+ */
+static bool
+attempt_overdue(kf_traffic_t *t, const request_t *req)
+{
+	const kf_service_t *service;
+
+	if (!req->idempotent || t->now.mono_us - req->sent_us < req->attempt_us)
+		return false;
+	service = kf_declaration_service(t->view->decl, req->service);
+	return service != NULL &&
+	    place_has_other(t, service, req->token.share_point,
+		place_index(t, req->upstream)) &&
+	    retry_allowed(t, req);
+}
+
+/* The slot is given back, so the upstream is told to stop. */
+static void
+dispatch_attempt_timeout(kf_traffic_t *t, request_t *req)
+{
+	serving_t *s = serving_find(t, req->upstream);
+
+	dispatch_cancel(t, req);
+	if (s != NULL)
+		serving_failed(t, s, req->path, KF_UPSTREAM_TIMEOUT);
+	dispatch_retry_elsewhere(t, req);
+}
+
 static void
 dispatch_wait_ack(kf_traffic_t *t, request_t *req)
 {
@@ -240,6 +275,8 @@
 	case REQUEST_DISPATCHED:
 		if (late)
 			dispatch_deadline(t, req);
+		else if (attempt_overdue(t, req))
+			dispatch_attempt_timeout(t, req);
 		break;
 	case REQUEST_WAIT_ACK:
 	case REQUEST_MOVING:
--- a/lib/traffic/place.c
+++ b/lib/traffic/place.c
@@ -123,6 +123,19 @@
 	return KF_OK;
 }
 
+/* Whether the point's selector has an eligible upstream besides one. */
+bool
+place_has_other(kf_traffic_t *t, const kf_service_t *service, uint32_t point,
+    uint32_t exclude)
+{
+	const kf_selector_t *selector;
+
+	selector = kf_placement_selector(
+	    t->view->decl, service, point, t->now.wall_ms);
+	return selector != NULL &&
+	    collect_candidates(t, selector, ZONE_ANY, exclude) > 0;
+}
+
 kf_status_t
 place_new(kf_traffic_t *t, const kf_service_t *service, uint32_t exclude,
     placement_t *out)
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -47,6 +47,7 @@
 	req->new_flow = pkt->new_flow;
 	req->may_have_run = pkt->may_have_run;
 	req->upstream = pkt->token.upstream;
+	req->attempt_us = pkt->service->deadline_ms * 1000 / 2;
 	req->deadline_us = t->now.mono_us + pkt->service->deadline_ms * 1000;
 	req->args_len = pkt->call.args_len;
 	if (req->args_len > 0)
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -81,6 +81,7 @@
 	uint32_t attempts;
 	uint32_t upstream_xid; /* key of by_xid */
 	int64_t deadline_us;
+	int64_t attempt_us; /* time for a reply before another upstream */
 	int64_t sent_us;
 	int64_t slot_us; /* when the slot was taken */
 	int64_t intent_us;
@@ -178,6 +179,8 @@
     uint32_t exclude, placement_t *out);
 kf_status_t place_point(kf_traffic_t *t, const kf_service_t *service,
     uint32_t point, uint32_t exclude, placement_t *out);
+bool place_has_other(kf_traffic_t *t, const kf_service_t *service,
+    uint32_t point, uint32_t exclude);
 kf_status_t place_hash(kf_traffic_t *t, const kf_service_t *service,
     uint64_t flow, placement_t *out);
 bool place_still_valid(
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -614,6 +614,41 @@
 	ExpectDenied(r, KF_RPC_AUTH_FAILED);
 }
 
+/* Guards against reads that wait for an upstream that has gone silent. */
+TEST_F(Traffic, SilentUpstreamIsReplacedWithinTheDeadline)
+{
+	int caller = Flow();
+
+	for (int i = 0; i < 40; i++)
+		w->Send(caller, READ, 0);
+	w->Run(50);
+	std::string name = w->UpstreamOf(caller);
+	w->upstreams[name].mode = SILENT;
+	int read = w->Send(caller, READ, 0);
+	int write = w->Send(caller, WRITE, 0);
+	w->Run(2100);
+	EXPECT_EQ(1, Req(read).answered);
+	EXPECT_EQ(0, Req(read).unknown);
+	ExpectUnknown(write, 1);
+}
+
+/* Guards against a slow read cut off where no other upstream can serve it. */
+TEST_F(Traffic, SlowReadIsLeftToTheOnlyUpstream)
+{
+	int caller = Flow("certs");
+
+	for (int i = 0; i < 40; i++)
+		w->Send(caller, READ, 0);
+	w->Run(50);
+	SetModes(HOLD);
+	int read = w->Send(caller, READ, 0);
+	w->Run(1800);
+	ExpectNothing(read);
+	w->Release("d");
+	w->Run(50);
+	ExpectAnswered(read);
+}
+
 /* Guards against a request that waits for an upstream that has ended. */
 TEST_F(Traffic, UnreachableUpstream)
 {
