Choose the new owner of a moving request when its INTENT is granted

A request that had to move waited for INTENT_ACK with the owner it had chosen before. When that VM ended meanwhile, the request was recorded as moved and sent to it, or to port 0 after the VM had restarted, and its caller got nothing. Found by the failure property, which now also restarts VMs and runs fleets of two shards; the forwarding of copies was ruled out, as the first datagram was already misdirected. The owner now looks at the view in force. MoveFollowsTheViewOfItsAcknowledgement failed before and passes now.

--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -178,7 +178,8 @@
 		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
-	if (owner_serves(t, req, place_index(t, req->upstream))) {
+	if (owner_serves(t, req, place_index(t, token.upstream))) {
+		req->upstream = token.upstream;
 		owner_admit(t, req);
 		return;
 	}
@@ -287,7 +288,8 @@
 		dispatch_send(t, req);
 		break;
 	case REQUEST_MOVING:
-		request_moved(t, req, &req->reply_token);
+		/* The view may have changed since the move was chosen. */
+		owner_start(t, req);
 		break;
 	case REQUEST_REFUSING:
 		request_refuse_now(t, req, req->refuse_reason);
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -210,7 +210,7 @@
 
 	vm = kf_view_vm(t->view, token->owner);
 	stored[0] = STORED_MOVED;
-	if (vm == NULL ||
+	if (vm == NULL || vm->peer_addr.port == 0 ||
 	    kf_token_seal(token, t->keys, t->now.wall_ms / 1000,
 		req->route.caller.ip, stored + 1) != KF_OK) {
 		request_refuse_now(t, req, KF_REASON_NO_UPSTREAM);
--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -115,6 +115,8 @@
 		paused.resize(options.vms);
 		dead.resize(options.vms);
 		zones.resize(options.vms, "z1");
+		incarnations_.resize(options.vms);
+		ended_us_.resize(options.vms);
 		for (size_t i = 0; i < options.vms * options.shards; i++)
 			AddCore(i);
 	}
@@ -132,9 +134,10 @@
 	{
 		return { now_us, 1000000 + now_us / 1000 };
 	}
-	static kf_vm_id_t VmId(size_t vm)
+	kf_vm_id_t VmId(size_t vm) const
 	{
-		return { (uint32_t)(100 + vm), 1000 + vm };
+		return { (uint32_t)(100 + vm),
+			1000 + vm + 10 * incarnations_[vm] };
 	}
 	kf_traffic_t *Traffic(size_t core)
 	{
@@ -190,6 +193,7 @@
 
 			if (absent.count(i) != 0)
 				continue;
+			ListEnded(&vms, i);
 			v.id = VmId(i);
 			snprintf(v.name, sizeof(v.name), "vm%zu", i);
 			v.zone = kf_name_id(zones[i].c_str());
@@ -246,6 +250,28 @@
 				i++;
 		}
 	}
+	/*
+	 * Starts a new process of a dead VM.  Heartbeats of a newer incarnation
+	 * prove to all that the one before has ended.
+	 */
+	void Restart(size_t vm)
+	{
+		dead[vm] = paused[vm] = leaving[vm] = false;
+		ended_us_[vm].push_back(now_us);
+		incarnations_[vm]++;
+		for (Core &core : *cores_) {
+			if (core.vm != vm)
+				continue;
+			kf_traffic_delete(core.traffic);
+			core.decl = nullptr;
+			Start(&core);
+		}
+		for (size_t i = 0; i < options_.vms; i++) {
+			SetLive(vm, i, KF_VM_UNKNOWN);
+			SetLive(i, vm, KF_VM_ALIVE);
+		}
+		ViewAll();
+	}
 	size_t VmOf(size_t core) const
 	{
 		return core / options_.shards;
@@ -565,31 +591,48 @@
 	Mutations mutations;
 
       private:
-	void AddCore(size_t i)
+	/* Earlier incarnations of a VM. */
+	void ListEnded(std::vector<kf_view_vm_t> *vms, size_t vm) const
 	{
-		kf_traffic_config_t config = {};
-		const int64_t lifetime_s = 600;
+		for (size_t n = 0; n < ended_us_[vm].size(); n++) {
+			kf_view_vm_t v = {};
 
+			v.id = { (uint32_t)(100 + vm), 1000 + vm + 10 * n };
+			v.shards = options_.shards;
+			v.liveness = KF_VM_GONE;
+			v.gone_since_us = ended_us_[vm][n];
+			vms->push_back(v);
+		}
+	}
+	void AddCore(size_t i)
+	{
 		if (i == 0)
 			cores_->reserve(options_.vms * options_.shards);
 		cores_->push_back({ this, i, i / options_.shards,
 		    (uint32_t)(i % options_.shards), nullptr, nullptr });
-		Core &core = cores_->back();
-		config.self = VmId(core.vm);
+		Start(&cores_->back());
+	}
+	void Start(Core *core)
+	{
+		kf_traffic_config_t config = {};
+		const int64_t lifetime_s = 600;
+
+		config.self = VmId(core->vm);
 		config.zone = kf_name_id("z1");
-		config.shard = core.shard;
-		config.seed = options_.seed * 1000 + i;
+		config.shard = core->shard;
+		config.seed = options_.seed * 1000 + core->index +
+		    incarnations_[core->vm] * 100;
 		config.paths = options_.paths;
 		config.token_lifetime_s = lifetime_s;
 		config.flow_limits = { 4096, 1 << 20,
 			(lifetime_s + KF_RETRANSMIT_HORIZON_S) * 1000000,
 			(int64_t)KF_RETRANSMIT_HORIZON_S * 1000000 };
 		kf_admission_config_init(&config.admission);
-		config.ops = { &core, OnCaller, OnPeer, OnUpstream, OnReset,
+		config.ops = { core, OnCaller, OnPeer, OnUpstream, OnReset,
 			OnDecision };
 		if (options_.config)
 			options_.config(&config);
-		core.traffic = kf_traffic_new(&config);
+		core->traffic = kf_traffic_new(&config);
 	}
 	void Violate(const std::string &text)
 	{
@@ -877,6 +920,8 @@
 	std::shared_ptr<kf_declref_t> decl_;
 	std::vector<kf_liveness_t> live_;
 	std::vector<int64_t> gone_us_;
+	std::vector<uint64_t> incarnations_;
+	std::vector<std::vector<int64_t>> ended_us_; /* by incarnation */
 	/* Its address is stable, as the cores are contexts of callbacks. */
 	std::unique_ptr<std::vector<Core>> cores_ =
 	    std::make_unique<std::vector<Core>>();
--- a/tests/unit/traffic_property_test.cc
+++ b/tests/unit/traffic_property_test.cc
@@ -25,8 +25,8 @@
 /* Runs one script: each number chooses an event and its details. */
 class Script {
       public:
-	Script(bool planned, const Mutations &mutations)
-	    : planned_(planned), w_(MakeOptions())
+	Script(bool planned, const Mutations &mutations, uint32_t shards)
+	    : planned_(planned), shards_(shards), w_(MakeOptions(shards))
 	{
 		w_.mutations = mutations;
 		/* Without failures nothing may end by its deadline. */
@@ -35,7 +35,8 @@
 		w_.ViewAll();
 		w_.Run(20);
 		for (int i = 0; i < CALLERS; i++) {
-			w_.Establish(i == 2 ? "certs" : "orders", (size_t)i);
+			w_.Establish(
+			    i == 2 ? "certs" : "orders", Core((size_t)i));
 			sent_us_.push_back(w_.now_us);
 		}
 		Publish();
@@ -88,7 +89,7 @@
 		/* A copy in progress and a full ring drop a datagram. */
 		for (size_t i = 0; planned_ && i < w_.requests.size(); i++) {
 			if (w_.requests[i].answered == 0) {
-				w_.Deliver((int)i, RunningVm());
+				w_.Deliver((int)i, Core(RunningVm()));
 				w_.Run(50);
 			}
 		}
@@ -110,10 +111,11 @@
 	}
 
       private:
-	static Options MakeOptions()
+	static Options MakeOptions(uint32_t shards)
 	{
 		Options options;
 
+		options.shards = shards;
 		options.vms = VMS;
 		options.config = SmallLimits;
 		return options;
@@ -145,13 +147,21 @@
 			    !planned_ && fate < 3 &&
 				w_.events[i].kind != Event::CALL);
 	}
+	bool Runs(size_t vm) const
+	{
+		return !w_.dead[vm] && !w_.paused[vm];
+	}
+	size_t Core(size_t vm)
+	{
+		return vm * shards_ + (shards_ > 1 ? Pick(shards_) : 0);
+	}
 	size_t RunningVm()
 	{
 		size_t vm = Pick(VMS);
 
-		for (size_t i = 0; i < VMS && !w_.Runs(vm); i++)
+		for (size_t i = 0; i < VMS && !Runs(vm); i++)
 			vm = (vm + 1) % VMS;
-		return w_.Runs(vm) ? vm : (size_t)VMS;
+		return Runs(vm) ? vm : (size_t)VMS;
 	}
 	void SendNew()
 	{
@@ -162,7 +172,7 @@
 
 		if (vm >= VMS || (planned_ && WindowFull(caller)))
 			return;
-		w_.Send(caller, proc, vm);
+		w_.Send(caller, proc, Core(vm));
 		sent_us_.push_back(w_.now_us);
 	}
 	/* A flow's records cover its last KF_FLOW_RING requests. */
@@ -186,7 +196,7 @@
 		size_t i = w_.requests.size() - back;
 		if (w_.now_us - sent_us_[i] <
 		    (int64_t)(KF_RETRANSMIT_HORIZON_S - 20) * 1000000)
-			w_.Deliver((int)i, vm);
+			w_.Deliver((int)i, Core(vm));
 	}
 	void Advance(int64_t ms)
 	{
@@ -240,8 +250,11 @@
 		Publish();
 		w_.Run(2500);
 		w_.Settle();
-		if (kf_traffic_in_progress(w_.Traffic(vm)) != 0)
-			return;
+		for (uint32_t i = 0; i < shards_; i++) {
+			if (kf_traffic_in_progress(
+				w_.Traffic(vm * shards_ + i)) != 0)
+				return;
+		}
 		w_.Kill(vm);
 		if (planned_ || Pick(2) == 0) {
 			w_.SetLiveAll(vm, KF_VM_GONE);
@@ -266,7 +279,7 @@
 			return false;
 		Publish();
 		for (int i = 0; i < CALLERS; i++) {
-			w_.Send(i, 0, vm);
+			w_.Send(i, 0, Core(vm));
 			sent_us_.push_back(w_.now_us);
 		}
 		return true;
@@ -302,7 +315,7 @@
 			w_.SetLive(observer, vm,
 			    w_.dead[vm] ? KF_VM_DEAD : states[state % 4]);
 		}
-		if (w_.Runs(observer))
+		if (Runs(observer))
 			w_.View(observer);
 	}
 	void Disturb(unsigned kind)
@@ -316,8 +329,7 @@
 			w_.paused[vm] = !w_.paused[vm];
 			break;
 		case 56:
-			if (Pick(6) == 0 && Living() > 1)
-				w_.Kill(vm);
+			KillOrRestart(vm);
 			break;
 		case 57:
 		case 58:
@@ -341,13 +353,23 @@
 			break;
 		}
 	}
+	void KillOrRestart(size_t vm)
+	{
+		if (w_.dead[vm]) {
+			for (size_t i = 0; i < VMS; i++)
+				gone_.erase({ i, vm });
+			w_.Restart(vm);
+		} else if (Pick(4) == 0 && Living() > 1) {
+			w_.Kill(vm);
+		}
+	}
 	void RestartOrBreak(const std::string &name, size_t vm)
 	{
 		if (Pick(2) == 0) {
 			w_.upstreams[name].incarnation++;
 			w_.upstreams[name].held.clear();
-		} else if (w_.Runs(vm)) {
-			w_.Unreachable(name, vm, Pick(2));
+		} else if (Runs(vm)) {
+			w_.Unreachable(name, Core(vm), Pick(2));
 		}
 	}
 	/* Nothing stays on its way for as long as callers wait. */
@@ -364,6 +386,7 @@
 	}
 
 	bool planned_;
+	uint32_t shards_;
 	unsigned pick_ = 0;
 	Text text_;
 	World w_;
@@ -375,7 +398,9 @@
 RunScript(bool planned, const Mutations &mutations,
     const std::vector<uint32_t> &numbers, bool print = false)
 {
-	Script script(planned, mutations);
+	/* The first number of a script decides the kind of fleet. */
+	uint32_t shards = numbers.empty() || numbers[0] % 4 != 0 ? 1 : 2;
+	Script script(planned, mutations, shards);
 
 	for (uint32_t n : numbers) {
 		script.Step(n);
@@ -384,6 +409,13 @@
 	}
 	if (script.Violation().empty())
 		script.Finish();
+	for (const Request &r : script.GetWorld().requests) {
+		if (print)
+			printf("xid=%u proc=%u executed=%d answered=%d "
+			       "denied=%d unknown=%d\n",
+			    r.xid, r.proc, r.executed, r.answered, r.denied,
+			    r.unknown);
+	}
 	if (print) {
 		for (const std::string &line : script.GetWorld().log)
 			printf("%s\n", line.c_str());
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -942,6 +942,34 @@
 	ExpectAnswered(r);
 }
 
+/* Guards against a request moved to a VM that has ended meanwhile. */
+TEST_F(Traffic, MoveFollowsTheViewOfItsAcknowledgement)
+{
+	for (int i = 0; i < 6; i++) {
+		Options options;
+
+		options.vms = 5;
+		options.seed = (uint64_t)i;
+		text = Text();
+		Make(options);
+		int caller = Flow();
+		size_t owner = w->OwnerOf(caller);
+		size_t backup = w->BackupOf(caller);
+		text.drained = w->UpstreamOf(caller);
+		Redeclare();
+		int r = w->Send(caller, WRITE, owner);
+		std::vector<Event> intents;
+		intents.swap(w->events);
+		for (size_t vm = 0; vm < options.vms; vm++) {
+			if (vm != owner && vm != backup)
+				Die(vm, KF_VM_GONE);
+		}
+		w->events = intents;
+		w->Run(100);
+		ExpectAnswered(r);
+	}
+}
+
 /* Guards against two owners that both execute one request. */
 TEST_F(Traffic, TwoVmsOwnOneUpstream)
 {
@@ -1087,7 +1115,7 @@
 	kf_rpc_call_t call = {};
 	uint8_t buf[512];
 
-	config.self = World::VmId(0);
+	config.self = w->VmId(0);
 	config.shard = shard;
 	config.paths = 1;
 	config.token_lifetime_s = 600;
