--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -43,6 +43,7 @@
 struct Options {
 	uint32_t vms = 3;
 	uint32_t shards = 1;
+	uint32_t second_zone = 100; /* VMs from this one on are in z2 */
 	uint64_t seed = 1;
 	uint32_t paths = 2;
 	std::function<void(kf_traffic_config_t *)> config;
@@ -114,7 +115,8 @@
 		leaving.resize(options.vms);
 		paused.resize(options.vms);
 		dead.resize(options.vms);
-		zones.resize(options.vms, "z1");
+		for (size_t i = 0; i < options.vms; i++)
+			zones.push_back(i < options.second_zone ? "z1" : "z2");
 		incarnations_.resize(options.vms);
 		ended_us_.resize(options.vms);
 		for (size_t i = 0; i < options.vms * options.shards; i++)
@@ -618,7 +620,7 @@
 		const int64_t lifetime_s = 600;
 
 		config.self = VmId(core->vm);
-		config.zone = kf_name_id("z1");
+		config.zone = kf_name_id(zones[core->vm].c_str());
 		config.shard = core->shard;
 		config.seed = options_.seed * 1000 + core->index +
 		    incarnations_[core->vm] * 100;
@@ -933,6 +935,7 @@
 	uint32_t revision = 1;
 	std::string drained; /* name of a draining upstream */
 	std::string removed; /* name of an upstream left out */
+	std::string far;     /* name of an upstream in z2 */
 	std::string moved;   /* name of an upstream moved to certs */
 	std::string selectors =
 	    "[selector orders-all]\nservice = orders\nmatch = "
@@ -979,7 +982,8 @@
 			return "";
 		return "[upstream " + name +
 		    "]\nservice = " + (certs ? "certs" : "orders") +
-		    "\nzone = z1\naddress = 127.0.1." + std::to_string(i + 1) +
+		    "\nzone = " + (name == far ? "z2" : "z1") +
+		    "\naddress = 127.0.1." + std::to_string(i + 1) +
 		    ":2049\nslots = " + std::to_string(slots) +
 		    "\nlabels = gen=" + (name == "c" ? "new" : "old") + "\n" +
 		    (name == drained ? "state = draining\n" : "");
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -989,6 +989,58 @@
 	ExpectAnswered(r);
 }
 
+/* Guards against traffic across zones while the own zone can serve it. */
+TEST_F(Traffic, OwnZoneComesFirst)
+{
+	Options options;
+
+	options.vms = 4;
+	options.second_zone = 2;
+	text.far = "b";
+	Make(options);
+	for (int i = 0; i < 10; i++) {
+		EXPECT_NE("b", w->UpstreamOf(Flow("orders", 0)));
+		EXPECT_EQ("b", w->UpstreamOf(Flow("orders", 3)));
+	}
+	/* Other zones take over when the own zone has none left. */
+	text.drained = "b";
+	Redeclare();
+	int caller = Flow("orders", 3);
+	EXPECT_NE("b", w->UpstreamOf(caller));
+	int r = w->Send(caller, WRITE, 3);
+	w->Run(50);
+	ExpectAnswered(r);
+}
+
+/* Guards against a zone that serves nothing while it is cut off. */
+TEST_F(Traffic, PartitionBetweenZones)
+{
+	Options options;
+
+	options.vms = 4;
+	options.second_zone = 2;
+	text.far = "b";
+	Make(options);
+	int caller = Flow("orders", 3); /* owned in z2 */
+	for (size_t i = 0; i < 4; i++) {
+		for (size_t j = 0; j < 4; j++) {
+			if (i / 2 != j / 2)
+				w->SetLive(i, j, KF_VM_DEAD);
+		}
+	}
+	w->ViewAll();
+	int write = w->Send(caller, WRITE, 0);
+	int read = w->Send(caller, READ, 0);
+	w->Run(100);
+	ExpectUnknown(write, 0);
+	ExpectAnswered(read);
+	int next = w->Send(caller, WRITE, 1);
+	int far = w->Send(Flow("orders", 2), WRITE, 2);
+	w->Run(100);
+	ExpectAnswered(next);
+	ExpectAnswered(far);
+}
+
 /* Guards against a request that reaches the wrong shard. */
 TEST_F(Traffic, Shards)
 {
