--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -43,6 +43,7 @@
 struct Options {
 	uint32_t vms = 3;
 	uint32_t shards = 1;
+	uint32_t second_zone = 100; /* VMs from this one on are in z2 */
 	uint64_t seed = 1;
 	uint32_t paths = 2;
 	std::function<void(kf_traffic_config_t *)> config;
@@ -72,6 +73,7 @@
 	uint32_t service_id;
 	Bytes token; /* empty: AUTH_SYS */
 	uint32_t next_xid;
+	uint32_t token_xid; /* of the newest answered call */
 };
 
 struct Event {
@@ -113,7 +115,10 @@
 		leaving.resize(options.vms);
 		paused.resize(options.vms);
 		dead.resize(options.vms);
-		zones.resize(options.vms, "z1");
+		for (size_t i = 0; i < options.vms; i++)
+			zones.push_back(i < options.second_zone ? "z1" : "z2");
+		incarnations_.resize(options.vms);
+		ended_us_.resize(options.vms);
 		for (size_t i = 0; i < options.vms * options.shards; i++)
 			AddCore(i);
 	}
@@ -131,9 +136,10 @@
 	{
 		return { now_us, 1000000 + now_us / 1000 };
 	}
-	static kf_vm_id_t VmId(size_t vm)
+	kf_vm_id_t VmId(size_t vm) const
 	{
-		return { (uint32_t)(100 + vm), 1000 + vm };
+		return { (uint32_t)(100 + vm),
+			1000 + vm + 10 * incarnations_[vm] };
 	}
 	kf_traffic_t *Traffic(size_t core)
 	{
@@ -189,6 +195,7 @@
 
 			if (absent.count(i) != 0)
 				continue;
+			ListEnded(&vms, i);
 			v.id = VmId(i);
 			snprintf(v.name, sizeof(v.name), "vm%zu", i);
 			v.zone = kf_name_id(zones[i].c_str());
@@ -245,6 +252,28 @@
 				i++;
 		}
 	}
+	/*
+	 * Starts a new process of a dead VM.  Heartbeats of a newer incarnation
+	 * prove to all that the one before has ended.
+	 */
+	void Restart(size_t vm)
+	{
+		dead[vm] = paused[vm] = leaving[vm] = false;
+		ended_us_[vm].push_back(now_us);
+		incarnations_[vm]++;
+		for (Core &core : *cores_) {
+			if (core.vm != vm)
+				continue;
+			kf_traffic_delete(core.traffic);
+			core.decl = nullptr;
+			Start(&core);
+		}
+		for (size_t i = 0; i < options_.vms; i++) {
+			SetLive(vm, i, KF_VM_UNKNOWN);
+			SetLive(i, vm, KF_VM_ALIVE);
+		}
+		ViewAll();
+	}
 	size_t VmOf(size_t core) const
 	{
 		return core / options_.shards;
@@ -564,31 +593,48 @@
 	Mutations mutations;
 
       private:
-	void AddCore(size_t i)
+	/* Earlier incarnations of a VM. */
+	void ListEnded(std::vector<kf_view_vm_t> *vms, size_t vm) const
 	{
-		kf_traffic_config_t config = {};
-		const int64_t lifetime_s = 600;
+		for (size_t n = 0; n < ended_us_[vm].size(); n++) {
+			kf_view_vm_t v = {};
 
+			v.id = { (uint32_t)(100 + vm), 1000 + vm + 10 * n };
+			v.shards = options_.shards;
+			v.liveness = KF_VM_GONE;
+			v.gone_since_us = ended_us_[vm][n];
+			vms->push_back(v);
+		}
+	}
+	void AddCore(size_t i)
+	{
 		if (i == 0)
 			cores_->reserve(options_.vms * options_.shards);
 		cores_->push_back({ this, i, i / options_.shards,
 		    (uint32_t)(i % options_.shards), nullptr, nullptr });
-		Core &core = cores_->back();
-		config.self = VmId(core.vm);
-		config.zone = kf_name_id("z1");
-		config.shard = core.shard;
-		config.seed = options_.seed * 1000 + i;
+		Start(&cores_->back());
+	}
+	void Start(Core *core)
+	{
+		kf_traffic_config_t config = {};
+		const int64_t lifetime_s = 600;
+
+		config.self = VmId(core->vm);
+		config.zone = kf_name_id(zones[core->vm].c_str());
+		config.shard = core->shard;
+		config.seed = options_.seed * 1000 + core->index +
+		    incarnations_[core->vm] * 100;
 		config.paths = options_.paths;
 		config.token_lifetime_s = lifetime_s;
 		config.flow_limits = { 4096, 1 << 20,
 			(lifetime_s + KF_RETRANSMIT_HORIZON_S) * 1000000,
 			(int64_t)KF_RETRANSMIT_HORIZON_S * 1000000 };
 		kf_admission_config_init(&config.admission);
-		config.ops = { &core, OnCaller, OnPeer, OnUpstream, OnReset,
+		config.ops = { core, OnCaller, OnPeer, OnUpstream, OnReset,
 			OnDecision };
 		if (options_.config)
 			options_.config(&config);
-		core.traffic = kf_traffic_new(&config);
+		core->traffic = kf_traffic_new(&config);
 	}
 	void Violate(const std::string &text)
 	{
@@ -743,7 +789,13 @@
 		if (r.proc != 0 &&
 		    (reply.results_len != 8 || kf_get_u32(reply.results) != i))
 			Violate("answer of another request");
-		r.answered++;
+		/*
+		 * The stock client ignores replies to calls that have ended,
+		 * and an older call does not take it back to an older token.
+		 */
+		if (r.answered++ > 0 || r.xid < c.token_xid)
+			return;
+		c.token_xid = r.xid;
 		if (reply.verf.flavor == KF_RPC_AUTH_SHORT &&
 		    reply.verf.len == KF_TOKEN_VERIFIER_BYTES)
 			c.token.assign(reply.verf.body + 8,
@@ -870,6 +922,8 @@
 	std::shared_ptr<kf_declref_t> decl_;
 	std::vector<kf_liveness_t> live_;
 	std::vector<int64_t> gone_us_;
+	std::vector<uint64_t> incarnations_;
+	std::vector<std::vector<int64_t>> ended_us_; /* by incarnation */
 	/* Its address is stable, as the cores are contexts of callbacks. */
 	std::unique_ptr<std::vector<Core>> cores_ =
 	    std::make_unique<std::vector<Core>>();
@@ -881,6 +935,7 @@
 	uint32_t revision = 1;
 	std::string drained; /* name of a draining upstream */
 	std::string removed; /* name of an upstream left out */
+	std::string far;     /* name of an upstream in z2 */
 	std::string moved;   /* name of an upstream moved to certs */
 	std::string selectors =
 	    "[selector orders-all]\nservice = orders\nmatch = "
@@ -927,7 +982,8 @@
 			return "";
 		return "[upstream " + name +
 		    "]\nservice = " + (certs ? "certs" : "orders") +
-		    "\nzone = z1\naddress = 127.0.1." + std::to_string(i + 1) +
+		    "\nzone = " + (name == far ? "z2" : "z1") +
+		    "\naddress = 127.0.1." + std::to_string(i + 1) +
 		    ":2049\nslots = " + std::to_string(slots) +
 		    "\nlabels = gen=" + (name == "c" ? "new" : "old") + "\n" +
 		    (name == drained ? "state = draining\n" : "");
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -621,6 +621,41 @@
 	ExpectDenied(r, KF_RPC_AUTH_FAILED);
 }
 
+/* Guards against reads that wait for an upstream that has gone silent. */
+TEST_F(Traffic, SilentUpstreamIsReplacedWithinTheDeadline)
+{
+	int caller = Flow();
+
+	for (int i = 0; i < 40; i++)
+		w->Send(caller, READ, 0);
+	w->Run(50);
+	std::string name = w->UpstreamOf(caller);
+	w->upstreams[name].mode = SILENT;
+	int read = w->Send(caller, READ, 0);
+	int write = w->Send(caller, WRITE, 0);
+	w->Run(2100);
+	EXPECT_EQ(1, Req(read).answered);
+	EXPECT_EQ(0, Req(read).unknown);
+	ExpectUnknown(write, 1);
+}
+
+/* Guards against a slow read cut off where no other upstream can serve it. */
+TEST_F(Traffic, SlowReadIsLeftToTheOnlyUpstream)
+{
+	int caller = Flow("certs");
+
+	for (int i = 0; i < 40; i++)
+		w->Send(caller, READ, 0);
+	w->Run(50);
+	SetModes(HOLD);
+	int read = w->Send(caller, READ, 0);
+	w->Run(1800);
+	ExpectNothing(read);
+	w->Release("d");
+	w->Run(50);
+	ExpectAnswered(read);
+}
+
 /* Guards against a request that waits for an upstream that has ended. */
 TEST_F(Traffic, UnreachableUpstream)
 {
@@ -914,6 +949,34 @@
 	ExpectAnswered(r);
 }
 
+/* Guards against a request moved to a VM that has ended meanwhile. */
+TEST_F(Traffic, MoveFollowsTheViewOfItsAcknowledgement)
+{
+	for (int i = 0; i < 6; i++) {
+		Options options;
+
+		options.vms = 5;
+		options.seed = (uint64_t)i;
+		text = Text();
+		Make(options);
+		int caller = Flow();
+		size_t owner = w->OwnerOf(caller);
+		size_t backup = w->BackupOf(caller);
+		text.drained = w->UpstreamOf(caller);
+		Redeclare();
+		int r = w->Send(caller, WRITE, owner);
+		std::vector<Event> intents;
+		intents.swap(w->events);
+		for (size_t vm = 0; vm < options.vms; vm++) {
+			if (vm != owner && vm != backup)
+				Die(vm, KF_VM_GONE);
+		}
+		w->events = intents;
+		w->Run(100);
+		ExpectAnswered(r);
+	}
+}
+
 /* Guards against two owners that both execute one request. */
 TEST_F(Traffic, TwoVmsOwnOneUpstream)
 {
@@ -933,6 +996,58 @@
 	ExpectAnswered(r);
 }
 
+/* Guards against traffic across zones while the own zone can serve it. */
+TEST_F(Traffic, OwnZoneComesFirst)
+{
+	Options options;
+
+	options.vms = 4;
+	options.second_zone = 2;
+	text.far = "b";
+	Make(options);
+	for (int i = 0; i < 10; i++) {
+		EXPECT_NE("b", w->UpstreamOf(Flow("orders", 0)));
+		EXPECT_EQ("b", w->UpstreamOf(Flow("orders", 3)));
+	}
+	/* Other zones take over when the own zone has none left. */
+	text.drained = "b";
+	Redeclare();
+	int caller = Flow("orders", 3);
+	EXPECT_NE("b", w->UpstreamOf(caller));
+	int r = w->Send(caller, WRITE, 3);
+	w->Run(50);
+	ExpectAnswered(r);
+}
+
+/* Guards against a zone that serves nothing while it is cut off. */
+TEST_F(Traffic, PartitionBetweenZones)
+{
+	Options options;
+
+	options.vms = 4;
+	options.second_zone = 2;
+	text.far = "b";
+	Make(options);
+	int caller = Flow("orders", 3); /* owned in z2 */
+	for (size_t i = 0; i < 4; i++) {
+		for (size_t j = 0; j < 4; j++) {
+			if (i / 2 != j / 2)
+				w->SetLive(i, j, KF_VM_DEAD);
+		}
+	}
+	w->ViewAll();
+	int write = w->Send(caller, WRITE, 0);
+	int read = w->Send(caller, READ, 0);
+	w->Run(100);
+	ExpectUnknown(write, 0);
+	ExpectAnswered(read);
+	int next = w->Send(caller, WRITE, 1);
+	int far = w->Send(Flow("orders", 2), WRITE, 2);
+	w->Run(100);
+	ExpectAnswered(next);
+	ExpectAnswered(far);
+}
+
 /* Guards against a request that reaches the wrong shard. */
 TEST_F(Traffic, Shards)
 {
@@ -1059,7 +1174,7 @@
 	kf_rpc_call_t call = {};
 	uint8_t buf[512];
 
-	config.self = World::VmId(0);
+	config.self = w->VmId(0);
 	config.shard = shard;
 	config.paths = 1;
 	config.token_lifetime_s = 600;
