--- a/tests/process/show.sh
+++ b/tests/process/show.sh
@@ -5,86 +5,7 @@
 set -u
 build=$1
 . "$(dirname "$0")/common.sh"
-dir=tests/golden/show
-
-settings() { # NAME ZONE ADDRESS PEER
-	cat <<-EOF
-	[vm]
-	name = $1
-	zone = $2
-	ingress_address = $3:7300
-	peer_address = $3:7100
-	control_address = $3:7000
-	rpc_address = $3:7200
-	metrics_address = $3:7400
-	traffic_threads = 2
-	[platform]
-	url = http://$net.30:8080
-	seeds = $4:7000
-	EOF
-}
-
-declaration() { # REVISION
-	sed "s/NET/$net/; s/^revision = .*/revision = $1/" \
-	    $dir/declaration.ini.in
-}
-
-vm_list() {
-	printf '[vm b1]\naddress = %s:7000\nzone = akl-a\n' "$net.1"
-	printf '[vm b2]\naddress = %s:7000\nzone = akl-b\n' "$net.2"
-}
-
-show() {
-	"$bin/knapctl" show --timeout-ms 5000 "$@"
-}
-
-both() {
-	show --server "$net.1:7200" --server "$net.2:7200" "$@"
-}
-
-start_platform() {
-	mkdir "$work/docs"
-	declaration 3 >"$work/docs/declaration.ini"
-	cp conf/kowhai/keys.ini "$work/docs/keys.ini"
-	vm_list >"$work/docs/vms.ini"
-	start platform "$bin/standin-platform" --listen "$net.30:8080" \
-	    --control "$net.30:8081" --dir "$work/docs" --first-version 7
-	wait_line platform.log event=ready
-}
-
-start_upstreams() {
-	start upstream "$bin/standin-upstream" --service-time-us 1000 --seed 7 \
-	    --control "$net.10:7001" \
-	    --upstream "name=o-1,address=$net.11:7000,slots=3,service=1" \
-	    --upstream "name=o-2,address=$net.12:7000,slots=2,service=1" \
-	    --upstream "name=o-3,address=$net.13:7000,slots=2,service=1" \
-	    --upstream "name=c-1,address=$net.14:7000,slots=3,service=2" \
-	    --upstream "name=c-2,address=$net.15:7000,slots=3,service=2"
-	wait_line upstream.log event=ready
-}
-
-start_fabric() {
-	start fabric "$bin/standin-fabric" --service "$net.20:111" \
-	    --balancer "$net.1:7300" --encap-address "$net.20:7401" --seed 5
-	wait_line fabric.log event=ready
-}
-
-# Both balancers have the declaration, know each other and have digests of
-# all upstreams.
-fleet_ready() {
-	both all --format kv >"$work/ready" || return 1
-	[ "$(grep -c ' state=serving ' "$work/ready")" -eq 2 ] &&
-	    [ "$(grep -c ' liveness=alive ' "$work/ready")" -eq 4 ] &&
-	    ! grep -q -e 'health=unknown' -e 'backup=-' "$work/ready"
-}
-
-start_fleet() {
-	settings b1 akl-a "$net.1" "$net.2" >"$work/b1.ini"
-	settings b2 akl-b "$net.2" "$net.1" >"$work/b2.ini"
-	start b1 "$bin/knapweedd" --config "$work/b1.ini"
-	start b2 "$bin/knapweedd" --config "$work/b2.ini"
-	wait_for "a settled fleet" 30 fleet_ready
-}
+. "$(dirname "$0")/fleet.inc"
 
 # Hides what differs from run to run: addresses, times, load, slow start.
 stable() {
@@ -199,11 +120,6 @@
 	    fail "difference of keys not shown"
 }
 
-has_revision() {
-	show --server "$1:7200" summary --format kv |
-	    grep -q "record=server .* revision=$2 "
-}
-
 metric() {
 	sed -n "s/^$1 //p" "$work/metrics"
 }
@@ -294,7 +210,7 @@
 test_usage
 start_platform
 start_upstreams
-start_fabric
+start_fabric "$net.1:7300"
 start_fleet
 test_sections
 test_table
