--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -71,11 +71,15 @@
 	size_t len;
 	int path;
 
-	if (s == NULL || s->index == KF_VIEW_NONE ||
-	    t->now.mono_us >= req->deadline_us) {
+	if (t->now.mono_us >= req->deadline_us) {
 		dispatch_release(t, req, -1);
-		owner_refuse(t, req,
-		    s == NULL ? KF_REASON_NO_UPSTREAM : KF_REASON_DEADLINE);
+		owner_refuse(t, req, KF_REASON_DEADLINE);
+		return;
+	}
+	/* A view may have come between the slot and the acknowledgement. */
+	if (s == NULL || !serving_accepts(t, s, req->service)) {
+		dispatch_release(t, req, -1);
+		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
 	req->upstream_xid = next_xid(t);
@@ -207,7 +211,8 @@
 
 	dispatch_cancel(t, req);
 	if (s != NULL)
-		serving_failed(t, s, req->path, KF_UPSTREAM_TIMEOUT);
+		serving_failed(
+		    t, s, req->path, req->sent_us, KF_UPSTREAM_TIMEOUT);
 	request_record(t, req, KF_MAY_HAVE_RUN, KF_REASON_DEADLINE, NULL, 0);
 	kf_counters_add(&t->counters, KF_COUNT_MAY_HAVE_RUN, 1);
 	reply_unknown(t, &req->route, req->id.xid);
@@ -235,7 +240,8 @@
 static void
 dispatch_no_ack(kf_traffic_t *t, request_t *req)
 {
-	if (kf_view_liveness(t->view, req->token.backup) == KF_VM_GONE)
+	if (lease_liveness(t, req->token.backup, req->token.upstream) ==
+	    KF_VM_GONE)
 		request_unknown(t, req, KF_REASON_IN_DOUBT);
 	else
 		request_forget(t, req);
@@ -293,7 +299,8 @@
 {
 	if (reply->reject_stat == 1 &&
 	    reply->auth_stat == KF_RPC_AUTH_REJECTEDVERF) {
-		serving_failed(t, s, req->path, KF_UPSTREAM_WRONG_INCARNATION);
+		serving_failed(t, s, req->path, req->sent_us,
+		    KF_UPSTREAM_WRONG_INCARNATION);
 		dispatch_not_run(t, req, KF_REASON_UPSTREAM_LOST);
 	} else if (reply->reject_stat == 1 &&
 	    reply->auth_stat == KF_RPC_AUTH_FAILED) {
@@ -307,15 +314,26 @@
 	}
 }
 
+/* The caller has been told that the outcome is unknown, which stays true. */
+static void
+dispatch_late_denial(kf_traffic_t *t, request_t *req)
+{
+	dispatch_release(t, req, -1);
+	request_decision(t, req, KF_EVENT_DROP, KF_REASON_LATE_REPLY, NULL);
+	request_delete(t, req);
+}
+
 static void
 dispatch_reply(
     kf_traffic_t *t, request_t *req, serving_t *s, const kf_rpc_reply_t *reply)
 {
 	kf_load_report_t report;
 
-	if (reply->reply_stat == KF_RPC_MSG_DENIED &&
-	    req->state == REQUEST_DISPATCHED) {
-		dispatch_denied(t, req, s, reply);
+	if (reply->reply_stat == KF_RPC_MSG_DENIED) {
+		if (req->state == REQUEST_DISPATCHED)
+			dispatch_denied(t, req, s, reply);
+		else
+			dispatch_late_denial(t, req);
 		return;
 	}
 	kf_upstream_state_on_answer(s->state, (int)req->path, t->now.mono_us,
@@ -344,7 +362,7 @@
 		packet_drop(t, &late, KF_REASON_MALFORMED);
 		return;
 	}
-	if (reply.xid == s->probe_xid) {
+	if (s->probe_xid != 0 && reply.xid == s->probe_xid) {
 		serving_on_probe(t, s, &reply);
 		return;
 	}
@@ -372,7 +390,7 @@
 	s = serving_find(t, upstream);
 	if (s == NULL || t->view == NULL)
 		return;
-	serving_failed(t, s, path, KF_UPSTREAM_UNREACHABLE);
+	serving_failed(t, s, path, t->now.mono_us, KF_UPSTREAM_UNREACHABLE);
 	request_sweep_begin(t);
 	for (req = t->requests; req != NULL; req = next) {
 		if (!req->deleted && req->state == REQUEST_DISPATCHED &&
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -10,7 +10,7 @@
 
 	msg->from.vm = t->config.self.vm;
 	msg->from.incarnation = t->config.self.incarnation;
-	if (kf_peer_seal(msg, t->view->keys, t->now.wall_ms / 1000, t->peer_buf,
+	if (kf_peer_seal(msg, t->keys, t->now.wall_ms / 1000, t->peer_buf,
 		sizeof(t->peer_buf), &len) == KF_OK)
 		t->config.ops.send_peer(
 		    t->config.ops.ctx, to, t->peer_buf, len);
@@ -60,7 +60,7 @@
 
 	memcpy(token, pkt->token_bytes, sizeof(token));
 	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
-	f->to_backup = to_backup;
+	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
 	f->hops = pkt->hops + 1;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	forward_decision(t, pkt, vm);
@@ -85,7 +85,7 @@
 	};
 	size_t len;
 
-	if (kf_token_seal(token, t->view->keys, t->now.wall_ms / 1000,
+	if (kf_token_seal(token, t->keys, t->now.wall_ms / 1000,
 		req->route.caller.ip, sealed) != KF_OK)
 		return;
 	if (!req->new_flow) {
@@ -98,7 +98,9 @@
 		return;
 	forward_fill(f, &req->route, sealed, t->buf, len);
 	f->hops = req->hops + 1;
-	f->to_backup = to_backup;
+	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
+	if (req->may_have_run)
+		f->flags |= KF_FORWARD_MAY_HAVE_RUN;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	peer_send(t, kf_view_shard_addr(vm, token->upstream), &msg);
 }
@@ -140,10 +142,11 @@
 	peer_send(t, kf_view_shard_addr(vm, intent->upstream), &msg);
 }
 
-static void
-lease_send(kf_traffic_t *t, kf_vm_id_t to, uint32_t shard, kf_peer_msg *msg)
+/* Sends a message to a shard of a VM; vm may be NULL. */
+void
+peer_message(
+    kf_traffic_t *t, const kf_view_vm_t *vm, uint32_t shard, kf_peer_msg *msg)
 {
-	const kf_view_vm_t *vm = kf_view_vm(t->view, to);
 	kf_addr_t addr;
 
 	if (vm == NULL || vm->peer_addr.port == 0)
@@ -153,6 +156,25 @@
 	peer_send(t, addr, msg);
 }
 
+static void
+lease_send(kf_traffic_t *t, kf_vm_id_t to, uint32_t shard, kf_peer_msg *msg)
+{
+	peer_message(t, kf_view_vm(t->view, to), shard, msg);
+}
+
+void
+peer_end(kf_traffic_t *t, const lease_t *lease, bool fenced)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_END };
+	kf_vm_id_t to = { lease->key.vm, lease->key.incarnation };
+
+	msg.body.kf_peer_body_u.end = (kf_peer_end){
+		.shard = t->config.shard,
+		.fenced = fenced,
+	};
+	lease_send(t, to, lease->key.shard, &msg);
+}
+
 void
 peer_lease(kf_traffic_t *t, const lease_t *lease)
 {
@@ -168,14 +190,14 @@
 
 void
 peer_lease_ack(
-    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced)
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, u_int state)
 {
 	kf_peer_msg msg = { .body.type = KF_PEER_LEASE_ACK };
 
 	msg.body.kf_peer_body_u.lease_ack = (kf_peer_lease){
 		.sequence = request->sequence,
 		.shard = t->config.shard,
-		.fenced = fenced,
+		.state = state,
 	};
 	lease_send(t, to, request->shard, &msg);
 }
@@ -217,7 +239,9 @@
 	request_t *req;
 
 	req = request_find(t, intent->flow, intent->xid);
+	/* A late answer may be about an earlier request with this xid. */
 	if (req == NULL || req->alone || req->acked ||
+	    req->id.generation != intent->generation ||
 	    req->state == REQUEST_ABANDONED ||
 	    !same_vm(req->token.backup, &msg->from))
 		return;
@@ -239,14 +263,16 @@
 		.data = (const uint8_t *)f->datagram.datagram_val,
 		.len = f->datagram.datagram_len,
 		.hops = f->hops,
-		.to_backup = f->to_backup != 0,
+		.may_have_run = (f->flags & KF_FORWARD_MAY_HAVE_RUN) != 0,
 	};
 	kf_reason_t reason;
 
 	reason = packet_parse(t, &pkt);
-	if (pkt.service != NULL)
+	/* The sender may have issued a token of its own for the call. */
+	if (reason != KF_REASON_MALFORMED && reason != KF_REASON_NO_SERVICE)
 		reason = packet_set_token(t, &pkt,
 		    (const uint8_t *)f->token.token_val, f->token.token_len);
+	pkt.new_flow = pkt.has_token && pkt.token.flow == packet_hash(&pkt);
 	if (reason != KF_REASON_NONE)
 		packet_drop(t, &pkt, reason);
 	else
@@ -265,7 +291,7 @@
 	kf_counters_add(&t->counters, KF_COUNT_PEER_PACKETS, 1);
 	if (t->view == NULL)
 		return;
-	if (kf_peer_open(data, len, t->view->keys, now.wall_ms / 1000, &msg) !=
+	if (kf_peer_open(data, len, t->keys, now.wall_ms / 1000, &msg) !=
 	    KF_OK) {
 		kf_counters_add(&t->counters, KF_COUNT_PEER_REJECTED, 1);
 		return;
@@ -290,6 +316,15 @@
 	case KF_PEER_LEASE:
 		lease_on_request(t, id, &msg.body.kf_peer_body_u.lease);
 		break;
+	case KF_PEER_END:
+		lease_on_end(t, id, &msg.body.kf_peer_body_u.end);
+		break;
+	case KF_PEER_HANDOVER:
+		handover_take(t, id, &msg.body.kf_peer_body_u.handover);
+		break;
+	case KF_PEER_HANDOVER_ACK:
+		handover_on_ack(t, id, &msg.body.kf_peer_body_u.handover_ack);
+		break;
 	case KF_PEER_LEASE_ACK:
 		lease_on_ack(t, id, &msg.body.kf_peer_body_u.lease_ack);
 		break;
