Call peers for documents from the VM's own address

Cause: a peer gives the keys only to an address of the fleet, but the call came from the address that the kernel chose, 127.0.0.1 on loopback and possibly another one of several on a VM. A balancer that started while the platform was down got the declaration and the VM list from its peers, never the keys, and did not serve.

Conclusion: the socket is bound to the control address.

--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -234,7 +234,8 @@
 		&t->control_fd) != KF_OK ||
 	    open_signals(t) != KF_OK || open_rpc(t) != KF_OK ||
 	    open_metrics(t) != KF_OK || make_core(t, self) != KF_OK ||
-	    (t->fetch = fetch_new(settings->platform_url)) == NULL) {
+	    (t->fetch = fetch_new(settings->platform_url,
+		 settings->control_address.ip)) == NULL) {
 		control_thread_delete(t);
 		return NULL;
 	}
--- a/lib/net/fetch.c
+++ b/lib/net/fetch.c
@@ -42,6 +42,7 @@
 } transfer_t;
 
 struct fetch {
+	uint32_t local_ip;
 	char url[256];
 	apr_pool_t *pool;
 	apr_thread_mutex_t *mutex; /* of results, pending and stopping */
@@ -269,7 +270,7 @@
 	if (result == NULL)
 		return;
 	if (job->peer.port != 0 &&
-	    kf_control_client_fetch(job->peer, PEER_TIMEOUT_MS,
+	    kf_control_client_fetch(f->local_ip, job->peer, PEER_TIMEOUT_MS,
 		(uint32_t)job->kind, &doc) == KF_OK) {
 		result->text = malloc(doc.text.text_len + 1);
 		if (doc.found && result->text != NULL) {
@@ -324,13 +325,14 @@
 }
 
 fetch_t *
-fetch_new(const char *platform_url)
+fetch_new(const char *platform_url, uint32_t local_ip)
 {
 	fetch_t *f;
 
 	f = calloc(1, sizeof(*f));
 	if (f == NULL)
 		return NULL;
+	f->local_ip = local_ip;
 	snprintf(f->url, sizeof(f->url), "%s", platform_url);
 	if (fetch_init(f) != KF_OK) {
 		free(f);
--- a/lib/net/fetch.h
+++ b/lib/net/fetch.h
@@ -31,7 +31,8 @@
 
 typedef struct fetch fetch_t;
 
-fetch_t *fetch_new(const char *platform_url);
+/* Peers are called from local_ip. */
+fetch_t *fetch_new(const char *platform_url, uint32_t local_ip);
 void fetch_delete(fetch_t *f);
 
 int fetch_wake_fd(const fetch_t *f);
--- a/lib/rpc/client.c
+++ b/lib/rpc/client.c
@@ -20,9 +20,21 @@
 	    kf_addr_format(server, text), strerror(error));
 }
 
+/* The kernel chooses the port, and the address as well if none is given. */
+static int
+bind_ip(int fd, uint32_t ip)
+{
+	struct sockaddr_in sin = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(ip),
+	};
+
+	return ip == 0 ? 0 : bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+}
+
 /* Connects within timeout_ms and returns the socket in *out. */
 static kf_status_t
-connect_tcp(kf_addr_t server, int64_t timeout_ms, int *out)
+connect_tcp(uint32_t local_ip, kf_addr_t server, int64_t timeout_ms, int *out)
 {
 	struct sockaddr_in sin = {
 		.sin_family = AF_INET,
@@ -36,6 +48,8 @@
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 	if (fd < 0)
 		return kf_status_set(KF_ERR_IO, "socket: %s", strerror(errno));
+	if (bind_ip(fd, local_ip) < 0)
+		return connect_error(fd, server, errno);
 	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS)
 		return connect_error(fd, server, errno);
@@ -58,8 +72,9 @@
 }
 
 static kf_status_t
-client_call(kf_addr_t server, int64_t timeout_ms, rpcproc_t proc,
-    xdrproc_t xdr_args, void *args, xdrproc_t xdr_result, void *result)
+client_call(uint32_t local_ip, kf_addr_t server, int64_t timeout_ms,
+    rpcproc_t proc, xdrproc_t xdr_args, void *args, xdrproc_t xdr_result,
+    void *result)
 {
 	struct sockaddr_in sin = {
 		.sin_family = AF_INET,
@@ -74,7 +89,7 @@
 	CLIENT *client;
 	int fd = -1;
 
-	status = connect_tcp(server, timeout_ms, &fd);
+	status = connect_tcp(local_ip, server, timeout_ms, &fd);
 	if (status != KF_OK)
 		return status;
 	client =
@@ -100,17 +115,17 @@
     kf_addr_t server, int64_t timeout_ms, kf_rpc_status *status)
 {
 	memset(status, 0, sizeof(*status));
-	return client_call(server, timeout_ms, KF_CONTROL_STATUS, no_arguments,
-	    NULL, (xdrproc_t)xdr_kf_rpc_status, status);
+	return client_call(0, server, timeout_ms, KF_CONTROL_STATUS,
+	    no_arguments, NULL, (xdrproc_t)xdr_kf_rpc_status, status);
 }
 
 kf_status_t
-kf_control_client_fetch(
-    kf_addr_t server, int64_t timeout_ms, uint32_t kind, kf_rpc_doc *doc)
+kf_control_client_fetch(uint32_t local_ip, kf_addr_t server, int64_t timeout_ms,
+    uint32_t kind, kf_rpc_doc *doc)
 {
 	u_int arg = kind;
 
 	memset(doc, 0, sizeof(*doc));
-	return client_call(server, timeout_ms, KF_CONTROL_FETCH,
+	return client_call(local_ip, server, timeout_ms, KF_CONTROL_FETCH,
 	    (xdrproc_t)xdr_u_int, &arg, (xdrproc_t)xdr_kf_rpc_doc, doc);
 }
--- a/lib/rpc/include/kf/control_client.h
+++ b/lib/rpc/include/kf/control_client.h
@@ -19,8 +19,10 @@
 
 kf_status_t kf_control_client_status(
     kf_addr_t server, int64_t timeout_ms, kf_rpc_status *status);
-kf_status_t kf_control_client_fetch(
-    kf_addr_t server, int64_t timeout_ms, uint32_t kind, kf_rpc_doc *doc);
+/* Peers give the keys only to an address of the fleet, so local_ip is the VM's.
+ */
+kf_status_t kf_control_client_fetch(uint32_t local_ip, kf_addr_t server,
+    int64_t timeout_ms, uint32_t kind, kf_rpc_doc *doc);
 
 #ifdef __cplusplus
 }
