Measure how memory, time and traffic grow with size

The design names a target size, but nothing showed what the libraries cost at it. The capacity program runs the real libraries at three or more sizes and prints the points, a least-squares line and its residual.

A network simulator for config distribution was ruled out: a loop in virtual time with fixed delays shows the number of reads and the time to converge. The generated names avoid equal 32-bit identifiers, which the parser refuses; their number is printed.

--- /dev/null
+++ b/capacity/measure/distribution.c
@@ -0,0 +1,537 @@
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/confdist.h"
+#include "kf/random.h"
+
+#include "corpus.h"
+#include "measure.h"
+#include "meter.h"
+#include "series.h"
+
+/*
+ * Config distribution of a whole fleet in virtual time.  A step is the tick of
+ * the control core; an answer of the platform or of a peer arrives one step
+ * after the request, a heartbeat in the step in which it is sent.
+ */
+enum {
+	ZONES = 22,
+	SMOKE_ZONES = 3,
+	STEP_US = 50000,
+	SECOND_US = 1000000,
+	HEARTBEAT_US = 500000,
+	OBSERVERS = 3,
+	SEEDS = 2,
+	PUBLICATIONS = 5,
+	TEXT_BYTES = 32,
+	CUT_ZONES = 4, /* a region */
+	/* Backoff of a zone of 727 VMs reaches its limit of 73 s in this time.
+	 */
+	OUTAGE_S = 240,
+	SETTLE_S = 20,
+	LIMIT_S = 120,
+};
+
+static const sizes_t zone_sizes = {
+	.full = { 50, 250, 727 },
+	.smoke = { 4, 8, 16 },
+};
+
+typedef struct platform_read {
+	bool open;
+	bool lost; /* sent while the platform was cut off */
+	uint64_t after;
+	int64_t answer_us;
+	int64_t until_us;
+} platform_read_t;
+
+typedef struct peer_read {
+	bool open;
+	kf_doc_source_t source;
+} peer_read_t;
+
+typedef struct sim sim_t;
+
+typedef struct node {
+	sim_t *sim;
+	uint32_t index;
+	uint32_t zone;
+	kf_confdist_t *confdist;
+	int64_t heartbeat_us;
+	uint32_t observers[OBSERVERS];
+	platform_read_t platform[KF_DOC_KINDS];
+	peer_read_t peer[KF_DOC_KINDS];
+} node_t;
+
+struct sim {
+	uint32_t zones;
+	uint32_t per_zone;
+	uint32_t count;
+	node_t *nodes;
+	uint32_t **members; /* VM ids of each zone */
+	kf_random_t random;
+	int64_t now_us;
+	uint64_t versions[KF_DOC_KINDS];
+	uint32_t cut_zones; /* the first zones do not reach the platform */
+	bool cut_peers;	    /* nor the other zones */
+	uint64_t reads;	    /* since the last second began */
+	uint64_t read_total;
+	uint64_t read_peak; /* most in one second */
+	uint64_t pulls;
+};
+
+static kf_status_t
+on_parse(
+    void *ctx, kf_doc_kind_t kind, const char *text, size_t len, void **doc)
+{
+	uint32_t *revision = malloc(sizeof(*revision));
+
+	(void)ctx;
+	(void)len;
+	if (revision == NULL)
+		return KF_ERR_NO_MEMORY;
+	*revision =
+	    kind == KF_DOC_DECLARATION ? (uint32_t)strtoul(text, NULL, 10) : 0;
+	*doc = revision;
+	return KF_OK;
+}
+
+static void
+on_free(void *ctx, kf_doc_kind_t kind, void *doc)
+{
+	(void)ctx;
+	(void)kind;
+	free(doc);
+}
+
+static uint32_t
+on_revision(void *ctx, kf_doc_kind_t kind, const void *doc)
+{
+	(void)ctx;
+	(void)kind;
+	return *(const uint32_t *)doc;
+}
+
+static bool
+is_cut(const sim_t *sim, const node_t *node)
+{
+	return node->zone < sim->cut_zones;
+}
+
+static void
+on_fetch_platform(
+    void *ctx, kf_doc_kind_t kind, uint64_t after_version, uint32_t wait_ms)
+{
+	node_t *node = ctx;
+	sim_t *sim = node->sim;
+
+	sim->reads++;
+	node->platform[kind] = (platform_read_t){
+		.open = true,
+		.lost = is_cut(sim, node),
+		.after = after_version,
+		.answer_us = sim->now_us + STEP_US,
+		.until_us = sim->now_us + STEP_US + (int64_t)wait_ms * 1000,
+	};
+}
+
+static void
+on_fetch_peer(void *ctx, kf_doc_source_t peer, kf_doc_kind_t kind,
+    kf_doc_version_t version)
+{
+	node_t *node = ctx;
+
+	(void)version;
+	node->sim->pulls++;
+	node->peer[kind] = (peer_read_t){ .open = true, .source = peer };
+}
+
+static void
+node_start(node_t *node)
+{
+	sim_t *sim = node->sim;
+	kf_confdist_config_t config = {
+		.self = { .vm = node->index + 1, .incarnation = 1 },
+		.zone = node->zone + 1,
+		.seed = kf_random_next(&sim->random),
+		.seed_count = SEEDS,
+		.ops = { .parse = on_parse,
+		    .free = on_free,
+		    .revision_of = on_revision },
+	};
+	size_t i;
+
+	node->confdist = corpus_need(kf_confdist_new(&config), "confdist");
+	node->heartbeat_us =
+	    sim->now_us + kf_random_below(&sim->random, HEARTBEAT_US);
+	for (i = 0; i < OBSERVERS; i++)
+		node->observers[i] = node->zone * sim->per_zone +
+		    kf_random_below(&sim->random, sim->per_zone);
+	memset(node->platform, 0, sizeof(node->platform));
+	memset(node->peer, 0, sizeof(node->peer));
+}
+
+static sim_t *
+sim_new(uint32_t zones, uint32_t per_zone, uint64_t seed)
+{
+	sim_t *sim = corpus_need(calloc(1, sizeof(*sim)), "simulation");
+	uint32_t i;
+
+	sim->zones = zones;
+	sim->per_zone = per_zone;
+	sim->count = zones * per_zone;
+	sim->random.state = seed;
+	sim->now_us = SECOND_US;
+	for (i = 0; i < KF_DOC_KINDS; i++)
+		sim->versions[i] = 1;
+	sim->nodes = corpus_need(calloc(sim->count, sizeof(node_t)), "nodes");
+	sim->members = corpus_need(calloc(zones, sizeof(uint32_t *)), "zones");
+	for (i = 0; i < zones; i++)
+		sim->members[i] =
+		    corpus_need(calloc(per_zone, sizeof(uint32_t)), "members");
+	for (i = 0; i < sim->count; i++) {
+		sim->members[i / per_zone][i % per_zone] = i + 1;
+		sim->nodes[i].sim = sim;
+		sim->nodes[i].index = i;
+		sim->nodes[i].zone = i / per_zone;
+		node_start(&sim->nodes[i]);
+	}
+	return sim;
+}
+
+static void
+sim_delete(sim_t *sim)
+{
+	uint32_t i;
+
+	for (i = 0; i < sim->count; i++)
+		kf_confdist_delete(sim->nodes[i].confdist);
+	for (i = 0; i < sim->zones; i++)
+		free(sim->members[i]);
+	free(sim->members);
+	free(sim->nodes);
+	free(sim);
+}
+
+static void
+node_document(
+    node_t *node, kf_doc_kind_t kind, kf_doc_source_t source, uint64_t version)
+{
+	sim_t *sim = node->sim;
+	char text[TEXT_BYTES];
+	int len = snprintf(
+	    text, sizeof(text), "%llu document", (unsigned long long)version);
+	kf_doc_result_t result = kf_confdist_on_document(node->confdist,
+	    sim->now_us, kind, source, version, text, (size_t)len);
+
+	/* The VM list tells a new VM the size of its zone. */
+	if (kind == KF_DOC_VMS && result == KF_DOC_ACCEPTED)
+		kf_confdist_set_zone_members(
+		    node->confdist, sim->members[node->zone], sim->per_zone);
+}
+
+static void
+node_platform_answer(node_t *node, kf_doc_kind_t kind)
+{
+	platform_read_t *read = &node->platform[kind];
+	kf_doc_source_t platform = { 0 };
+	sim_t *sim = node->sim;
+
+	read->lost = read->lost || is_cut(sim, node);
+	if (!read->open || read->lost || sim->now_us < read->answer_us)
+		return;
+	if (sim->versions[kind] > read->after) {
+		read->open = false;
+		node_document(node, kind, platform, sim->versions[kind]);
+	} else if (sim->now_us >= read->until_us) {
+		read->open = false;
+		kf_confdist_on_unchanged(node->confdist, sim->now_us, kind);
+	}
+}
+
+static node_t *
+source_node(const node_t *node, kf_doc_source_t source)
+{
+	sim_t *sim = node->sim;
+	uint32_t zone;
+
+	if (source.vm != 0)
+		return &sim->nodes[source.vm - 1];
+	/* The first seed is of the own zone, the second of the next. */
+	zone = (node->zone + source.seed - 1) % sim->zones;
+	return &sim->nodes[zone * sim->per_zone];
+}
+
+static bool
+is_separate(const sim_t *sim, const node_t *a, const node_t *b)
+{
+	return sim->cut_peers && is_cut(sim, a) != is_cut(sim, b);
+}
+
+static void
+node_peer_answer(node_t *node, kf_doc_kind_t kind)
+{
+	peer_read_t *read = &node->peer[kind];
+	sim_t *sim = node->sim;
+	node_t *peer;
+	kf_doc_t doc;
+
+	if (!read->open)
+		return;
+	read->open = false;
+	peer = source_node(node, read->source);
+	doc = kf_confdist_doc(peer->confdist, kind);
+	if (is_separate(sim, node, peer) || doc.parsed == NULL)
+		kf_confdist_on_fetch_failed(
+		    node->confdist, sim->now_us, kind, read->source);
+	else
+		node_document(
+		    node, kind, read->source, doc.version.platform_version);
+}
+
+static void
+node_tell(node_t *from, uint32_t index)
+{
+	kf_doc_version_t versions[KF_DOC_KINDS];
+	node_t *to = &from->sim->nodes[index];
+	int64_t now_us = from->sim->now_us;
+	size_t kind;
+
+	if (to == from || is_separate(from->sim, from, to) ||
+	    kf_confdist_doc(to->confdist, KF_DOC_KEYS).parsed == NULL)
+		return;
+	for (kind = 0; kind < KF_DOC_KINDS; kind++)
+		versions[kind] =
+		    kf_confdist_doc(from->confdist, (kf_doc_kind_t)kind)
+			.version;
+	kf_confdist_on_peer_versions(to->confdist, now_us, from->index + 1,
+	    versions, kf_confdist_confirmed_age_ms(from->confdist, now_us));
+}
+
+/* Three observers, one random VM of the zone and one of another. */
+static void
+node_heartbeat(node_t *node)
+{
+	sim_t *sim = node->sim;
+	uint32_t own = node->zone * sim->per_zone, zone;
+	size_t i;
+
+	if (sim->now_us < node->heartbeat_us ||
+	    kf_confdist_doc(node->confdist, KF_DOC_KEYS).parsed == NULL)
+		return;
+	node->heartbeat_us += HEARTBEAT_US;
+	for (i = 0; i < OBSERVERS; i++)
+		node_tell(node, node->observers[i]);
+	node_tell(node, own + kf_random_below(&sim->random, sim->per_zone));
+	zone =
+	    (node->zone + 1 + kf_random_below(&sim->random, sim->zones - 1)) %
+	    sim->zones;
+	node_tell(node,
+	    zone * sim->per_zone +
+		kf_random_below(&sim->random, sim->per_zone));
+}
+
+static void
+sim_count_second(sim_t *sim)
+{
+	if (sim->now_us % SECOND_US != 0)
+		return;
+	sim->read_total += sim->reads;
+	if (sim->reads > sim->read_peak)
+		sim->read_peak = sim->reads;
+	sim->reads = 0;
+}
+
+static void
+sim_step(sim_t *sim)
+{
+	uint32_t i, kind;
+
+	sim->now_us += STEP_US;
+	for (i = 0; i < sim->count; i++) {
+		node_t *node = &sim->nodes[i];
+		kf_confdist_actions_t actions = {
+			.ctx = node,
+			.fetch_platform = on_fetch_platform,
+			.fetch_peer = on_fetch_peer,
+		};
+
+		for (kind = 0; kind < KF_DOC_KINDS; kind++) {
+			node_platform_answer(node, (kf_doc_kind_t)kind);
+			node_peer_answer(node, (kf_doc_kind_t)kind);
+		}
+		kf_confdist_tick(node->confdist, sim->now_us, &actions);
+		node_heartbeat(node);
+	}
+	sim_count_second(sim);
+}
+
+static void
+sim_run(sim_t *sim, int seconds)
+{
+	int64_t end_us = sim->now_us + (int64_t)seconds * SECOND_US;
+
+	sim->read_peak = 0;
+	sim->read_total = 0;
+	while (sim->now_us < end_us)
+		sim_step(sim);
+}
+
+static bool
+sim_in_force(const sim_t *sim)
+{
+	uint32_t i;
+
+	for (i = 0; i < sim->count; i++) {
+		kf_doc_t doc =
+		    kf_confdist_doc(sim->nodes[i].confdist, KF_DOC_DECLARATION);
+
+		if (doc.version.platform_version !=
+		    sim->versions[KF_DOC_DECLARATION])
+			return false;
+	}
+	return true;
+}
+
+/* Seconds until the newest declaration is in force everywhere. */
+static double
+sim_converge(sim_t *sim)
+{
+	int64_t start_us = sim->now_us;
+
+	while (!sim_in_force(sim) &&
+	    sim->now_us - start_us < (int64_t)LIMIT_S * SECOND_US)
+		sim_step(sim);
+	return (double)(sim->now_us - start_us) / SECOND_US;
+}
+
+typedef struct results {
+	series_t start, steady, slowest, outage, back, zone, zone_s, cut, cut_s,
+	    held;
+} results_t;
+
+static void
+measure_change(sim_t *sim, results_t *r)
+{
+	double slowest = 0;
+	int i;
+
+	for (i = 0; i < PUBLICATIONS; i++) {
+		sim->versions[KF_DOC_DECLARATION]++;
+		slowest = fmax(slowest, sim_converge(sim));
+	}
+	series_add(&r->slowest, sim->count, slowest);
+}
+
+static void
+measure_outage(sim_t *sim, results_t *r, int outage_s)
+{
+	sim->cut_zones = sim->zones;
+	sim_run(sim, outage_s);
+	series_add(&r->outage, sim->count, (double)sim->read_peak);
+	sim->cut_zones = 0;
+	sim_run(sim, outage_s);
+	series_add(&r->back, sim->count, (double)sim->read_peak);
+}
+
+static void
+measure_zone_restart(sim_t *sim, results_t *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < sim->per_zone; i++) {
+		kf_confdist_delete(sim->nodes[i].confdist);
+		node_start(&sim->nodes[i]);
+	}
+	sim->read_peak = 0;
+	series_add(&r->zone_s, sim->count, sim_converge(sim));
+	sim_run(sim, SETTLE_S);
+	series_add(&r->zone, sim->count, (double)sim->read_peak);
+}
+
+/* A change is made while a region reaches nothing outside it. */
+static void
+measure_region_cut(sim_t *sim, results_t *r, int outage_s)
+{
+	sim->cut_zones = CUT_ZONES < sim->zones ? CUT_ZONES : 1;
+	sim->cut_peers = true;
+	sim_run(sim, outage_s / 2);
+	sim->versions[KF_DOC_DECLARATION]++;
+	sim_run(sim, outage_s / 2);
+	sim->cut_zones = 0;
+	sim->cut_peers = false;
+	sim->read_peak = 0;
+	series_add(&r->cut_s, sim->count, sim_converge(sim));
+	sim_run(sim, SETTLE_S);
+	series_add(&r->cut, sim->count, (double)sim->read_peak);
+}
+
+static void
+measure_fleet(
+    const plan_t *plan, uint32_t zones, uint32_t per_zone, results_t *r)
+{
+	double before = meter_heap_bytes();
+	sim_t *sim = sim_new(zones, per_zone, plan->seed);
+	int outage_s = plan->smoke ? 10 : OUTAGE_S;
+
+	sim_run(sim, SETTLE_S);
+	series_add(&r->start, sim->count, (double)sim->read_peak);
+	series_add(
+	    &r->held, sim->count, (meter_heap_bytes() - before) / sim->count);
+	sim_run(sim, SETTLE_S);
+	series_add(&r->steady, sim->count, (double)sim->read_total / SETTLE_S);
+	measure_change(sim, r);
+	measure_zone_restart(sim, r);
+	measure_region_cut(sim, r, outage_s);
+	measure_outage(sim, r, outage_s);
+	sim_delete(sim);
+}
+
+void
+measure_distribution(const plan_t *plan)
+{
+	const uint32_t *size = sizes_of(&zone_sizes, plan);
+	uint32_t zones = plan->smoke ? SMOKE_ZONES : ZONES;
+	results_t r = {
+		.start = { .name = "distribution.start_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
+		.steady = { .name = "distribution.steady_reads",
+		    .x = "vms",
+		    .y = "per_s" },
+		.slowest = { .name = "distribution.change",
+		    .x = "vms",
+		    .y = "s" },
+		.outage = { .name = "distribution.outage_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
+		.back = { .name = "distribution.return_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
+		.zone = { .name = "distribution.zone_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
+		.zone_s = { .name = "distribution.zone_restart",
+		    .x = "vms",
+		    .y = "s" },
+		.cut = { .name = "distribution.region_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
+		.cut_s = { .name = "distribution.region_rejoin",
+		    .x = "vms",
+		    .y = "s" },
+		.held = { .name = "distribution.held_per_vm",
+		    .x = "vms",
+		    .y = "bytes" },
+	};
+	series_t *all[] = { &r.start, &r.steady, &r.slowest, &r.zone, &r.zone_s,
+		&r.cut, &r.cut_s, &r.outage, &r.back, &r.held };
+	size_t i;
+
+	for (i = 0; i < MEASURE_SIZES && size[i] != 0; i++)
+		measure_fleet(plan, zones, size[i], &r);
+	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++)
+		series_print(all[i]);
+}
--- /dev/null
+++ b/capacity/measure/series.h
@@ -0,0 +1,33 @@
+#ifndef CAPACITY_SERIES_H
+#define CAPACITY_SERIES_H
+
+#include <stddef.h>
+
+/*
+ * NAME
+ *	series - points of one measurement and their least-squares line
+ */
+
+enum { SERIES_MAX = 16 };
+
+typedef struct series {
+	const char *name;
+	const char *x; /* what the size counts */
+	const char *y; /* unit of the value */
+	size_t count;
+	double xs[SERIES_MAX];
+	double ys[SERIES_MAX];
+} series_t;
+
+void series_add(series_t *series, double x, double y);
+
+/*
+ * Prints the points and the line as key=value.  The residual is the root mean
+ * square of the distances, in percent of the largest value.
+ */
+void series_print(const series_t *series);
+
+/* Prints a single figure. */
+void series_figure(const char *name, const char *y, double value);
+
+#endif
--- /dev/null
+++ b/tests/process/capacity.sh
@@ -0,0 +1,44 @@
+#!/bin/sh
+# Runs the capacity program with tiny sizes.  Guards against a measurement that
+# fails, prints no points or no fit, or disappears from the output.
+set -eu
+build=$1
+out=$build/test-output/capacity.out
+"$build/bin/capacity" --smoke >"$out"
+
+fail() {
+	echo "$1"
+	cat "$out"
+	exit 1
+}
+
+for name in declaration.text declaration.held declaration.peak \
+    declaration.parse declaration.clashes view.build_16_vms \
+    view.held_16_vms view.build_1000_upstreams view.build_16000_vms \
+    view.held_16000_vms members.held members.tick members.heartbeat_taken \
+    members.heartbeat_round members.control_sent members.heartbeats \
+    distribution.start_reads distribution.steady_reads distribution.change \
+    distribution.zone_reads distribution.zone_restart \
+    distribution.region_reads distribution.region_rejoin \
+    distribution.outage_reads distribution.return_reads \
+    distribution.held_per_vm flows.records flows.begin_finish \
+    traffic.served_held traffic.served_tick traffic.declared_held \
+    traffic.adopt_declaration traffic.adopt_view traffic.declared_tick \
+    traffic.place codecs.token_seal codecs.token_open codecs.call_read \
+    codecs.intent_seal_open; do
+	points=$(grep -c "^measure=$name [a-z]*=[0-9]* [a-z_]*=[0-9.e+]*$" "$out") ||
+	    fail "$name has no points"
+	[ "$points" -ge 3 ] || fail "$name has fewer than 3 points"
+	grep -Eq "^fit=$name slope=[-+.e0-9]+ intercept=[-+.e0-9]+ residual_percent=[.0-9]+ points=$points " \
+	    "$out" || fail "$name has no fit"
+done
+for name in declaration.upstream_struct declaration.service_struct \
+    declaration.selector_struct traffic.empty_core codecs.token codecs.intent; do
+	grep -Eq "^figure=$name bytes=[1-9]" "$out" || fail "$name is missing"
+done
+
+# A change that never arrives would end at the limit of 120 s.
+if grep -E '^measure=distribution\.(change|zone_restart|region_rejoin) ' "$out" |
+    grep -q ' s=120'; then
+	fail "a declaration did not come into force"
+fi
