Keep names of all kinds apart; count reads from the start of each event

At 80,000 upstreams and 30,000 services two generated selector names got one identifier, and the parser refused the declaration: identifiers are 32-bit hashes of names. Services and selectors now get names that differ in their identifiers, as upstreams did. The highest number of reads after a restart of a zone and after a region's return left out the seconds until the fleet had converged; they count now. The size of a lease message is printed.

--- a/capacity/measure/codecs.c
+++ b/capacity/measure/codecs.c
@@ -94,6 +94,17 @@
 	bench->len = len;
 }
 
+static double
+lease_bytes(kf_keyring_t *keys)
+{
+	kf_peer_msg msg = { .body.type = KF_PEER_LEASE };
+	uint8_t buf[512];
+	size_t len = 0;
+
+	kf_peer_seal(&msg, keys, NOW_S, buf, sizeof(buf), &len);
+	return (double)len;
+}
+
 static void
 bench_call(bench_t *bench)
 {
@@ -149,5 +160,6 @@
 	}
 	series_figure("codecs.token", "bytes", KF_TOKEN_BYTES);
 	series_figure("codecs.intent", "bytes", (double)bench.len);
+	series_figure("codecs.lease", "bytes", lease_bytes(bench.keys));
 	kf_keyring_delete(bench.keys);
 }
--- a/capacity/measure/corpus.c
+++ b/capacity/measure/corpus.c
@@ -11,6 +11,7 @@
 	PORT = 2049,
 	RACKS = 40,
 	SECTION_BYTES = 256,
+	NAME_BYTES = 32,
 };
 
 void *
@@ -43,15 +44,28 @@
 	return true;
 }
 
+static id_set_t
+id_set_new(uint32_t count)
+{
+	id_set_t set = { .mask = 1 };
+
+	while (set.mask < (size_t)count * 4)
+		set.mask = set.mask * 2 + 1;
+	set.ids = corpus_need(calloc(set.mask + 1, sizeof(uint32_t)), "names");
+	return set;
+}
+
+/* Names of one kind whose identifiers differ. */
 static void
-unique_name(corpus_text_t *out, id_set_t *set, uint32_t i, char name[32])
+unique_name(corpus_text_t *out, id_set_t *set, const char *kind, uint32_t i,
+    char name[NAME_BYTES])
 {
 	uint32_t attempt = 0;
 
-	snprintf(name, 32, "upstream-%06u", i);
+	snprintf(name, NAME_BYTES, "%s-%06u", kind, i);
 	while (!id_set_add(set, kf_name_id(name))) {
 		out->clashes++;
-		snprintf(name, 32, "upstream-%06u-%u", i, ++attempt);
+		snprintf(name, NAME_BYTES, "%s-%06u-%u", kind, i, ++attempt);
 	}
 }
 
@@ -62,52 +76,66 @@
 }
 
 static size_t
-write_service(const corpus_t *corpus, uint32_t i, char *out)
+write_service(const corpus_t *corpus, uint32_t i, const char *name, char *out)
 {
 	char addr[KF_ADDR_TEXT_BYTES];
 
 	return (size_t)sprintf(out,
-	    "[service service-%05u]\naddress = %s\nprocedure.1 = idempotent\n"
-	    "[selector selector-%05u]\nservice = service-%05u\n"
+	    "[service %s]\naddress = %s\nprocedure.1 = idempotent\n"
+	    "[selector %s]\nservice = %s\n"
 	    "match = gen=new\nshare_percent = 100\nzone_preference = %s\n",
-	    i, address(SERVICE_NET + i, addr), i, i, corpus->preference);
+	    name, address(SERVICE_NET + i, addr), name, name,
+	    corpus->preference);
 }
 
 static size_t
-write_upstream(const corpus_t *corpus, uint32_t i, const char *name, char *out)
+write_upstream(const corpus_t *corpus, uint32_t i, const char *name,
+    const char *service, char *out)
 {
 	char addr[KF_ADDR_TEXT_BYTES];
 
 	return (size_t)sprintf(out,
-	    "[upstream %s]\nservice = service-%05u\nzone = zone-%02u\n"
+	    "[upstream %s]\nservice = %s\nzone = zone-%02u\n"
 	    "address = %s\nslots = 3\nlabels = gen=new rack=r%u\n",
-	    name, i % corpus->services, i % corpus->zones,
-	    address(UPSTREAM_NET + i, addr), i % RACKS);
+	    name, service, i % corpus->zones, address(UPSTREAM_NET + i, addr),
+	    i % RACKS);
+}
+
+static void
+write_all(const corpus_t *corpus, corpus_text_t *out)
+{
+	id_set_t services = id_set_new(corpus->services);
+	id_set_t upstreams = id_set_new(corpus->upstreams);
+	char(*names)[NAME_BYTES], name[NAME_BYTES];
+	uint32_t i;
+
+	names = corpus_need(calloc(corpus->services, NAME_BYTES), "names");
+	for (i = 0; i < corpus->services; i++) {
+		unique_name(out, &services, "service", i, names[i]);
+		out->len +=
+		    write_service(corpus, i, names[i], out->text + out->len);
+	}
+	for (i = 0; i < corpus->upstreams; i++) {
+		unique_name(out, &upstreams, "upstream", i, name);
+		out->len += write_upstream(corpus, i, name,
+		    names[i % corpus->services], out->text + out->len);
+	}
+	free(names);
+	free(services.ids);
+	free(upstreams.ids);
 }
 
 corpus_text_t
 corpus_write(const corpus_t *corpus)
 {
 	corpus_text_t out = { 0 };
-	id_set_t set = { .mask = 1 };
-	char name[32];
-	uint32_t i;
 
-	while (set.mask < corpus->upstreams * 4)
-		set.mask = set.mask * 2 + 1;
-	set.ids = corpus_need(calloc(set.mask + 1, sizeof(uint32_t)), "names");
 	out.text = corpus_need(
 	    malloc(SECTION_BYTES + (size_t)corpus->services * SECTION_BYTES +
 		(size_t)corpus->upstreams * SECTION_BYTES),
 	    "text");
 	out.len = (size_t)sprintf(out.text, "[declaration]\nrevision = 1\n");
-	for (i = 0; i < corpus->services; i++)
-		out.len += write_service(corpus, i, out.text + out.len);
-	for (i = 0; i < corpus->upstreams; i++) {
-		unique_name(&out, &set, i, name);
-		out.len += write_upstream(corpus, i, name, out.text + out.len);
-	}
-	free(set.ids);
+	write_all(corpus, &out);
 	return out;
 }
 
--- a/capacity/measure/distribution.c
+++ b/capacity/measure/distribution.c
@@ -368,13 +368,18 @@
 	sim_count_second(sim);
 }
 
+static void
+sim_reset_reads(sim_t *sim)
+{
+	sim->read_peak = 0;
+	sim->read_total = 0;
+}
+
 static void
 sim_run(sim_t *sim, int seconds)
 {
 	int64_t end_us = sim->now_us + (int64_t)seconds * SECOND_US;
 
-	sim->read_peak = 0;
-	sim->read_total = 0;
 	while (sim->now_us < end_us)
 		sim_step(sim);
 }
@@ -429,9 +434,11 @@
 measure_outage(sim_t *sim, results_t *r, int outage_s)
 {
 	sim->cut_zones = sim->zones;
+	sim_reset_reads(sim);
 	sim_run(sim, outage_s);
 	series_add(&r->outage, sim->count, (double)sim->read_peak);
 	sim->cut_zones = 0;
+	sim_reset_reads(sim);
 	sim_run(sim, outage_s);
 	series_add(&r->back, sim->count, (double)sim->read_peak);
 }
@@ -445,7 +452,7 @@
 		kf_confdist_delete(sim->nodes[i].confdist);
 		node_start(&sim->nodes[i]);
 	}
-	sim->read_peak = 0;
+	sim_reset_reads(sim);
 	series_add(&r->zone_s, sim->count, sim_converge(sim));
 	sim_run(sim, SETTLE_S);
 	series_add(&r->zone, sim->count, (double)sim->read_peak);
@@ -462,7 +469,7 @@
 	sim_run(sim, outage_s / 2);
 	sim->cut_zones = 0;
 	sim->cut_peers = false;
-	sim->read_peak = 0;
+	sim_reset_reads(sim);
 	series_add(&r->cut_s, sim->count, sim_converge(sim));
 	sim_run(sim, SETTLE_S);
 	series_add(&r->cut, sim->count, (double)sim->read_peak);
@@ -480,6 +487,7 @@
 	series_add(&r->start, sim->count, (double)sim->read_peak);
 	series_add(
 	    &r->held, sim->count, (meter_heap_bytes() - before) / sim->count);
+	sim_reset_reads(sim);
 	sim_run(sim, SETTLE_S);
 	series_add(&r->steady, sim->count, (double)sim->read_total / SETTLE_S);
 	measure_change(sim, r);
--- a/tests/process/capacity.sh
+++ b/tests/process/capacity.sh
@@ -33,7 +33,8 @@
 	    "$out" || fail "$name has no fit"
 done
 for name in declaration.upstream_struct declaration.service_struct \
-    declaration.selector_struct traffic.empty_core codecs.token codecs.intent; do
+    declaration.selector_struct traffic.empty_core codecs.token codecs.intent \
+    codecs.lease; do
 	grep -Eq "^figure=$name bytes=[1-9]" "$out" || fail "$name is missing"
 done
 
