Score only the VMs of an upstream's zone when a view is built

A view scored every VM for every upstream, although VMs of other zones count only where the zone has no owner or no backup of its own. With 16,000 VMs in 22 zones and 80,000 upstreams one build took 17.9 s of processor time. The VMs that may own are now sorted by zone, and other zones are scored only for an upstream that lacks one of the two.

Ruled out: owners only for upstreams of the own zone. An ingress VM names the owner in a token and forwards to it, whatever the zone.

--- a/lib/view/view.c
+++ b/lib/view/view.c
@@ -85,26 +85,86 @@
 	}
 }
 
+/* A VM that may own upstreams. */
+typedef struct eligible {
+	uint32_t zone;
+	uint32_t index; /* into vms */
+} eligible_t;
+
+typedef struct eligible_list {
+	uint32_t count;
+	eligible_t *vms; /* ordered by zone, then index */
+} eligible_list_t;
+
+static int
+eligible_compare(const void *a, const void *b)
+{
+	const eligible_t *x = a, *y = b;
+
+	if (x->zone != y->zone)
+		return x->zone < y->zone ? -1 : 1;
+	return (x->index > y->index) - (x->index < y->index);
+}
+
+static kf_status_t
+eligible_fill(eligible_list_t *list, const kf_view_t *view)
+{
+	uint32_t i;
+
+	list->count = 0;
+	list->vms = calloc(view->vm_count + 1, sizeof(*list->vms));
+	if (list->vms == NULL)
+		return KF_ERR_NO_MEMORY;
+	for (i = 0; i < view->vm_count; i++) {
+		if (vm_may_own(&view->vms[i]))
+			list->vms[list->count++] = (eligible_t){
+				.zone = view->vms[i].zone,
+				.index = i,
+			};
+	}
+	qsort(list->vms, list->count, sizeof(*list->vms), eligible_compare);
+	return KF_OK;
+}
+
+/* Position of the first VM of a zone, or of where it would be. */
+static uint32_t
+eligible_find(const eligible_list_t *list, uint32_t zone)
+{
+	uint32_t low = 0, high = list->count, mid;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (list->vms[mid].zone < zone)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
 static void
-view_assign(kf_view_t *view, uint32_t index)
+top_two_score(top_two_t *top, const kf_view_t *view, uint32_t vm, uint32_t id)
+{
+	kf_vm_id_t vm_id = view->vms[vm].id;
+
+	top_two_add(
+	    top, vm, kf_rendezvous_score(vm_id.vm, vm_id.incarnation, id));
+}
+
+/* VMs of other zones are scored only if the zone lacks an owner or backup. */
+static void
+view_assign(kf_view_t *view, const eligible_list_t *list, uint32_t index)
 {
 	const kf_upstream_t *upstream = &view->decl->upstreams[index];
 	top_two_t local = { .first = KF_VIEW_NONE, .second = KF_VIEW_NONE };
 	top_two_t any = local;
-	uint64_t score;
 	uint32_t i;
 
-	for (i = 0; i < view->vm_count; i++) {
-		const kf_view_vm_t *vm = &view->vms[i];
-
-		if (!vm_may_own(vm))
-			continue;
-		score = kf_rendezvous_score(
-		    vm->id.vm, vm->id.incarnation, upstream->id);
-		top_two_add(&any, i, score);
-		if (vm->zone == upstream->zone)
-			top_two_add(&local, i, score);
-	}
+	for (i = eligible_find(list, upstream->zone);
+	     i < list->count && list->vms[i].zone == upstream->zone; i++)
+		top_two_score(&local, view, list->vms[i].index, upstream->id);
+	for (i = 0; local.second == KF_VIEW_NONE && i < list->count; i++)
+		top_two_score(&any, view, list->vms[i].index, upstream->id);
 	if (local.first == KF_VIEW_NONE)
 		local = any;
 	/* A lone VM of a zone takes its backup from another zone. */
@@ -116,11 +176,38 @@
 }
 
 static kf_status_t
-view_fill(kf_view_t *view, const kf_view_input_t *input)
+view_assign_all(kf_view_t *view)
+{
+	eligible_list_t list;
+	uint32_t i;
+
+	if (eligible_fill(&list, view) != KF_OK)
+		return KF_ERR_NO_MEMORY;
+	for (i = 0; i < view->decl->upstream_count; i++)
+		view_assign(view, &list, i);
+	free(list.vms);
+	return KF_OK;
+}
+
+static void
+view_digests(kf_view_t *view, const kf_view_input_t *input)
 {
 	const kf_view_digest_t *digest;
 	uint32_t i;
 
+	for (i = 0; input->digest != NULL && i < view->decl->upstream_count;
+	     i++) {
+		digest = input->digest(input->ctx, view->decl->upstreams[i].id);
+		if (digest != NULL)
+			view->upstreams[i].digest = *digest;
+	}
+}
+
+static kf_status_t
+view_fill(kf_view_t *view, const kf_view_input_t *input)
+{
+	uint32_t i;
+
 	view->decl_ref = kf_declref_retain(input->decl);
 	view->decl = kf_declref_get(input->decl);
 	view->keys = kf_keyring_copy(input->keys);
@@ -142,14 +229,9 @@
 		return kf_status_set(
 		    KF_ERR_INVALID, "this VM is not in its own view");
 	view->leaving = view->vms[view->self_index].leaving;
-	for (i = 0; i < view->decl->upstream_count; i++) {
-		view_assign(view, i);
-		digest = input->digest == NULL
-		    ? NULL
-		    : input->digest(input->ctx, view->decl->upstreams[i].id);
-		if (digest != NULL)
-			view->upstreams[i].digest = *digest;
-	}
+	if (view_assign_all(view) != KF_OK)
+		return KF_ERR_NO_MEMORY;
+	view_digests(view, input);
 	return KF_OK;
 }
 
