Keep one copy of each set of labels of a declaration

An upstream and a selector each held room for 8 labels of 64 bytes, and the arrays kept the spare room of their growth, so that a declaration of 80,000 upstreams and 30,000 services took 124 MB, nearly the whole memory of a node. Few sets of labels differ (here 40 racks), so the declaration now stores each set once and the objects point to it; the arrays are trimmed when the declaration is accepted.

Ruled out: one copy of each single label, which needs an array of pointers for every upstream.

A kf_upstream_t shrinks from 672 to 168 bytes, a kf_selector_t from 632 to 128.

--- a/lib/declaration/declaration.c
+++ b/lib/declaration/declaration.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "kf/declaration.h"
+#include "label_sets.h"
 
 void
 kf_declaration_delete(kf_declaration_t *decl)
@@ -15,6 +16,7 @@
 	free(decl->services_by_id);
 	free(decl->services_by_addr);
 	free(decl->matches);
+	kf_label_sets_delete(decl->label_sets);
 	free(decl);
 }
 
--- a/lib/declaration/declaration_parse.c
+++ b/lib/declaration/declaration_parse.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "draft.h"
+#include "label_sets.h"
 
 typedef struct order_entry {
 	uint64_t key;
@@ -79,6 +80,19 @@
 	return decl->upstreams_by_id != NULL && decl->services_by_addr != NULL;
 }
 
+/* Takes the elements of an array without its spare room. */
+static void *
+array_take(kf_array_t *array, size_t size)
+{
+	void *items = array->items, *trimmed;
+
+	array->items = NULL;
+	if (array->count == 0)
+		return items;
+	trimmed = realloc(items, array->count * size);
+	return trimmed != NULL ? trimmed : items;
+}
+
 /* Moves the objects of an accepted draft into a declaration. */
 static kf_declaration_t *
 draft_take(kf_draft_t *draft)
@@ -92,16 +106,14 @@
 	decl->service_count = (uint32_t)draft->services.count;
 	decl->upstream_count = (uint32_t)draft->upstreams.count;
 	decl->selector_count = (uint32_t)draft->selectors.count;
-	decl->services = draft->services.items;
-	decl->upstreams = draft->upstreams.items;
-	decl->selectors = draft->selectors.items;
-	decl->matches = draft->matches.items;
+	decl->services = array_take(&draft->services, sizeof(kf_service_t));
+	decl->upstreams = array_take(&draft->upstreams, sizeof(kf_upstream_t));
+	decl->selectors = array_take(&draft->selectors, sizeof(kf_selector_t));
+	decl->matches = array_take(&draft->matches, sizeof(uint32_t));
 	decl->services_by_id = draft->services_by_id;
-	draft->services.items = NULL;
-	draft->upstreams.items = NULL;
-	draft->selectors.items = NULL;
-	draft->matches.items = NULL;
 	draft->services_by_id = NULL;
+	decl->label_sets = draft->label_sets;
+	draft->label_sets = NULL;
 	if (declaration_index(decl))
 		return decl;
 	kf_declaration_delete(decl);
@@ -124,6 +136,7 @@
 	kf_declaration_t *decl = NULL;
 
 	draft.reader.target = &draft;
+	draft.label_sets = kf_label_sets_new();
 	kf_reader_run(&draft.reader, text, len, max_bytes);
 	if (len <= max_bytes && !draft.no_memory)
 		kf_draft_check(&draft);
--- a/lib/declaration/draft.c
+++ b/lib/declaration/draft.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "draft.h"
+#include "label_sets.h"
 #include "procedure.h"
 
 enum {
@@ -75,11 +76,11 @@
 	size_t k;
 
 	status = kf_labels_parse(
-	    value, KF_MAX_LABELS, upstream->labels, &upstream->label_count);
+	    value, KF_MAX_LABELS, draft->labels, &upstream->label_count);
 	for (i = 0; status == KF_OK && i < upstream->label_count; i++) {
 		for (k = 0; k < COUNT(reserved_labels); k++) {
-			if (strcmp(upstream->labels[i].key,
-				reserved_labels[k]) == 0)
+			if (strcmp(draft->labels[i].key, reserved_labels[k]) ==
+			    0)
 				status = kf_status_set(KF_ERR_CONFLICT,
 				    "'%s' is reserved", reserved_labels[k]);
 		}
@@ -96,7 +97,7 @@
 	kf_status_t status;
 
 	status = kf_labels_parse(
-	    value, KF_MAX_LABELS, selector->match, &selector->match_count);
+	    value, KF_MAX_LABELS, draft->match, &selector->match_count);
 	draft->ref.labels_bad = status != KF_OK;
 	return status;
 }
@@ -254,6 +255,18 @@
 	*ref_place = *ref;
 }
 
+static const kf_label_t *
+draft_labels(kf_draft_t *draft, const kf_label_t *labels, uint32_t count)
+{
+	const kf_label_t *shared = NULL;
+
+	if (draft->label_sets != NULL)
+		shared = kf_label_sets_add(draft->label_sets, labels, count);
+	if (shared == NULL)
+		draft->no_memory = true;
+	return shared;
+}
+
 static void
 service_end(void *target, void *object, bool bad)
 {
@@ -278,6 +291,8 @@
 	result->id = kf_name_id(result->name);
 	result->zone = kf_name_id(result->zone_name);
 	result->draining = upstream->state == 1;
+	result->labels =
+	    draft_labels(draft, upstream->labels, result->label_count);
 	upstream->ref.bad = bad;
 	draft_append(draft, &draft->upstreams, result, sizeof(*result),
 	    &draft->upstream_refs, &upstream->ref);
@@ -291,25 +306,25 @@
 match_service(kf_draft_t *draft, kf_selector_draft_t *draft_selector)
 {
 	kf_selector_t *selector = &draft_selector->selector;
+	kf_label_t *match = draft_selector->match;
 	uint32_t i;
 
 	for (i = 0; i < selector->match_count; i++) {
-		if (strcmp(selector->match[i].key, "service") == 0)
+		if (strcmp(match[i].key, "service") == 0)
 			break;
 	}
 	if (i == selector->match_count)
 		return true;
-	if (strcmp(selector->match[i].value, draft_selector->ref.service) !=
-	    0) {
+	if (strcmp(match[i].value, draft_selector->ref.service) != 0) {
 		kf_reader_error(&draft->reader, draft_selector->ref.line,
 		    "selector %s: matches service '%s', but belongs to '%s'",
-		    selector->name, selector->match[i].value,
+		    selector->name, match[i].value,
 		    draft_selector->ref.service);
 		return false;
 	}
 	selector->match_count--;
-	memmove(&selector->match[i], &selector->match[i + 1],
-	    (selector->match_count - i) * sizeof(selector->match[0]));
+	memmove(&match[i], &match[i + 1],
+	    (selector->match_count - i) * sizeof(match[0]));
 	return true;
 }
 
@@ -337,6 +352,8 @@
 	result->ramp_from_percent =
 	    from ? selector->ramp_from_percent : result->share_percent;
 	result->ramp_start_s = start ? selector->ramp_start_s : 0;
+	result->match =
+	    draft_labels(draft, selector->match, result->match_count);
 	selector->ref.bad = bad;
 	draft_append(draft, &draft->selectors, result, sizeof(*result),
 	    &draft->selector_refs, &selector->ref);
@@ -399,4 +416,5 @@
 	free(draft->selector_refs.items);
 	free(draft->matches.items);
 	free(draft->services_by_id);
+	kf_label_sets_delete(draft->label_sets);
 }
--- a/lib/declaration/draft.h
+++ b/lib/declaration/draft.h
@@ -29,12 +29,14 @@
 
 typedef struct kf_upstream_draft {
 	kf_upstream_t upstream;
+	kf_label_t labels[KF_MAX_LABELS];
 	kf_ref_t ref;
 	int state;
 } kf_upstream_draft_t;
 
 typedef struct kf_selector_draft {
 	kf_selector_t selector;
+	kf_label_t match[KF_MAX_LABELS];
 	kf_ref_t ref;
 	double ramp_from_percent; /* negative: not given */
 	int64_t ramp_start_s;	  /* negative: not given */
@@ -52,6 +54,7 @@
 	kf_array_t selector_refs;
 	kf_array_t matches; /* uint32_t, indexes into upstreams */
 	uint32_t *services_by_id;
+	kf_label_sets_t *label_sets;
 	/* The section being read. */
 	kf_service_draft_t service;
 	kf_upstream_draft_t upstream;
--- a/lib/declaration/explain.c
+++ b/lib/declaration/explain.c
@@ -107,7 +107,7 @@
 
 	*failed = NULL;
 	for (i = 0; i < selector->match_count; i++) {
-		one.match[0] = selector->match[i];
+		one.match = &selector->match[i];
 		if (kf_selector_matches(&one, upstream))
 			continue;
 		*failed = &selector->match[i];
--- a/lib/declaration/include/kf/declaration.h
+++ b/lib/declaration/include/kf/declaration.h
@@ -76,14 +76,14 @@
 	uint32_t slots;
 	bool draining;
 	uint32_t label_count;
-	kf_label_t labels[KF_MAX_LABELS];
+	const kf_label_t *labels; /* shared with other upstreams */
 } kf_upstream_t;
 
 typedef struct kf_selector {
 	char name[KF_NAME_BYTES];
 	uint32_t service; /* index into services */
 	uint32_t match_count;
-	kf_label_t match[KF_MAX_LABELS];
+	const kf_label_t *match; /* shared with other selectors */
 	double share_percent;
 	double ramp_from_percent;
 	int64_t ramp_start_s;
@@ -93,6 +93,8 @@
 	uint32_t *upstreams; /* indexes of matching upstreams */
 } kf_selector_t;
 
+typedef struct kf_label_sets kf_label_sets_t;
+
 typedef struct kf_declaration {
 	uint32_t revision;
 	uint64_t digest; /* xxh64 of the text */
@@ -106,6 +108,7 @@
 	uint32_t *services_by_id;   /* indexes ordered by id */
 	uint32_t *services_by_addr; /* indexes ordered by address */
 	uint32_t *matches;	    /* storage of every selector's upstreams */
+	kf_label_sets_t *label_sets;
 } kf_declaration_t;
 
 /*
