Take owners from the previous view where they cannot have changed

Every view scored all VMs of each upstream's zone again, also when only a digest or a single VM had changed: 0.79 s at 16,000 VMs and 80,000 upstreams, while a fleet of that size changes about once a second. The two best VMs of a zone stay the best unless one of them left, or a VM that the previous view could not choose has a higher score; only the latter are scored now.

Ruled out: views with the owners of the own zone only, because an ingress VM needs the owner of every upstream it places on; and keeping owners only if the whole fleet is the same, which leaves the cost of each restart as it was.

The new test changes random fleets and compares the owners with the plain rule.

--- a/capacity/measure/view.c
+++ b/capacity/measure/view.c
@@ -19,9 +19,18 @@
 
 typedef struct build {
 	kf_view_input_t input;
+	kf_view_vm_t *vms;
 	kf_view_t *view;
 } build_t;
 
+/* The last digest of every upstream, which a view copies. */
+static const kf_view_digest_t *
+on_digest(void *ctx, uint32_t upstream_id)
+{
+	(void)upstream_id;
+	return ctx;
+}
+
 static uint32_t
 zone_count(uint32_t vms)
 {
@@ -37,74 +46,112 @@
 	build->view = corpus_need(kf_view_new(&build->input), "view");
 }
 
-/* Builds a view of a size and adds its time and memory. */
+/* Builds a view that differs from the last one only in digests. */
 static void
-build_size(
-    uint32_t upstreams, uint32_t vms, double x, series_t *time, series_t *held)
+refresh_once(void *ctx)
+{
+	static kf_view_digest_t digest;
+	build_t *build = ctx;
+	kf_view_t *last = build->view;
+
+	build->input.previous = last;
+	build->input.digest = on_digest;
+	build->input.ctx = &digest;
+	build->view = corpus_need(kf_view_new(&build->input), "view");
+	build->input.previous = NULL;
+	kf_view_release(last);
+}
+
+/* Builds a view after one VM has become dead or alive again. */
+static void
+change_once(void *ctx)
+{
+	build_t *build = ctx;
+	kf_view_vm_t *vm = &build->vms[1];
+
+	vm->liveness = vm->liveness == KF_VM_ALIVE ? KF_VM_DEAD : KF_VM_ALIVE;
+	refresh_once(build);
+}
+
+typedef struct view_series {
+	series_t build; /* without an earlier view */
+	series_t held;
+	series_t refresh; /* only digests differ */
+	series_t change;  /* one VM differs */
+} view_series_t;
+
+/* Measures views of one size; x is the part of it that varies. */
+static void
+measure_size(uint32_t upstreams, uint32_t vms, double x, view_series_t *out)
 {
 	corpus_t corpus = { upstreams, upstreams * 3 / 8, zone_count(vms),
 		"local" };
-	kf_view_vm_t *list = corpus_vms(vms, zone_count(vms));
 	kf_keyring_t *keys = corpus_keys();
-	build_t build = { .input = {
-			      .self = list[0].id,
-			      .settled = true,
-			      .decl = corpus_declref(&corpus),
-			      .keys = keys,
-			      .vms = list,
-			      .vm_count = vms,
-			  } };
+	build_t build = { .vms = corpus_vms(vms, zone_count(vms)) };
 	double before;
 
-	series_add(time, x, meter_median_ns(build_once, &build) / 1e3);
+	build.input = (kf_view_input_t){
+		.self = build.vms[0].id,
+		.settled = true,
+		.decl = corpus_declref(&corpus),
+		.keys = keys,
+		.vms = build.vms,
+		.vm_count = vms,
+	};
+	series_add(&out->build, x, meter_median_ns(build_once, &build) / 1e3);
 	kf_view_release(build.view);
 	build.view = NULL;
 	before = meter_heap_bytes();
 	build_once(&build);
-	series_add(held, x, meter_heap_bytes() - before);
+	series_add(&out->held, x, meter_heap_bytes() - before);
+	series_add(
+	    &out->refresh, x, meter_median_ns(refresh_once, &build) / 1e3);
+	series_add(&out->change, x, meter_median_ns(change_once, &build) / 1e3);
 	kf_view_release(build.view);
 	kf_declref_release(build.input.decl);
 	kf_keyring_delete(keys);
-	free(list);
+	free(build.vms);
+}
+
+static void
+view_series_print(const view_series_t *series)
+{
+	series_print(&series->build);
+	series_print(&series->held);
+	series_print(&series->refresh);
+	series_print(&series->change);
 }
 
+#define VIEW_SERIES(name_, x_)                                                 \
+	{                                                                      \
+		.build = { .name = "view.build_" name_, .x = x_, .y = "us" },  \
+		.held = { .name = "view.held_" name_, .x = x_, .y = "bytes" }, \
+		.refresh = { .name = "view.refresh_" name_,                    \
+			.x = x_,                                               \
+			.y = "us" },                                           \
+		.change = {                                                    \
+			.name = "view.change_" name_, .x = x_, .y = "us"       \
+		},                                                             \
+	}
+
 void
 measure_view(const plan_t *plan)
 {
 	const uint32_t *upstreams = sizes_of(&upstream_sizes, plan);
 	const uint32_t *vms = sizes_of(&vm_sizes, plan);
-	series_t by_upstream = {
-		.name = "view.build_16_vms", .x = "upstreams", .y = "us"
-	};
-	series_t held_upstream = {
-		.name = "view.held_16_vms", .x = "upstreams", .y = "bytes"
-	};
-	series_t by_vm = {
-		.name = "view.build_1000_upstreams", .x = "vms", .y = "us"
-	};
-	series_t held_vm = {
-		.name = "view.held_1000_upstreams", .x = "vms", .y = "bytes"
-	};
-	series_t target = {
-		.name = "view.build_16000_vms", .x = "upstreams", .y = "us"
-	};
-	series_t held = {
-		.name = "view.held_16000_vms", .x = "upstreams", .y = "bytes"
-	};
+	view_series_t small = VIEW_SERIES("16_vms", "upstreams");
+	view_series_t by_vm = VIEW_SERIES("1000_upstreams", "vms");
+	view_series_t target = VIEW_SERIES("16000_vms", "upstreams");
 	size_t i;
 
-	for (i = 0; i < MEASURE_SIZES && upstreams[i] != 0; i++)
-		build_size(upstreams[i], vms[0], upstreams[i], &by_upstream,
-		    &held_upstream);
+	for (i = 0; i < MEASURE_SIZES && upstreams[i] != 0; i++) {
+		measure_size(upstreams[i], vms[0], upstreams[i], &small);
+		measure_size(upstreams[i], plan->smoke ? 16 : 16000,
+		    upstreams[i], &target);
+	}
 	for (i = 0; i < MEASURE_SIZES && vms[i] != 0; i++)
-		build_size(upstreams[0], vms[i], vms[i], &by_vm, &held_vm);
-	for (i = 0; i < MEASURE_SIZES && upstreams[i] != 0; i++)
-		build_size(upstreams[i], plan->smoke ? 16 : 16000, upstreams[i],
-		    &target, &held);
-	series_print(&by_upstream);
-	series_print(&held_upstream);
-	series_print(&by_vm);
-	series_print(&held_vm);
-	series_print(&target);
-	series_print(&held);
+		measure_size(upstreams[0], vms[i], vms[i], &by_vm);
+	view_series_print(&small);
+	view_series_print(&by_vm);
+	view_series_print(&target);
 }
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -205,6 +205,7 @@
 		.decl = decl.parsed,
 		.declaration_version = decl.version.platform_version,
 		.keys = documents_keys(c),
+		.previous = c->view,
 		.digest = digests_find,
 		.ctx = c,
 	};
--- a/lib/view/include/kf/view.h
+++ b/lib/view/include/kf/view.h
@@ -73,6 +73,8 @@
 	const kf_keyring_t *keys;
 	const kf_view_vm_t *vms;
 	uint32_t vm_count;
+	/* Owners are taken from it where they cannot have changed. */
+	const struct kf_view *previous; /* or NULL */
 	/* Returns the digest of an upstream; may be NULL. */
 	const kf_view_digest_t *(*digest)(void *ctx, uint32_t upstream_id);
 	void *ctx;
--- a/lib/view/view.c
+++ b/lib/view/view.c
@@ -189,6 +189,131 @@
 	return KF_OK;
 }
 
+/* What changed of the VMs that may own since the previous view. */
+typedef struct fleet_change {
+	uint32_t *kept;	       /* by index in the previous view */
+	eligible_list_t fresh; /* VMs that it could not choose */
+} fleet_change_t;
+
+static bool
+vm_same_choice(const kf_view_vm_t *a, const kf_view_vm_t *b)
+{
+	return vm_compare(a, b) == 0 && a->zone == b->zone && vm_may_own(a) &&
+	    vm_may_own(b);
+}
+
+/* Both views order their VMs in the same way. */
+static void
+fleet_change_fill(
+    fleet_change_t *change, const kf_view_t *view, const kf_view_t *previous)
+{
+	uint32_t old = 0, i;
+
+	for (i = 0; i < view->vm_count; i++) {
+		const kf_view_vm_t *vm = &view->vms[i];
+
+		while (old < previous->vm_count &&
+		    vm_compare(&previous->vms[old], vm) < 0)
+			change->kept[old++] = KF_VIEW_NONE;
+		if (old < previous->vm_count &&
+		    vm_same_choice(&previous->vms[old], vm)) {
+			change->kept[old++] = i;
+			continue;
+		}
+		if (vm_may_own(vm))
+			change->fresh.vms[change->fresh.count++] =
+			    (eligible_t){ .zone = vm->zone, .index = i };
+	}
+	while (old < previous->vm_count)
+		change->kept[old++] = KF_VIEW_NONE;
+	qsort(change->fresh.vms, change->fresh.count,
+	    sizeof(*change->fresh.vms), eligible_compare);
+}
+
+static uint32_t
+kept_index(const fleet_change_t *change, uint32_t old)
+{
+	return old == KF_VIEW_NONE ? KF_VIEW_NONE : change->kept[old];
+}
+
+/*
+ * Takes owner and backup from the previous view.  The two best of a zone stay
+ * the best unless one of them left or a fresh VM has a higher score.  False:
+ * the zone has to be scored again.
+ */
+static bool
+view_keep(kf_view_t *view, const fleet_change_t *change,
+    const kf_view_upstream_t *previous, uint32_t index)
+{
+	const kf_upstream_t *upstream = &view->decl->upstreams[index];
+	const eligible_list_t *fresh = &change->fresh;
+	uint32_t owner = kept_index(change, previous->owner);
+	uint32_t backup = kept_index(change, previous->backup);
+	top_two_t top = { .first = KF_VIEW_NONE, .second = KF_VIEW_NONE };
+	uint32_t i = eligible_find(fresh, upstream->zone);
+
+	if (owner == KF_VIEW_NONE || backup == KF_VIEW_NONE ||
+	    view->vms[owner].zone != upstream->zone ||
+	    view->vms[backup].zone != upstream->zone)
+		return false;
+	view->upstreams[index].owner = owner;
+	view->upstreams[index].backup = backup;
+	if (i == fresh->count || fresh->vms[i].zone != upstream->zone)
+		return true;
+	top_two_score(&top, view, owner, upstream->id);
+	top_two_score(&top, view, backup, upstream->id);
+	for (; i < fresh->count && fresh->vms[i].zone == upstream->zone; i++)
+		top_two_score(&top, view, fresh->vms[i].index, upstream->id);
+	view->upstreams[index].owner = top.first;
+	view->upstreams[index].backup = top.second;
+	return true;
+}
+
+/* Sorting the VMs is left out if no upstream needs it. */
+static kf_status_t
+view_assign_changed(kf_view_t *view, const kf_view_t *previous,
+    eligible_list_t *list, const fleet_change_t *change)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->decl->upstream_count; i++) {
+		if (view_keep(view, change, &previous->upstreams[i], i))
+			continue;
+		if (list->vms == NULL && eligible_fill(list, view) != KF_OK)
+			return KF_ERR_NO_MEMORY;
+		view_assign(view, list, i);
+	}
+	return KF_OK;
+}
+
+static kf_status_t
+view_reassign(kf_view_t *view, const kf_view_t *previous)
+{
+	kf_status_t status = KF_ERR_NO_MEMORY;
+	eligible_list_t list = { 0 };
+	fleet_change_t change = { 0 };
+
+	change.kept = calloc(previous->vm_count + 1, sizeof(*change.kept));
+	change.fresh.vms =
+	    calloc(view->vm_count + 1, sizeof(*change.fresh.vms));
+	if (change.kept != NULL && change.fresh.vms != NULL) {
+		fleet_change_fill(&change, view, previous);
+		status = view_assign_changed(view, previous, &list, &change);
+	}
+	free(change.kept);
+	free(change.fresh.vms);
+	free(list.vms);
+	return status;
+}
+
+static kf_status_t
+view_owners(kf_view_t *view, const kf_view_t *previous)
+{
+	if (previous != NULL && previous->decl == view->decl)
+		return view_reassign(view, previous);
+	return view_assign_all(view);
+}
+
 static void
 view_digests(kf_view_t *view, const kf_view_input_t *input)
 {
@@ -229,7 +354,7 @@
 		return kf_status_set(
 		    KF_ERR_INVALID, "this VM is not in its own view");
 	view->leaving = view->vms[view->self_index].leaving;
-	if (view_assign_all(view) != KF_OK)
+	if (view_owners(view, input->previous) != KF_OK)
 		return KF_ERR_NO_MEMORY;
 	view_digests(view, input);
 	return KF_OK;
--- a/tests/process/capacity.sh
+++ b/tests/process/capacity.sh
@@ -15,7 +15,7 @@
 for name in declaration.text declaration.held declaration.peak \
     declaration.parse declaration.clashes view.build_16_vms \
     view.held_16_vms view.build_1000_upstreams view.build_16000_vms \
-    view.held_16000_vms members.held members.tick members.heartbeat_taken \
+    view.held_16000_vms view.refresh_16000_vms view.change_16000_vms members.held members.tick members.heartbeat_taken \
     members.heartbeat_round members.control_sent members.heartbeats \
     distribution.start_reads distribution.steady_reads distribution.change \
     distribution.zone_reads distribution.zone_restart \
--- a/tests/unit/view_test.cc
+++ b/tests/unit/view_test.cc
@@ -122,7 +122,41 @@
 			vms.push_back(RandomVm(i));
 		return vms;
 	}
-	kf_view_t *Build(const std::vector<kf_view_vm_t> &vms)
+	void ChangeFleet(std::vector<kf_view_vm_t> &vms)
+	{
+		/* The first is the VM that builds the view. */
+		size_t i = random() % vms.size();
+		kf_view_vm_t &vm = vms[i];
+
+		switch (random() % 7) {
+		case 0:
+			vm.leaving = !vm.leaving;
+			break;
+		case 1:
+			vm.liveness = vm.liveness == KF_VM_ALIVE ? KF_VM_DEAD
+								 : KF_VM_ALIVE;
+			break;
+		case 2:
+			vm.id.incarnation += 5;
+			break;
+		case 3:
+			vm.zone =
+			    kf_name_id(ZoneName(random() % kZones).c_str());
+			break;
+		case 4:
+			vms.push_back(RandomVm(8));
+			break;
+		case 5:
+			if (i > 0)
+				vms.erase(vms.begin() + (long)i);
+			break;
+		default:
+			vm.heard_us++;
+			break;
+		}
+	}
+	kf_view_t *Build(const std::vector<kf_view_vm_t> &vms,
+	    const kf_view_t *previous = nullptr)
 	{
 		kf_view_input_t input = {};
 
@@ -131,6 +165,7 @@
 		input.keys = keys;
 		input.vms = vms.data();
 		input.vm_count = (uint32_t)vms.size();
+		input.previous = previous;
 		return kf_view_new(&input);
 	}
 	static void ExpectOwners(const kf_view_t *view)
@@ -165,4 +200,25 @@
 	}
 }
 
+/*
+ * Guards against owners of an earlier view that stay in force after the VMs
+ * they were chosen from have changed.
+ */
+TEST_F(View, OwnersFollowEveryChangeOfTheFleet)
+{
+	for (int round = 0; round < 1000; round++) {
+		std::vector<kf_view_vm_t> vms = RandomFleet();
+		kf_view_t *first = Build(vms), *second;
+
+		ASSERT_NE(nullptr, first);
+		for (uint32_t changes = random() % 4; changes > 0; changes--)
+			ChangeFleet(vms);
+		second = Build(vms, first);
+		ASSERT_NE(nullptr, second);
+		ExpectOwners(second);
+		kf_view_release(first);
+		kf_view_release(second);
+	}
+}
+
 } // namespace
