Let only a recent probe answer start reads of the other documents

A VM that starts reads the VM list from the platform and usually gets the other documents from a peer. When contact ended later, the answered probe of the start still allowed its first reads of the declaration and the keys, and every VM of the fleet made both at about the same moment: 22259 reads in one second with 15994 VMs, against a limit of 2000. An answer now counts only as long as it is contact itself.

The fleet test did not show this, because each of its VMs had read all three documents from the platform before. Ruled out: the retries of failed reads, which spread over 73 s in a zone of 727 VMs.

The new test fails without the change.

--- a/lib/confdist/fetch.c
+++ b/lib/confdist/fetch.c
@@ -266,9 +266,14 @@
 		fetch->scheduled = false;
 		return false;
 	}
-	/* The other kinds follow an answered probe. */
+	/*
+	 * The other kinds follow an answered probe.  An old answer does not
+	 * count: all VMs that took their documents from peers would read two
+	 * kinds at the moment when contact ends.
+	 */
 	if (kind != probe_kind && state->doc.parsed != NULL)
 		return probe->answered_us > fetch->answered_us &&
+		    now_us - probe->answered_us < confirm_limit_us(c) &&
 		    fetch->backoff_us == 0;
 	if (fetch->scheduled)
 		return now_us >= fetch->next_us;
--- a/tests/unit/confdist_test.cc
+++ b/tests/unit/confdist_test.cc
@@ -269,6 +269,39 @@
 	EXPECT_TRUE(node.fetches[0].platform);
 }
 
+/*
+ * Guards against two reads of every VM of a fleet at the moment when contact
+ * ends: the probe at the start was answered, the other documents came from a
+ * peer and were never read from the platform.
+ */
+TEST_F(Confdist, AnswerBeforeContactEndedStartsNoOtherReads)
+{
+	std::vector<uint32_t> vms;
+	int probes = 0;
+
+	for (uint32_t vm = 2; vm <= 100; vm++)
+		vms.push_back(vm);
+	kf_confdist_set_zone_members(node.c.get(), vms.data(), vms.size());
+	while (kf_confdist_is_watcher(node.c.get())) {
+		vms.push_back((uint32_t)vms.size() + 2);
+		kf_confdist_set_zone_members(
+		    node.c.get(), vms.data(), vms.size());
+	}
+	node.Document(0, "1", 1, kPlatform, KF_DOC_VMS);
+	node.Document(0, "1", 1, { 2, 0 }, KF_DOC_KEYS);
+	node.Document(0, "1", 1, { 2, 0 }, KF_DOC_DECLARATION);
+	for (int64_t now = 0; now < 60 * kSecond; now += kStep) {
+		if (now < 10 * kSecond)
+			node.Hear(now, 2, { 1, 1 }, 0);
+		for (const Fetch &fetch : node.Tick(now)) {
+			EXPECT_TRUE(fetch.platform);
+			EXPECT_EQ(KF_DOC_VMS, fetch.kind) << now;
+			probes++;
+		}
+	}
+	EXPECT_GE(probes, 1);
+}
+
 TEST_F(Confdist, ZoneHasTwoWatchers)
 {
 	for (uint32_t zone = 1; zone < 20; zone++) {
