Measure the control core of a fleet as a whole

Membership, config distribution and views had their own slopes, but the control core adds work of its own: it lists all VMs for a view and takes the zone's VMs whenever the fleet changes. One core now gets the documents and a heartbeat of each VM; its memory, its tick, the restart of a VM and a second in which digests change are measured.

Ruled out: heartbeats before each measured size, which only repeat what members.heartbeat_taken shows.

--- a/capacity/measure/main.c
+++ b/capacity/measure/main.c
@@ -19,6 +19,7 @@
 	{ "flows", measure_flows },
 	{ "traffic", measure_traffic },
 	{ "codecs", measure_codecs },
+	{ "control", measure_control },
 };
 
 enum { MEASURE_COUNT = sizeof(measures) / sizeof(measures[0]) };
--- a/capacity/measure/measure.h
+++ b/capacity/measure/measure.h
@@ -29,6 +29,7 @@
 void measure_flows(const plan_t *plan);
 void measure_traffic(const plan_t *plan);
 void measure_codecs(const plan_t *plan);
+void measure_control(const plan_t *plan);
 
 static inline const uint32_t *
 sizes_of(const sizes_t *sizes, const plan_t *plan)
