Publish digests less often the more there is to copy

A view that differs from the last one only in digests was built every 100 ms, whatever its size. With 16,000 VMs and 4000 upstreams a second in which digests change took 40.5 ms of processor time in the control core, mostly for copies of the VMs and upstreams.

Ruled out: digests outside the view, shared by the threads. That is the lasting remedy, but it changes the traffic core.

Before: control.busy 40519 us a second at 16,000 VMs, slope 2.50 us per VM.

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -231,6 +231,15 @@
 	c->config.ops.publish(c->config.ops.ctx, view);
 }
 
+static int64_t
+control_digest_interval_us(const kf_control_t *c)
+{
+	int64_t entries =
+	    (int64_t)c->view->vm_count + c->view->decl->upstream_count;
+
+	return DIGEST_VIEW_US + DIGEST_VIEW_PER_ENTRY_US * entries;
+}
+
 static void
 control_publish_if_changed(kf_control_t *c)
 {
@@ -238,7 +247,8 @@
 	    c->seen_members != kf_membership_version(c->membership) ||
 	    c->seen_docs != kf_confdist_generation(c->confdist) ||
 	    (c->digests_changed &&
-		c->now.mono_us - c->published_us >= DIGEST_VIEW_US))
+		c->now.mono_us - c->published_us >=
+		    control_digest_interval_us(c)))
 		control_publish(c);
 }
 
--- a/lib/control/control_internal.h
+++ b/lib/control/control_internal.h
@@ -8,8 +8,13 @@
 
 enum {
 	HEARTBEAT_MAX_BYTES = 2048,
-	/* Views that differ only in digests are published this often. */
+	/*
+	 * Views that differ only in digests are published this often, and less
+	 * often the more upstreams and VMs have to be copied: with 16,000 VMs
+	 * and 4000 upstreams an interval of 100 ms took 4% of a core.
+	 */
 	DIGEST_VIEW_US = 100000,
+	DIGEST_VIEW_PER_ENTRY_US = 20,
 };
 
 /* The last digest of an upstream, from this VM or from a heartbeat. */
