--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -260,7 +260,8 @@
 
 	dispatch_cancel(t, req);
 	if (s != NULL)
-		serving_failed(t, s, req->path, KF_UPSTREAM_TIMEOUT);
+		serving_failed(
+		    t, s, req->path, req->sent_us, KF_UPSTREAM_TIMEOUT);
 	dispatch_retry_elsewhere(t, req);
 }
 
