--- /dev/null
+++ b/bench/baselines/owner.c
@@ -0,0 +1,203 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/bench_model.h"
+#include "kf/placement.h"
+
+enum {
+	/* Flow id, upstream and time of the last packet. */
+	RECORD_BYTES = 8 + 4 + 4,
+	NOT_HELD = 0,
+};
+
+/* A flow's record at one balancer. */
+typedef struct record {
+	uint32_t upstream; /* or NOT_HELD */
+	int64_t from_us;   /* on its way until then */
+} record_t;
+
+typedef struct owner_model {
+	kf_model_config_t config;
+	kf_model_view_t views[KF_MODEL_VMS_MAX];
+	double placed[KF_MODEL_VMS_MAX][KF_MODEL_UPSTREAMS_MAX];
+	record_t *records[KF_MODEL_VMS_MAX];
+	uint64_t control_bytes;
+} owner_model_t;
+
+static void *
+owner_create(const kf_model_config_t *config)
+{
+	owner_model_t *m;
+	uint32_t i;
+
+	m = calloc(1, sizeof(*m));
+	if (m == NULL)
+		abort();
+	m->config = *config;
+	for (i = 0; i < config->vms; i++) {
+		m->records[i] = calloc(config->flows, sizeof(record_t));
+		if (m->records[i] == NULL)
+			abort();
+	}
+	return m;
+}
+
+static void
+owner_destroy(void *model)
+{
+	owner_model_t *m = model;
+	uint32_t i;
+
+	for (i = 0; i < m->config.vms; i++)
+		free(m->records[i]);
+	free(m);
+}
+
+static void
+owner_announce(void *model, int64_t now_us, const kf_model_view_t *next)
+{
+	(void)model;
+	(void)now_us;
+	(void)next;
+}
+
+static uint32_t
+owner_of(const owner_model_t *m, uint32_t members, uint32_t flow)
+{
+	uint64_t score, best = 0;
+	uint32_t i, owner = 0;
+
+	for (i = 0; i < m->config.vms; i++) {
+		if ((members & (1U << i)) == 0)
+			continue;
+		score = kf_rendezvous_score(i, m->config.seed, flow);
+		if (score >= best) {
+			best = score;
+			owner = i;
+		}
+	}
+	return owner;
+}
+
+/* Sends the records that belong to others now, at the rate of the budget. */
+static void
+hand_over(owner_model_t *m, int64_t now_us, uint32_t vm)
+{
+	uint64_t sent_bytes = 0;
+	uint32_t flow, owner;
+
+	for (flow = 0; flow < m->config.flows; flow++) {
+		record_t *record = &m->records[vm][flow];
+
+		if (record->upstream == NOT_HELD)
+			continue;
+		owner = owner_of(m, m->views[vm].vms, flow);
+		if (owner == vm)
+			continue;
+		sent_bytes += RECORD_BYTES;
+		m->records[owner][flow] = (record_t){
+			.upstream = record->upstream,
+			.from_us = now_us + m->config.link_us +
+			    (int64_t)((double)sent_bytes * 1e6 /
+				m->config.bytes_per_s),
+		};
+		record->upstream = NOT_HELD;
+	}
+	m->control_bytes += sent_bytes;
+}
+
+static void
+owner_adopt(
+    void *model, int64_t now_us, uint32_t vm, const kf_model_view_t *view)
+{
+	owner_model_t *m = model;
+	bool members_differ = m->views[vm].vms != view->vms;
+
+	m->views[vm] = *view;
+	if (members_differ)
+		hand_over(m, now_us, vm);
+}
+
+static void
+owner_kill(void *model, uint32_t vm)
+{
+	owner_model_t *m = model;
+
+	memset(m->records[vm], 0, m->config.flows * sizeof(record_t));
+}
+
+static int
+view_index(const kf_model_view_t *view, uint32_t upstream)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->count; i++) {
+		if (view->ids[i] == upstream && view->weights[i] > 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* The upstream to which this owner has given least for its weight. */
+static uint32_t
+place(owner_model_t *m, uint32_t vm)
+{
+	const kf_model_view_t *view = &m->views[vm];
+	double *placed = m->placed[vm];
+	uint32_t i, best = 0;
+
+	for (i = 1; i < view->count; i++) {
+		if (view->weights[i] > 0 &&
+		    (view->weights[best] <= 0 ||
+			placed[i] / view->weights[i] <
+			    placed[best] / view->weights[best]))
+			best = i;
+	}
+	placed[best]++;
+	return view->ids[best];
+}
+
+static kf_model_route_t
+owner_route(void *model, int64_t now_us, uint32_t vm, uint32_t flow)
+{
+	owner_model_t *m = model;
+	uint32_t owner = owner_of(m, m->views[vm].vms, flow);
+	record_t *record = &m->records[owner][flow];
+	kf_model_route_t route = { 0 };
+
+	if (record->upstream != NOT_HELD && record->from_us <= now_us) {
+		route.coordinated = true;
+		if (view_index(&m->views[owner], record->upstream) < 0)
+			record->upstream = place(m, owner);
+	} else
+		*record = (record_t){ .upstream = place(m, owner) };
+	route.upstream = record->upstream;
+	return route;
+}
+
+static kf_model_cost_t
+owner_cost(void *model)
+{
+	owner_model_t *m = model;
+	kf_model_cost_t cost = { .control_bytes = m->control_bytes };
+	uint32_t vm, flow;
+
+	for (vm = 0; vm < m->config.vms; vm++) {
+		for (flow = 0; flow < m->config.flows; flow++) {
+			if (m->records[vm][flow].upstream != NOT_HELD)
+				cost.memory_bytes += RECORD_BYTES;
+		}
+	}
+	return cost;
+}
+
+const kf_model_ops_t kf_model_owner = {
+	.name = "owner_handover",
+	.create = owner_create,
+	.destroy = owner_destroy,
+	.announce = owner_announce,
+	.adopt = owner_adopt,
+	.kill = owner_kill,
+	.route = owner_route,
+	.cost = owner_cost,
+};
--- /dev/null
+++ b/bench/baselines/tracking.c
@@ -0,0 +1,158 @@
+#include <stdlib.h>
+
+#include "kf/bench_model.h"
+
+enum { RECORD_BYTES = 8 + 4, NOT_HELD = 0 };
+
+typedef struct record {
+	uint32_t upstream; /* or NOT_HELD */
+	int64_t from_us;   /* on its way until then */
+} record_t;
+
+typedef struct tracking_model {
+	kf_model_config_t config;
+	kf_model_view_t views[KF_MODEL_VMS_MAX];
+	kf_model_view_t next;
+	bool announced;
+	record_t *records[KF_MODEL_VMS_MAX];
+	/* When the control traffic of a balancer is free again. */
+	int64_t busy_until_us[KF_MODEL_VMS_MAX];
+	uint64_t control_bytes;
+} tracking_model_t;
+
+static void *
+tracking_create(const kf_model_config_t *config)
+{
+	tracking_model_t *m;
+	uint32_t i;
+
+	m = calloc(1, sizeof(*m));
+	if (m == NULL)
+		abort();
+	m->config = *config;
+	for (i = 0; i < config->vms; i++) {
+		m->records[i] = calloc(config->flows, sizeof(record_t));
+		if (m->records[i] == NULL)
+			abort();
+	}
+	return m;
+}
+
+static void
+tracking_destroy(void *model)
+{
+	tracking_model_t *m = model;
+	uint32_t i;
+
+	for (i = 0; i < m->config.vms; i++)
+		free(m->records[i]);
+	free(m);
+}
+
+static void
+tracking_announce(void *model, int64_t now_us, const kf_model_view_t *next)
+{
+	tracking_model_t *m = model;
+
+	(void)now_us;
+	m->next = *next;
+	m->announced = true;
+}
+
+static void
+tracking_adopt(
+    void *model, int64_t now_us, uint32_t vm, const kf_model_view_t *view)
+{
+	tracking_model_t *m = model;
+
+	(void)now_us;
+	m->views[vm] = *view;
+}
+
+static void
+tracking_kill(void *model, uint32_t vm)
+{
+	(void)model;
+	(void)vm;
+}
+
+/* Records the flow here and tells the others within the budget. */
+static void
+track(tracking_model_t *m, int64_t now_us, uint32_t vm, uint32_t flow,
+    uint32_t upstream)
+{
+	uint32_t bytes = RECORD_BYTES * (m->config.vms - 1), i;
+	int64_t *busy = &m->busy_until_us[vm];
+
+	if (*busy < now_us)
+		*busy = now_us;
+	*busy += (int64_t)(bytes * 1e6 / m->config.bytes_per_s);
+	m->control_bytes += bytes;
+	for (i = 0; i < m->config.vms; i++) {
+		record_t *record = &m->records[i][flow];
+
+		if (i == vm)
+			*record = (record_t){ upstream, now_us };
+		else if (record->upstream == NOT_HELD)
+			*record = (record_t){ upstream,
+				*busy + m->config.link_us };
+	}
+}
+
+static bool
+in_force(const kf_model_view_t *view, uint32_t upstream)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->count; i++) {
+		if (view->ids[i] == upstream)
+			return view->weights[i] > 0;
+	}
+	return false;
+}
+
+static kf_model_route_t
+tracking_route(void *model, int64_t now_us, uint32_t vm, uint32_t flow)
+{
+	tracking_model_t *m = model;
+	const record_t *record = &m->records[vm][flow];
+	kf_model_route_t route = { 0 };
+
+	if (record->upstream != NOT_HELD && record->from_us <= now_us &&
+	    in_force(&m->views[vm], record->upstream)) {
+		route.upstream = record->upstream;
+		return route;
+	}
+	route.upstream = kf_model_choose(&m->views[vm], m->config.seed, flow);
+	if (m->announced && record->upstream == NOT_HELD &&
+	    kf_model_choose(&m->next, m->config.seed, flow) != route.upstream)
+		track(m, now_us, vm, flow, route.upstream);
+	return route;
+}
+
+static kf_model_cost_t
+tracking_cost(void *model)
+{
+	tracking_model_t *m = model;
+	kf_model_cost_t cost = { .control_bytes = m->control_bytes };
+	uint32_t vm, flow;
+
+	for (vm = 0; vm < m->config.vms; vm++) {
+		for (flow = 0; flow < m->config.flows; flow++) {
+			if (m->records[vm][flow].upstream != NOT_HELD)
+				cost.memory_bytes += RECORD_BYTES;
+		}
+	}
+	return cost;
+}
+
+const kf_model_ops_t kf_model_tracking = {
+	.name = "hash_tracking",
+	.create = tracking_create,
+	.destroy = tracking_destroy,
+	.announce = tracking_announce,
+	.adopt = tracking_adopt,
+	.kill = tracking_kill,
+	.route = tracking_route,
+	.cost = tracking_cost,
+};
--- /dev/null
+++ b/bench/common/include/kf/bench_fleet.h
@@ -0,0 +1,75 @@
+#ifndef KF_BENCH_FLEET_H
+#define KF_BENCH_FLEET_H
+
+#include "kf/bench_conf.h"
+#include "kf/bench_fake_upstream.h"
+#include "kf/bench_schedule.h"
+
+/*
+ * NAME
+ *	kf_fleet - traffic cores, links and fake upstreams in virtual time
+ *
+ * DESCRIPTION
+ *	Each VM has its own view, so that views may differ.  The state of an
+ *	upstream as its owner sees it reaches the other VMs at the next
+ *	exchange of digests.
+ */
+
+enum { KF_FLEET_VMS_MAX = 16, KF_FLEET_EXCHANGE_US = 500000 };
+
+typedef struct kf_fleet kf_fleet_t;
+
+typedef struct kf_fleet_config {
+	const kf_conf_t *conf;
+	kf_declref_t *decl; /* in force at the start */
+	uint32_t vms;
+	uint32_t running; /* VMs at the start; 0: all */
+	uint64_t seed;
+	int64_t link_us;   /* one way, VMs and upstreams */
+	int64_t caller_us; /* one way, callers to VMs */
+	kf_policy_t policy;
+	uint64_t ingress_pps; /* 0: no limit */
+	void *ctx;	      /* of the callbacks */
+	int64_t (*service_us)(
+	    void *ctx, uint32_t upstream, uint32_t prog, uint32_t proc);
+	void (*on_run)(void *ctx, uint32_t upstream, uint64_t number);
+	void (*on_reply)(void *ctx, const kf_route_t *route,
+	    const uint8_t *data, size_t len);
+	void (*on_decision)(
+	    void *ctx, uint32_t vm, const kf_decision_t *decision);
+} kf_fleet_config_t;
+
+/* Bytes and datagrams between VMs. */
+typedef struct kf_fleet_bytes {
+	uint64_t forward;     /* callers' datagrams on their way */
+	uint64_t replication; /* INTENT, acknowledgements and DONE */
+	uint64_t lease;
+} kf_fleet_bytes_t;
+
+kf_fleet_t *kf_fleet_new(
+    const kf_fleet_config_t *config, kf_schedule_t *schedule);
+void kf_fleet_delete(kf_fleet_t *fleet);
+
+/* Starts a VM that hears all others; they learn of it by kf_fleet_liveness. */
+void kf_fleet_start(kf_fleet_t *fleet, uint32_t vm);
+/* Ends a VM; the liveness that others hold is set by kf_fleet_liveness. */
+void kf_fleet_kill(kf_fleet_t *fleet, uint32_t vm);
+
+/* What VM vm holds of VM other.  Takes effect at kf_fleet_publish. */
+void kf_fleet_liveness(
+    kf_fleet_t *fleet, uint32_t vm, uint32_t other, kf_liveness_t liveness);
+void kf_fleet_declare(kf_fleet_t *fleet, uint32_t vm, kf_declref_t *decl);
+void kf_fleet_publish(kf_fleet_t *fleet, uint32_t vm);
+
+/* A caller's datagram, which reaches the VM after caller_us. */
+void kf_fleet_call(kf_fleet_t *fleet, uint32_t vm, const kf_route_t *route,
+    const uint8_t *data, size_t len);
+
+bool kf_fleet_alive(const kf_fleet_t *fleet, uint32_t vm);
+kf_traffic_t *kf_fleet_core(const kf_fleet_t *fleet, uint32_t vm);
+kf_fleet_bytes_t kf_fleet_bytes(const kf_fleet_t *fleet);
+/* NULL if no declaration has had this upstream. */
+const kf_fake_t *kf_fleet_fake(const kf_fleet_t *fleet, uint32_t upstream);
+kf_vm_id_t kf_fleet_vm_id(uint32_t vm);
+
+#endif
