--- a/bench/affinity/scenario.h
+++ b/bench/affinity/scenario.h
@@ -12,9 +12,9 @@
 	WARM_US = 35000000, /* upstreams have left their slow start */
 	ANNOUNCE_US = 47000000,
 	EVENT_US = 55000000,
-	END_US = 71000000,
-	SETTLED_US = 85000000, /* every request has ended */
-	PERIOD_US = 5000000,   /* between two requests of a flow */
+	END_US = 79000000,
+	SETTLED_US = 95000000, /* every request has ended */
+	PERIOD_US = 8000000,   /* between two requests of a flow */
 	ESTABLISH_US = 6000000,
 	VM_COUNT = 8,
 	VICTIM = 3,
--- a/bench/affinity/token_run.c
+++ b/bench/affinity/token_run.c
@@ -7,7 +7,6 @@
 #include "scenario.h"
 
 enum {
-	LINK_US = 1000,
 	CALLER_US = 1000,
 	SERVICE_US = 2000,
 	RETRANSMIT_US = 500000,
@@ -401,7 +400,7 @@
 		.vms = VM_COUNT,
 		.running = s->running,
 		.seed = s->seed,
-		.link_us = LINK_US,
+		.link_us = conf->link_us,
 		.caller_us = CALLER_US,
 		.policy = KF_POLICY_STRIDE,
 		.ctx = &w,
--- a/bench/common/conf.c
+++ b/bench/common/conf.c
@@ -6,7 +6,12 @@
 #include "kf/bench_conf.h"
 #include "kf/document.h"
 
-enum { PATH_BYTES = 512, FILE_MAX_BYTES = 1 << 20 };
+enum {
+	PATH_BYTES = 512,
+	FILE_MAX_BYTES = 1 << 20,
+	LINK_KOWHAI_US = 1000,
+	LINK_BENGAL_US = 500,
+};
 
 static void
 on_error(void *ctx, const char *file, int line, const char *text)
@@ -83,6 +88,9 @@
 	    strlen(conf->keys_text), on_error, NULL);
 	if (conf->keys == NULL)
 		exit(1);
+	conf->link_us = strcmp(options->deployment, "bengal") == 0
+	    ? LINK_BENGAL_US
+	    : LINK_KOWHAI_US;
 	list_zones(conf);
 	return conf;
 }
--- a/bench/common/include/kf/bench_conf.h
+++ b/bench/common/include/kf/bench_conf.h
@@ -21,6 +21,7 @@
 	char *keys_text;
 	kf_declaration_t *decl;
 	kf_keyring_t *keys;
+	int64_t link_us; /* one way between zones */
 	uint32_t zone_count;
 	uint32_t zones[KF_CONF_ZONES_MAX];
 	const char *zone_names[KF_CONF_ZONES_MAX];
