--- a/bench/affinity/main.c
+++ b/bench/affinity/main.c
@@ -11,8 +11,8 @@
 
 static const kf_target_t broken_target = { "broken_flows", KF_BOUND_AT_MOST,
 	0 };
-static const kf_target_t imbalance_target = { "flow_max_mean",
-	KF_BOUND_AT_MOST, 1.05 };
+static const kf_target_t imbalance_target = { "flow_max_mean", KF_BOUND_AT_MOST,
+	1.05 };
 static const kf_target_t control_target = { "control_bytes_per_vm_s",
 	KF_BOUND_AT_MOST, 2048 };
 static const kf_target_t moved_target = { .measure = "moved_flows" };
@@ -29,8 +29,9 @@
 	char keys[160];
 	const double seconds = SETTLED_US / 1e6;
 
-	snprintf(keys, sizeof(keys), "deployment=%s event=%s design=%s seed=%"
-	    PRIu64, o->deployment, s->name, design, s->seed);
+	snprintf(keys, sizeof(keys),
+	    "deployment=%s event=%s design=%s seed=%" PRIu64, o->deployment,
+	    s->name, design, s->seed);
 	kf_report(&broken_target, (double)out->broken,
 	    "%s flows=%" PRIu32 " refused=%" PRIu64 " unknown=%" PRIu64
 	    " silent=%" PRIu64 " misrouted=%" PRIu64 " in_doubt=%" PRIu64,
@@ -40,8 +41,8 @@
 	kf_report(&moved_target, (double)out->moved, "%s", keys);
 	kf_report(&imbalance_target, out->max_mean, "%s", keys);
 	kf_report(&control_target,
-	    (double)out->control_bytes / VM_COUNT / seconds, "%s total=%" PRIu64,
-	    keys, out->control_bytes);
+	    (double)out->control_bytes / VM_COUNT / seconds,
+	    "%s total=%" PRIu64, keys, out->control_bytes);
 	kf_report(&memory_target, (double)out->memory_bytes, "%s", keys);
 }
 
--- a/bench/affinity/model_run.c
+++ b/bench/affinity/model_run.c
@@ -41,8 +41,7 @@
 		kf_schedule_add(w->schedule, &next);
 	}
 	w->out.requests++;
-	if (scenario_kills(s) && vm == VICTIM &&
-	    h->at_us >= EVENT_US)
+	if (scenario_kills(s) && vm == VICTIM && h->at_us >= EVENT_US)
 		return; /* lost; the next packet finds another balancer */
 	route = w->ops->route(w->model, h->at_us, vm, index);
 	if (flow->upstream != 0 && flow->upstream != route.upstream &&
--- a/bench/affinity/scenario.c
+++ b/bench/affinity/scenario.c
@@ -64,8 +64,8 @@
 		.name = change_names[change],
 		.seed = seed,
 		.flows = flows,
-		.running = change == CHANGE_BALANCER_ADDED ? VM_COUNT - 1
-							   : VM_COUNT,
+		.running =
+		    change == CHANGE_BALANCER_ADDED ? VM_COUNT - 1 : VM_COUNT,
 	};
 	s->before = kf_conf_variant(conf, edit_before, s);
 	s->after = kf_conf_variant(conf, edit_after, s);
@@ -174,8 +174,7 @@
 	for (i = 0; i < view->count; i++) {
 		if (view->weights[i] <= 0 || total == 0)
 			continue;
-		ratio =
-		    (double)counts[i] / ((double)total * view->weights[i]);
+		ratio = (double)counts[i] / ((double)total * view->weights[i]);
 		if (ratio > max)
 			max = ratio;
 	}
--- a/bench/affinity/scenario.h
+++ b/bench/affinity/scenario.h
@@ -9,7 +9,7 @@
 
 enum {
 	FABRIC_NOTICE_US = 1000000, /* the fabric stops using a dead VM */
-	WARM_US = 35000000, /* upstreams have left their slow start */
+	WARM_US = 35000000,	    /* upstreams have left their slow start */
 	ANNOUNCE_US = 47000000,
 	EVENT_US = 55000000,
 	END_US = 79000000,
--- a/bench/affinity/token_run.c
+++ b/bench/affinity/token_run.c
@@ -96,8 +96,8 @@
 			.body = sys_body };
 	len = kf_rpc_call_write(&call, buf, sizeof(buf));
 	kf_fleet_call(w->fleet,
-	    scenario_ingress(w->scenario,
-		kf_schedule_now(w->schedule).mono_us, index, flow->packets++),
+	    scenario_ingress(w->scenario, kf_schedule_now(w->schedule).mono_us,
+		index, flow->packets++),
 	    &route, buf, len);
 }
 
@@ -287,14 +287,13 @@
 {
 	token_world_t *w = ctx;
 
-	kf_fleet_liveness(
-	    w->fleet, h->vm, h->upstream, (kf_liveness_t)h->path);
+	kf_fleet_liveness(w->fleet, h->vm, h->upstream, (kf_liveness_t)h->path);
 	kf_fleet_publish(w->fleet, h->vm);
 }
 
 static void
-plan_liveness(token_world_t *w, uint32_t other, kf_liveness_t liveness,
-    int64_t after_us)
+plan_liveness(
+    token_world_t *w, uint32_t other, kf_liveness_t liveness, int64_t after_us)
 {
 	kf_happening_t h = {
 		.fn = on_liveness,
@@ -381,9 +380,9 @@
 	}
 	for (i = 0; i < VM_COUNT; i++) {
 		if (kf_fleet_alive(w->fleet, i))
-			w->out.memory_bytes += kf_traffic_flow_stats(
-			    kf_fleet_core(w->fleet, i))
-						   .memory_bytes;
+			w->out.memory_bytes +=
+			    kf_traffic_flow_stats(kf_fleet_core(w->fleet, i))
+				.memory_bytes;
 	}
 	w->out.max_mean = scenario_max_mean(&view, counts);
 	w->out.control_bytes = bytes.lease;
--- a/bench/baselines/tracking.c
+++ b/bench/baselines/tracking.c
@@ -94,8 +94,8 @@
 		if (i == vm)
 			*record = (record_t){ upstream, now_us };
 		else if (record->upstream == NOT_HELD)
-			*record = (record_t){ upstream,
-				*busy + m->config.link_us };
+			*record =
+			    (record_t){ upstream, *busy + m->config.link_us };
 	}
 }
 
--- a/bench/common/conf.c
+++ b/bench/common/conf.c
@@ -84,8 +84,8 @@
 	conf->declaration_text = read_file(options, "declaration.ini");
 	conf->keys_text = read_file(options, "keys.ini");
 	conf->decl = parse(conf->declaration_text);
-	conf->keys = kf_keys_parse("keys", conf->keys_text,
-	    strlen(conf->keys_text), on_error, NULL);
+	conf->keys = kf_keys_parse(
+	    "keys", conf->keys_text, strlen(conf->keys_text), on_error, NULL);
 	if (conf->keys == NULL)
 		exit(1);
 	conf->link_us = strcmp(options->deployment, "bengal") == 0
--- a/bench/common/fake_upstream.c
+++ b/bench/common/fake_upstream.c
@@ -135,8 +135,7 @@
 
 	fake->load.in_flight--;
 	kf_put_u64(results, h->number);
-	reply_send(
-	    fake, h->vm, h->path, h->upstream, results, sizeof(results));
+	reply_send(fake, h->vm, h->path, h->upstream, results, sizeof(results));
 	w = fake->head;
 	if (w == NULL)
 		return;
--- a/bench/common/fleet.c
+++ b/bench/common/fleet.c
@@ -120,8 +120,7 @@
 {
 	kf_fleet_t *fleet = ctx;
 
-	fleet->config.on_reply(
-	    fleet->config.ctx, &h->route, h->data, h->len);
+	fleet->config.on_reply(fleet->config.ctx, &h->route, h->data, h->len);
 }
 
 static void
@@ -291,8 +290,8 @@
 			continue;
 		fleet->fakes[fleet->fake_count++] = (fake_entry_t){
 			.id = u->id,
-			.fake = kf_fake_new(
-			    u->id, u->slots, fleet->schedule, &ops),
+			.fake =
+			    kf_fake_new(u->id, u->slots, fleet->schedule, &ops),
 		};
 	}
 }
--- a/bench/imbalance/main.c
+++ b/bench/imbalance/main.c
@@ -55,8 +55,8 @@
 	placing_t p;
 	int phase, policy, unequal;
 
-	kf_bench_options_parse(
-	    &options, argc, argv, "Imbalance of the ways to choose an upstream");
+	kf_bench_options_parse(&options, argc, argv,
+	    "Imbalance of the ways to choose an upstream");
 	apr_initialize();
 	conf = kf_conf_load(&options);
 	p = (placing_t){ .seed = options.seed, .decl = conf->decl };
--- a/bench/imbalance/placer.c
+++ b/bench/imbalance/placer.c
@@ -87,15 +87,15 @@
 		candidates[i] = (kf_candidate_t){
 			.upstream = i,
 			.id = p->placing->decl->upstreams[i].id,
-			.weight = p->slots[i] *
-			    slow_start(p->placing, now_us, i),
+			.weight =
+			    p->slots[i] * slow_start(p->placing, now_us, i),
 		};
 		if (p->placing->phase == PHASE_LAGGING && excess > 0)
 			candidates[i].excess = excess / p->slots[i];
 	}
 	chosen = kf_balance_choose(
-	    p->balancers[kf_random_below(&p->random, BALANCERS)], 0,
-	    candidates, UPSTREAMS, kf_random_next(&p->random));
+	    p->balancers[kf_random_below(&p->random, BALANCERS)], 0, candidates,
+	    UPSTREAMS, kf_random_next(&p->random));
 	p->flows[chosen]++;
 	p->requests[chosen] += request_count(p);
 	p->open[chosen]++;
@@ -167,8 +167,8 @@
 	if (p.closing == NULL)
 		abort();
 	for (i = 0; i < BALANCERS; i++) {
-		p.balancers[i] = kf_balance_new(
-		    placing->policy, kf_random_next(&p.random));
+		p.balancers[i] =
+		    kf_balance_new(placing->policy, kf_random_next(&p.random));
 		if (p.balancers[i] == NULL ||
 		    kf_balance_resize(p.balancers[i], placing->decl) != KF_OK)
 			abort();
--- a/bench/imbalance/placer.h
+++ b/bench/imbalance/placer.h
@@ -10,7 +10,7 @@
 
 typedef enum phase {
 	PHASE_STEADY = 0,
-	PHASE_JOIN,   /* the last upstream joins with a slow start */
+	PHASE_JOIN,    /* the last upstream joins with a slow start */
 	PHASE_LAGGING, /* short flows; loads are known with a delay */
 	PHASE_COUNT
 } phase_t;
