--- /dev/null
+++ b/bench/config/main.c
@@ -0,0 +1,214 @@
+#include <apr_general.h>
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "kf/bench_report.h"
+#include "kf/bench_sample.h"
+
+#include "world.h"
+
+#define SECOND_US INT64_C(1000000)
+
+enum {
+	SETTLE_S = 20,
+	STEADY_S = 20,
+	PUBLICATIONS = 5,
+	PUBLICATION_S = 7,
+	/* Virtual time of a large fleet takes too long for a whole hour. */
+	OUTAGE_S = 3600,
+	OUTAGE_LARGE_S = 120,
+	OUTAGE_QUICK_S = 5,
+	LARGE_VMS = 100,
+	LATE_S = 60, /* end of the outage in which reads are counted */
+	DOWN_S = 2,
+	RECOVERY_S = 15,
+};
+
+static const kf_target_t in_force = { "in_force_s", KF_BOUND_AT_MOST, 3 };
+static const kf_target_t reads = { "platform_reads_per_s", KF_BOUND_AT_MOST,
+	2000 };
+static const kf_target_t peak_reads = { "platform_reads_peak_s",
+	KF_BOUND_AT_MOST, 2000 };
+static const kf_target_t control_bytes = { "control_bytes_per_vm_s",
+	KF_BOUND_AT_MOST, 2048 };
+static const kf_target_t missing = { "vms_without_revision", KF_BOUND_AT_MOST,
+	0 };
+
+typedef struct run {
+	const kf_bench_options_t *options;
+	world_t *world;
+	char keys[128];
+} run_t;
+
+static void
+measure_steady(run_t *r, const char *when, int64_t seconds)
+{
+	world_t *w = r->world;
+	uint64_t before[WORLD_VMS_MAX], started = platform_reads(w->platform);
+	double bytes, sum = 0, max = 0;
+	uint32_t i;
+
+	for (i = 0; i < w->vms; i++)
+		before[i] = w->instances[i].bytes;
+	platform_peak_reads(w->platform);
+	world_run(w, seconds * SECOND_US);
+	for (i = 0; i < w->vms; i++) {
+		bytes = (double)(w->instances[i].bytes - before[i]) /
+		    (double)seconds;
+		sum += bytes;
+		if (bytes > max)
+			max = bytes;
+	}
+	kf_report(&control_bytes, max, "%s when=%s statistic=max mean=%.1f",
+	    r->keys, when, sum / w->vms);
+	kf_report(&reads,
+	    (double)(platform_reads(w->platform) - started) / (double)seconds,
+	    "%s when=%s", r->keys, when);
+	kf_report(&peak_reads, (double)platform_peak_reads(w->platform),
+	    "%s when=%s", r->keys, when);
+}
+
+/* Adds the time from the publication until each VM has the revision. */
+static void
+add_delays(const run_t *r, int64_t published_us, kf_sample_t *delays)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->world->vms; i++) {
+		const instance_t *instance = &r->world->instances[i];
+
+		if (instance->revision == r->world->revision)
+			kf_sample_add(delays,
+			    (double)(instance->in_force_us - published_us) /
+				SECOND_US);
+	}
+}
+
+static void
+report_delays(run_t *r, const char *when, kf_sample_t *delays, uint32_t without)
+{
+	kf_report(&in_force, kf_sample_max(delays),
+	    "%s when=%s statistic=max p50=%.3f p99=%.3f", r->keys, when,
+	    kf_sample_percentile(delays, 50), kf_sample_percentile(delays, 99));
+	kf_report(&missing, without, "%s when=%s", r->keys, when);
+	kf_sample_free(delays);
+}
+
+static void
+measure_publications(run_t *r)
+{
+	world_t *w = r->world;
+	kf_sample_t delays = { 0 };
+	uint32_t i, without = 0;
+	int64_t at_us;
+
+	for (i = 0; i < PUBLICATIONS; i++) {
+		world_run(w, kf_random_below(&w->random, SECOND_US));
+		at_us = world_now_us(w);
+		world_publish(w);
+		world_run(w, PUBLICATION_S * SECOND_US);
+		add_delays(r, at_us, &delays);
+		without += w->vms - world_in_force(w);
+	}
+	report_delays(r, "publication", &delays, without);
+}
+
+static void
+measure_outage(run_t *r)
+{
+	world_t *w = r->world;
+	kf_sample_t delays = { 0 };
+	int64_t outage_s = w->vms > LARGE_VMS ? OUTAGE_LARGE_S : OUTAGE_S;
+	char when[64];
+	int64_t at_us;
+
+	if (r->options->quick)
+		outage_s = OUTAGE_QUICK_S;
+	platform_set_down(w->platform, true);
+	if (outage_s > LATE_S)
+		world_run(w, (outage_s - LATE_S) * SECOND_US);
+	snprintf(when, sizeof(when), "outage_%" PRId64 "s", outage_s);
+	measure_steady(r, when, outage_s > LATE_S ? LATE_S : outage_s);
+	platform_set_down(w->platform, false);
+	at_us = world_now_us(w);
+	world_publish(w);
+	platform_peak_reads(w->platform);
+	world_run(w, RECOVERY_S * SECOND_US);
+	add_delays(r, at_us, &delays);
+	report_delays(r, "after_outage", &delays, w->vms - world_in_force(w));
+	kf_report(&peak_reads, (double)platform_peak_reads(w->platform),
+	    "%s when=after_outage", r->keys);
+}
+
+static void
+measure_zone_restart(run_t *r)
+{
+	world_t *w = r->world;
+	uint32_t zone = world_zone(w, 0), i, n = 0;
+	kf_sample_t delays = { 0 };
+	int64_t at_us;
+
+	for (i = 0; i < w->vms; i++) {
+		if (world_zone(w, i) == zone)
+			world_kill(w, i);
+	}
+	world_run(w, DOWN_S * SECOND_US);
+	at_us = world_now_us(w);
+	platform_peak_reads(w->platform);
+	for (i = 0; i < w->vms; i++) {
+		if (world_zone(w, i) != zone)
+			continue;
+		world_restart(w, i);
+		n++;
+	}
+	world_run(w, RECOVERY_S * SECOND_US);
+	for (i = 0; i < w->vms; i++) {
+		if (world_zone(w, i) == zone &&
+		    w->instances[i].revision == w->revision)
+			kf_sample_add(&delays,
+			    (double)(w->instances[i].in_force_us - at_us) /
+				SECOND_US);
+	}
+	report_delays(r, "zone_restart", &delays, w->vms - world_in_force(w));
+	kf_report(&peak_reads, (double)platform_peak_reads(w->platform),
+	    "%s when=zone_restart restarted=%" PRIu32, r->keys, n);
+}
+
+static void
+run_size(const kf_bench_options_t *options, const kf_conf_t *conf, uint32_t vms)
+{
+	run_t r = { .options = options };
+
+	r.world = world_new(conf, vms, options->seed);
+	snprintf(r.keys, sizeof(r.keys),
+	    "deployment=%s vms=%" PRIu32 " seed=%" PRIu64, options->deployment,
+	    vms, options->seed);
+	world_run(r.world, SETTLE_S * SECOND_US);
+	measure_steady(&r, "steady", options->quick ? 1 : STEADY_S);
+	measure_publications(&r);
+	measure_outage(&r);
+	measure_zone_restart(&r);
+	world_delete(r.world);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const uint32_t sizes[] = { 8, 64, 700 };
+	kf_bench_options_t options;
+	kf_conf_t *conf;
+	size_t i;
+
+	kf_bench_options_parse(&options, argc, argv,
+	    "Time until a revision is in force and cost of control");
+	apr_initialize();
+	conf = kf_conf_load(&options);
+	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		run_size(&options, conf, sizes[i]);
+		if (options.quick)
+			break;
+	}
+	kf_conf_delete(conf);
+	apr_terminate();
+	return 0;
+}
