--- /dev/null
+++ b/tests/process/bench.sh
@@ -0,0 +1,54 @@
+#!/bin/sh
+# Runs each benchmark with tiny sizes.  Guards against a benchmark that no
+# longer builds a fleet, ends early or leaves a measure out.
+set -eu
+build=$1
+
+fail() {
+	echo "FAILED: $*"
+	exit 1
+}
+
+# expect NAME MEASURE...: the program succeeds, prints each measure, and every
+# line has a value, a target and a verdict.
+expect() {
+	name=$1
+	shift
+	for deployment in kowhai bengal; do
+		"$build/bin/bench-$name" --quick --seed 7 \
+		    --deployment $deployment >"$build/test-output/bench.out" ||
+		    fail "bench-$name --deployment $deployment: exit $?"
+		cat "$build/test-output/bench.out"
+		for measure in "$@"; do
+			grep -q "^measure=$measure deployment=$deployment " \
+			    "$build/test-output/bench.out" ||
+			    fail "bench-$name has no $measure"
+		done
+		if grep -vqE '^measure=[a-z0-9_]+ .*value=[-0-9.e+]+ target=[^ ]+ met=(yes|no|none)$' \
+		    "$build/test-output/bench.out"; then
+			fail "bench-$name prints a malformed line"
+		fi
+	done
+}
+
+mkdir -p "$build/test-output"
+expect affinity broken_flows moved_flows flow_max_mean control_bytes_per_vm_s \
+    record_bytes doubled replication_bytes_per_request
+expect imbalance flow_max_mean flow_p95_mean request_max_mean request_p95_mean
+expect flood goodput_kept_percent flooding_class_of_reserved refusal_p99_ms \
+    share_error_max_points share_error_mean_points
+expect decision packets_per_s_core step_ns flow_record_bytes flow_record_total
+expect config in_force_s vms_without_revision platform_reads_per_s \
+    platform_reads_peak_s control_bytes_per_vm_s
+
+# One seed gives one result; only bench-decision reads a clock.
+for name in affinity imbalance flood config; do
+	"$build/bin/bench-$name" --quick --seed 7 >"$build/test-output/a.out"
+	"$build/bin/bench-$name" --quick --seed 7 >"$build/test-output/b.out"
+	cmp "$build/test-output/a.out" "$build/test-output/b.out" ||
+	    fail "bench-$name differs between two runs of one seed"
+done
+if "$build/bin/bench-affinity" --deployment none 2>/dev/null; then
+	fail "an unknown deployment is accepted"
+fi
+echo "benchmarks run"
