--- a/bench/flood/fifo_run.c
+++ b/bench/flood/fifo_run.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "kf/bench_fifo.h"
 
 #include "load.h"
@@ -57,14 +59,18 @@
 void
 fifo_run(load_t *load, uint32_t limit)
 {
-	fifo_world_t w = { .load = load };
+	fifo_world_t *w = calloc(1, sizeof(*w));
 	uint32_t i;
 
+	if (w == NULL)
+		abort();
+	w->load = load;
 	for (i = 0; i < 2; i++)
-		w.services[i] = service_new(&w, i, limit);
-	load->ctx = &w;
+		w->services[i] = service_new(w, i, limit);
+	load->ctx = w;
 	load->offer = offer;
 	load_run(load);
 	for (i = 0; i < 2; i++)
-		kf_fifo_delete(w.services[i]);
+		kf_fifo_delete(w->services[i]);
+	free(w);
 }
