--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -1,9 +1,15 @@
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "traffic_internal.h"
 
+enum {
+	/*
+	 * Callers send again for about this long.  Until then an answer that
+	 * the outcome is unknown would break flows that a VM still knows.
+	 */
+	SILENCE_GRACE_US = 10000000,
+};
+
 /* Fills in uid and gid of a call without a token. */
 static void
 ingress_identity(const packet_t *pkt, kf_token_t *token)
@@ -61,26 +67,12 @@
 	reply_null(t, pkt, &pkt->token);
 }
 
-/*
- * Identity of a call without a token: copies of it get the same flow id on
- * every VM.
- */
-static uint64_t
-ingress_flow_hash(const packet_t *pkt)
-{
-	uint32_t key[4] = { pkt->route.caller.ip, pkt->route.caller.port,
-		pkt->call.xid, pkt->service->id };
-	uint64_t hash = XXH3_64bits(key, sizeof(key));
-
-	return hash == 0 ? 1 : hash;
-}
-
 /* Places an idempotent call without a token by a hash of its identity. */
 static bool
 ingress_place(kf_traffic_t *t, packet_t *pkt)
 {
 	placement_t place;
-	uint64_t flow = ingress_flow_hash(pkt);
+	uint64_t flow = packet_hash(pkt);
 
 	if (place_hash(t, pkt->service, flow, &place) != KF_OK ||
 	    place_token(t, pkt->service, &place, &pkt->token) != KF_OK) {
@@ -89,7 +81,7 @@
 	}
 	pkt->token.flow = flow;
 	ingress_identity(pkt, &pkt->token);
-	if (kf_token_seal(&pkt->token, t->view->keys, t->now.wall_ms / 1000,
+	if (kf_token_seal(&pkt->token, t->keys, t->now.wall_ms / 1000,
 		pkt->route.caller.ip, pkt->token_bytes) != KF_OK) {
 		packet_drop(t, pkt, KF_REASON_NO_CONFIG);
 		return false;
@@ -100,30 +92,98 @@
 	return true;
 }
 
-static int64_t
-gone_for_us(const kf_traffic_t *t, kf_vm_id_t id)
+/*
+ * Whether a VM fell silent so lately that it may still answer, or that its end
+ * is not known yet.
+ */
+static bool
+silent_lately(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
 {
 	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
 
-	if (vm == NULL || vm->liveness != KF_VM_GONE)
-		return 0;
-	return t->now.mono_us - vm->gone_since_us;
+	return vm != NULL && lease_liveness(t, id, upstream) == KF_VM_DEAD &&
+	    t->now.mono_us - vm->heard_us < SILENCE_GRACE_US;
+}
+
+/* Whether this VM has known a whole fleet for long enough. */
+static bool
+ingress_fleet_complete(const kf_traffic_t *t, int64_t horizon_us)
+{
+	uint32_t i;
+
+	if (t->now.mono_us - t->settled_us < horizon_us)
+		return false;
+	for (i = 0; i < t->view->vm_count; i++) {
+		kf_liveness_t liveness = t->view->vms[i].liveness;
+
+		if (liveness == KF_VM_UNKNOWN || liveness == KF_VM_DEAD)
+			return false;
+	}
+	return true;
+}
+
+/* A token whose expiry its key has shortened is older than it seems. */
+static bool
+ingress_token_older(const kf_traffic_t *t, const packet_t *pkt, int64_t age_s)
+{
+	int64_t expiry_s = pkt->token.expiry_s;
+	int64_t latest_s =
+	    kf_keyring_not_after_s(t->keys, kf_get_u32(pkt->token_bytes + 4)) -
+	    KF_TOKEN_KEY_MARGIN_S;
+
+	if (expiry_s < latest_s)
+		expiry_s -= t->config.token_lifetime_s;
+	return t->now.wall_ms / 1000 - expiry_s >= age_s;
+}
+
+/*
+ * Whether a VM ended so long ago that no copy of a request it executed is on
+ * its way.  No view lists a VM that ended longer ago than that; one that lives
+ * is known everywhere within seconds, unless a partition hides it, which the
+ * other VMs beyond it show.
+ */
+static bool
+ingress_long_gone(const kf_traffic_t *t, const packet_t *pkt, kf_vm_id_t id)
+{
+	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+	int64_t since_us;
+
+	if (id.vm == 0)
+		return true;
+	if (vm == NULL)
+		return ingress_token_older(t, pkt, KF_RETRANSMIT_HORIZON_S) &&
+		    ingress_fleet_complete(t, horizon_us);
+	since_us = lease_gone_since_us(t, id, pkt->token.upstream);
+	return since_us >= 0 && t->now.mono_us - since_us >= horizon_us;
+}
+
+static bool
+ingress_both_long_gone(const kf_traffic_t *t, const packet_t *pkt)
+{
+	return ingress_long_gone(t, pkt, pkt->token.owner) &&
+	    ingress_long_gone(t, pkt, pkt->token.backup);
 }
 
 /* Neither owner nor backup can say what became of the request. */
 static void
 ingress_orphan(kf_traffic_t *t, packet_t *pkt)
 {
-	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
+	uint32_t upstream = pkt->token.upstream;
 
 	if (pkt->proc.idempotent) {
-		if (pkt->hops == 0 && ingress_place(t, pkt))
+		if (pkt->hops > 0)
+			packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+		else if (ingress_place(t, pkt))
 			ingress_route(t, pkt);
 		return;
 	}
-	if (gone_for_us(t, pkt->token.owner) >= horizon_us &&
-	    (pkt->token.backup.vm == 0 ||
-		gone_for_us(t, pkt->token.backup) >= horizon_us))
+	if (handover_route(t, pkt))
+		return;
+	if (silent_lately(t, pkt->token.owner, upstream) ||
+	    silent_lately(t, pkt->token.backup, upstream))
+		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+	else if (ingress_both_long_gone(t, pkt))
 		packet_refuse(t, pkt, KF_REASON_OWNER_LOST);
 	else
 		packet_unknown(t, pkt, KF_REASON_OWNER_LOST);
@@ -141,7 +201,7 @@
 ingress_send(
     kf_traffic_t *t, packet_t *pkt, const kf_view_vm_t *vm, bool to_backup)
 {
-	if (pkt->hops >= FORWARD_HOPS_MAX) {
+	if (pkt->hops >= COPY_HOPS_MAX) {
 		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
 		return;
 	}
@@ -154,7 +214,7 @@
 	const kf_view_vm_t *vm;
 	kf_liveness_t liveness;
 
-	if (pkt->token.backup.vm == 0) {
+	if (pkt->token.backup.vm == 0 || ingress_both_long_gone(t, pkt)) {
 		ingress_orphan(t, pkt);
 		return;
 	}
@@ -164,7 +224,7 @@
 		backup_takeover(t, pkt);
 		return;
 	}
-	liveness = kf_view_liveness(t->view, pkt->token.backup);
+	liveness = lease_liveness(t, pkt->token.backup, pkt->token.upstream);
 	if (liveness >= KF_VM_DEAD)
 		ingress_orphan(t, pkt);
 	else if (vm == NULL || vm->peer_addr.port == 0)
@@ -191,7 +251,7 @@
 		ingress_to_backup(t, pkt);
 		return;
 	}
-	liveness = kf_view_liveness(t->view, pkt->token.owner);
+	liveness = lease_liveness(t, pkt->token.owner, pkt->token.upstream);
 	if (liveness < KF_VM_DEAD && vm != NULL && vm->peer_addr.port != 0) {
 		ingress_send(t, pkt, vm, false);
 		return;
@@ -200,7 +260,7 @@
 	 * An idempotent request needs no record of the old owner, so it is
 	 * placed at once.  An owner not heard yet may still be alive.
 	 */
-	if (pkt->proc.idempotent && liveness >= KF_VM_DEAD)
+	if (pkt->proc.idempotent && (liveness >= KF_VM_DEAD || vm == NULL))
 		ingress_orphan(t, pkt);
 	else
 		ingress_to_backup(t, pkt);
@@ -251,6 +311,10 @@
 
 	t->now = now;
 	kf_counters_add(&t->counters, KF_COUNT_CALLER_PACKETS, 1);
+	if (t->ending) {
+		packet_drop(t, &pkt, KF_REASON_DRAINING);
+		return;
+	}
 	if (t->view == NULL || !t->view->settled) {
 		packet_drop(t, &pkt, KF_REASON_NO_CONFIG);
 		return;
@@ -260,6 +324,11 @@
 	case KF_REASON_NONE:
 		ingress_call(t, &pkt);
 		break;
+	case KF_REASON_NO_SERVICE:
+		if (pkt.service != NULL)
+			reply_no_program(t, &pkt);
+		packet_drop(t, &pkt, reason);
+		break;
 	case KF_REASON_TOKEN_BAD:
 	case KF_REASON_TOKEN_SERVICE:
 	case KF_REASON_TOKEN_EXPIRED:
--- a/lib/traffic/lease.c
+++ b/lib/traffic/lease.c
@@ -47,7 +47,7 @@
 	lease->granted_us = INT64_MIN / 2;
 	lease->requested_us = INT64_MIN / 2;
 	lease->heard_us = INT64_MIN / 2;
-	apr_hash_set(t->leases, &lease->key, sizeof(lease->key), lease);
+	table_add(t->leases, &lease->key, sizeof(lease->key), lease);
 	return lease;
 }
 
@@ -94,7 +94,8 @@
 			continue;
 		lease->ended = true;
 		lease->ended_us = t->now.mono_us;
-		lease->cannot_have_fenced = lease_valid(t, lease);
+		lease->cannot_have_fenced =
+		    lease->released || lease_valid(t, lease);
 	}
 }
 
@@ -135,14 +136,27 @@
 	}
 }
 
+/*
+ * Answers an owner.  A leaving VM is soon known to have ended, but often later
+ * than a lease lasts, so it promises for good.  Without a record of the answer
+ * this VM might still fence the owner.
+ */
 void
 lease_on_request(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request)
 {
-	bool fenced = kf_flow_fenced(t->flows, from);
+	lease_t *lease;
 
-	if (!fenced)
-		lease_heard(t, from, request->shard);
-	peer_lease_ack(t, from, request, fenced);
+	if (kf_flow_fenced(t->flows, from)) {
+		peer_lease_ack(t, from, request, KF_LEASE_FENCED);
+		return;
+	}
+	lease = lease_get(t, from, request->shard);
+	if (lease == NULL)
+		return;
+	lease->heard_us = t->now.mono_us;
+	lease->release = lease->release || t->view->leaving;
+	peer_lease_ack(t, from, request,
+	    lease->release ? KF_LEASE_RELEASED : KF_LEASE_GRANTED);
 }
 
 void
@@ -152,20 +166,13 @@
 
 	if (lease == NULL || lease->ended)
 		return;
-	if (ack->fenced)
+	if (ack->state == KF_LEASE_FENCED)
 		t->fenced = true;
-	if (ack->fenced || ack->sequence != lease->sequence)
+	if (ack->state == KF_LEASE_FENCED || ack->sequence != lease->sequence)
 		return;
 	lease->granted_us = lease->requested_us;
-}
-
-void
-lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard)
-{
-	lease_t *lease = lease_get(t, from, shard);
-
-	if (lease != NULL)
-		lease->heard_us = t->now.mono_us;
+	if (ack->state == KF_LEASE_RELEASED)
+		lease->released = true;
 }
 
 bool
@@ -185,7 +192,7 @@
 bool
 lease_may_fence(const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream)
 {
-	kf_liveness_t liveness = kf_view_liveness(t->view, owner);
+	kf_liveness_t liveness = lease_liveness(t, owner, upstream);
 	const kf_view_vm_t *vm = kf_view_vm(t->view, owner);
 	const lease_t *lease;
 
@@ -195,7 +202,94 @@
 		return false;
 	lease = lease_find(t, owner, kf_view_shard(vm, upstream));
 	return lease == NULL ||
-	    t->now.mono_us - lease->heard_us >= FENCE_SILENCE_US;
+	    (!lease->release &&
+		t->now.mono_us - lease->heard_us >= FENCE_SILENCE_US);
+}
+
+/* The lease of a VM that has ended, as far as this shard has one. */
+static const lease_t *
+lease_of_ended(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+	const lease_t *lease;
+
+	if (vm == NULL)
+		return NULL;
+	lease = lease_find(t, id, kf_view_shard(vm, upstream));
+	return lease != NULL && lease->ended ? lease : NULL;
+}
+
+/*
+ * Liveness of a VM: what the view says, or gone if it has said so itself, which
+ * comes earlier.
+ */
+kf_liveness_t
+lease_liveness(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	if (lease_of_ended(t, id, upstream) != NULL)
+		return KF_VM_GONE;
+	return kf_view_liveness(t->view, id);
+}
+
+/* When this VM learnt that an incarnation has ended; -1 if it has not. */
+int64_t
+lease_gone_since_us(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	const lease_t *lease = lease_of_ended(t, id, upstream);
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+
+	if (lease != NULL)
+		return lease->ended_us;
+	if (vm != NULL && vm->liveness == KF_VM_GONE)
+		return vm->gone_since_us;
+	return -1;
+}
+
+/* Lists the VMs that have ended, for a handover. */
+u_int
+lease_fill_ended(const kf_traffic_t *t, kf_peer_ended *out, u_int max)
+{
+	apr_hash_index_t *hi;
+	u_int n = 0;
+
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL && n < max;
+	     hi = apr_hash_next(hi)) {
+		const lease_t *lease = apr_hash_this_val(hi);
+
+		if (!lease->ended)
+			continue;
+		out[n].id.vm = lease->key.vm;
+		out[n].id.incarnation = lease->key.incarnation;
+		out[n++].cannot_have_fenced = lease->cannot_have_fenced;
+	}
+	return n;
+}
+
+void
+lease_on_end(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_end *end)
+{
+	lease_t *lease = lease_get(t, from, end->shard);
+
+	if (lease == NULL || lease->ended)
+		return;
+	lease->ended = true;
+	lease->ended_us = t->now.mono_us;
+	lease->cannot_have_fenced = !end->fenced;
+}
+
+void
+lease_send_end(kf_traffic_t *t)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, t->leases); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		const lease_t *lease = apr_hash_this_val(hi);
+		kf_vm_id_t id = { lease->key.vm, lease->key.incarnation };
+
+		if (!lease->ended)
+			peer_end(t, lease, kf_flow_fenced(t->flows, id));
+	}
 }
 
 void
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -20,9 +20,8 @@
     kf_traffic_t *t, const packet_t *pkt, const uint8_t *stored, size_t len)
 {
 	packet_t moved = *pkt;
-	const kf_view_vm_t *vm;
 
-	if (len < 1 || pkt->hops > FORWARD_HOPS_MAX) {
+	if (len < 1) {
 		packet_drop(t, pkt, KF_REASON_DUPLICATE);
 		return;
 	}
@@ -30,18 +29,29 @@
 	if (stored[0] == STORED_REPLY) {
 		t->config.ops.send_caller(
 		    t->config.ops.ctx, &pkt->route, stored + 1, len - 1);
+		packet_decision(t, pkt, KF_EVENT_REPLAY, KF_REASON_NONE);
 		return;
 	}
-	if (packet_set_token(t, &moved, stored + 1, len - 1) !=
-	    KF_REASON_NONE) {
-		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
-		return;
-	}
-	vm = kf_view_vm(t->view, moved.token.owner);
-	if (vm == NULL || vm->peer_addr.port == 0)
+	/* The new owner may have ended in turn; its backup then decides. */
+	if (packet_set_token(t, &moved, stored + 1, len - 1) == KF_REASON_NONE)
+		ingress_route(t, &moved);
+	else
 		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
+}
+
+/* The backup that has fenced this VM decides about the copy as well. */
+static void
+owner_send_in_doubt(
+    kf_traffic_t *t, const packet_t *pkt, const kf_request_id_t *id)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, pkt->token.backup);
+
+	if (kf_flow_reason(t->flows, id) == KF_REASON_FENCED && vm != NULL &&
+	    vm->liveness < KF_VM_DEAD && vm->peer_addr.port != 0 &&
+	    pkt->hops < FORWARD_HOPS_MAX)
+		peer_forward(t, pkt, vm, true);
 	else
-		peer_forward(t, &moved, vm, false);
+		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
 }
 
 /*
@@ -69,6 +79,8 @@
 		packet_refuse(t, pkt, kf_flow_reason(t->flows, &id));
 		return false;
 	case KF_FLOW_IN_DOUBT:
+		owner_send_in_doubt(t, pkt, &id);
+		return false;
 	case KF_FLOW_STALE:
 		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
 		return false;
@@ -124,7 +136,7 @@
 		packet_drop(t, pkt, KF_REASON_OVERLOAD);
 		return;
 	}
-	req->may_have_run = recent;
+	req->may_have_run = req->may_have_run || recent;
 	req->recorded = !pkt->proc.idempotent;
 	req->alone = pkt->proc.idempotent || owner_alone(t, &pkt->token);
 	if (!req->alone)
@@ -135,31 +147,47 @@
 		owner_start(t, req);
 }
 
-/* Sends a request to its upstream's queue, or to the upstream's owner. */
+/*
+ * Whether this shard serves a request for an upstream.  Normally that is the
+ * upstream's owner; but an owner that this VM has fenced can run nothing for
+ * which this VM is the backup, and would only send the request back.
+ */
+static bool
+owner_serves(const kf_traffic_t *t, const request_t *req, uint32_t index)
+{
+	const kf_view_upstream_t *vu = &t->view->upstreams[index];
+	const kf_view_vm_t *vm = &t->view->vms[vu->owner];
+	uint32_t id = t->view->decl->upstreams[index].id;
+
+	if (req->hops >= FORWARD_HOPS_MAX)
+		return true;
+	if (vu->owner == t->view->self_index)
+		return kf_view_shard(vm, id) == t->config.shard;
+	return req->recorded && vu->backup == t->view->self_index &&
+	    kf_view_shard(&t->view->vms[vu->backup], id) == t->config.shard &&
+	    kf_flow_fenced(t->flows, vm->id);
+}
+
+/*
+ * Sends a request to its upstream's queue, or to the upstream's owner.  Called
+ * again when a view has taken the request out of its queue.
+ */
 void
 owner_start(kf_traffic_t *t, request_t *req)
 {
 	const kf_service_t *service;
-	const kf_view_vm_t *vm;
-	const kf_view_upstream_t *vu;
-	kf_token_t token = req->token;
-	uint32_t index;
+	kf_token_t token = req->reply_token;
 
 	service = kf_declaration_service(t->view->decl, req->service);
 	if (service == NULL) {
 		owner_refuse(t, req, KF_REASON_NO_SERVICE);
 		return;
 	}
-	if (!place_still_valid(t, service, &req->token)) {
+	if (!place_still_valid(t, service, &token)) {
 		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
-	index = place_index(t, req->upstream);
-	vu = &t->view->upstreams[index];
-	vm = &t->view->vms[vu->owner];
-	if ((vu->owner == t->view->self_index &&
-		kf_view_shard(vm, req->upstream) == t->config.shard) ||
-	    req->hops >= FORWARD_HOPS_MAX) {
+	if (owner_serves(t, req, place_index(t, req->upstream))) {
 		owner_admit(t, req);
 		return;
 	}
@@ -172,7 +200,6 @@
 owner_replace(kf_traffic_t *t, request_t *req, uint32_t exclude)
 {
 	const kf_service_t *service;
-	const kf_view_upstream_t *vu;
 	kf_token_t token = req->token;
 	placement_t place;
 
@@ -185,11 +212,7 @@
 		return;
 	}
 	kf_counters_add(&t->counters, KF_COUNT_FLOWS_MOVED, 1);
-	vu = &t->view->upstreams[place.upstream];
-	if ((vu->owner == t->view->self_index &&
-		kf_view_shard(&t->view->vms[vu->owner], token.upstream) ==
-		    t->config.shard) ||
-	    req->hops >= FORWARD_HOPS_MAX) {
+	if (owner_serves(t, req, place.upstream)) {
 		req->upstream = token.upstream;
 		req->reply_token = token;
 		request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, NULL);
@@ -249,13 +272,13 @@
 }
 
 /*
- * Whether no copy of an idempotent request can run at another VM.  Copies go
- * to the owner in the token, unless some VM holds it for dead.
+ * Whether a copy of an idempotent request may run at another VM.  Copies go to
+ * the owner in the token, unless some VM held it for dead a moment ago.
  */
 static bool
-owner_only_copy(const kf_traffic_t *t, const request_t *req)
+owner_copy_elsewhere(const kf_traffic_t *t)
 {
-	return t->now.mono_us >= t->unstable_until_us && !req->may_have_run;
+	return t->now.mono_us < t->unstable_until_us;
 }
 
 /*
@@ -266,7 +289,7 @@
 void
 owner_refuse(kf_traffic_t *t, request_t *req, kf_reason_t reason)
 {
-	if (!req->recorded && !owner_only_copy(t, req)) {
+	if (!req->recorded && !req->may_have_run && owner_copy_elsewhere(t)) {
 		request_silent(t, req, reason);
 		return;
 	}
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -6,13 +6,19 @@
 
 #include "kf/call_info.h"
 #include "kf/peer_seal.h"
+#include "kf/proxy.h"
 #include "kf/rpc.h"
 #include "kf/traffic.h"
 #include "kf/upstream.h"
 
 enum {
 	DATAGRAM_MAX_BYTES = 65507,
+	/* A reply travels behind a PROXY header. */
+	REPLY_MAX_BYTES = DATAGRAM_MAX_BYTES - KF_PROXY_HEADER_BYTES,
+	/* A request forwarded this often is served where it is. */
 	FORWARD_HOPS_MAX = 2,
+	/* A copy follows the moves of its request, and then to a backup. */
+	COPY_HOPS_MAX = 2 * FORWARD_HOPS_MAX + 1,
 	/* Interval at which an unacknowledged INTENT is sent again. */
 	INTENT_RETRY_US = 50000,
 	ATTEMPTS_MAX = 3,
@@ -29,10 +35,10 @@
 	uint8_t token_bytes[KF_TOKEN_BYTES];
 	kf_token_t token;
 	bool has_token;
-	bool expired;	/* the token is past its expiry */
-	bool new_flow;	/* the call came without a token */
-	uint32_t hops;	/* times forwarded */
-	bool to_backup; /* the sender holds the owner for dead */
+	bool expired;	   /* the token is past its expiry */
+	bool new_flow;	   /* the call came without a token */
+	uint32_t hops;	   /* times forwarded */
+	bool may_have_run; /* an attempt at another VM got no reply */
 } packet_t;
 
 typedef enum request_state {
@@ -49,7 +55,8 @@
 typedef struct request {
 	struct request *next;
 	struct request *prev;
-	kf_request_id_t id; /* key of by_id */
+	struct request *requeue_next; /* taken out of a queue by a view */
+	kf_request_id_t id;	      /* key of by_id */
 	request_state_t state;
 	kf_route_t route;
 	kf_token_t token;	/* as it came with the request */
@@ -84,7 +91,8 @@
 /* What this shard keeps of an upstream it sends requests to. */
 typedef struct serving {
 	uint32_t id;
-	uint32_t index; /* into the declaration, or KF_VIEW_NONE */
+	uint32_t index;	  /* into the declaration, or KF_VIEW_NONE */
+	uint32_t service; /* id */
 	kf_addr_t addr;
 	kf_upstream_state_t *state;
 	bool ejected;	    /* as last logged */
@@ -105,8 +113,10 @@
 
 typedef struct lease {
 	lease_key_t key;
-	bool wanted; /* it is the backup of an upstream owned here */
-	bool ended;  /* the VM is gone */
+	bool wanted;   /* it is the backup of an upstream owned here */
+	bool ended;    /* the VM is gone */
+	bool released; /* it will not fence this VM while this VM lives */
+	bool release;  /* this VM will not fence it while it lives */
 	bool cannot_have_fenced; /* it ended before it could fence this VM */
 	uint32_t sequence;	 /* of the last request */
 	int64_t requested_us;	 /* when the last request was sent */
@@ -116,10 +126,12 @@
 } lease_t;
 
 typedef struct recent recent_t;
+typedef struct handover handover_t;
 
 struct kf_traffic {
 	kf_traffic_config_t config;
 	kf_view_t *view;
+	kf_keyring_t *keys; /* own copy: a ring is of one thread */
 	kf_balance_t *balance;
 	kf_admission_t *admission;
 	kf_flow_table_t *flows;
@@ -129,15 +141,21 @@
 	bool fenced;
 	/* Until then copies of a request may be at another VM. */
 	int64_t unstable_until_us;
-	kf_time_t now; /* of the event being handled */
+	int64_t settled_us; /* since when views have been settled */
+	kf_time_t now;	    /* of the event being handled */
 	apr_pool_t *pool;
 	apr_hash_t *by_id;   /* request_t by id.flow and id.xid */
 	apr_hash_t *by_xid;  /* request_t by upstream_xid */
 	apr_hash_t *serving; /* serving_t by id */
 	apr_hash_t *leases;  /* lease_t by key */
 	recent_t *recent;
+	bool ending;	       /* takes no more requests */
+	bool ended;	       /* has handed over and may stop */
+	handover_t *handover;  /* while ending */
+	apr_hash_t *adoptions; /* adoption_t by VM id */
 	request_t *requests;
 	request_t *deleted; /* unlinked during a sweep */
+	request_t *requeue; /* taken out of their queues by a view */
 	bool sweeping;
 	uint32_t request_count;
 	kf_candidate_t *candidates; /* scratch, one per upstream */
@@ -146,10 +164,16 @@
 	uint8_t peer_buf[DATAGRAM_MAX_BYTES + 1024];
 };
 
+/* traffic.c */
+void table_add(apr_hash_t *table, const void *key, size_t len, void *value);
+
 /* packet.c */
 kf_reason_t packet_parse(kf_traffic_t *t, packet_t *pkt);
 kf_reason_t packet_set_token(
     kf_traffic_t *t, packet_t *pkt, const uint8_t *token, size_t len);
+uint64_t packet_hash(const packet_t *pkt);
+void packet_decision(
+    kf_traffic_t *t, const packet_t *pkt, kf_event_t event, kf_reason_t reason);
 void packet_drop(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_refuse(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_unknown(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
@@ -179,6 +203,7 @@
 void reply_denied(
     kf_traffic_t *t, const kf_route_t *route, uint32_t xid, kf_reason_t reason);
 void reply_unknown(kf_traffic_t *t, const kf_route_t *route, uint32_t xid);
+void reply_no_program(kf_traffic_t *t, const packet_t *pkt);
 void reply_null(kf_traffic_t *t, const packet_t *pkt, const kf_token_t *token);
 size_t reply_build(kf_traffic_t *t, const request_t *req,
     const kf_rpc_reply_t *upstream_reply, const kf_token_t *token);
@@ -205,6 +230,15 @@
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_intent *intent);
 void backup_on_done(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_done *done);
 
+/* handover.c */
+void handover_tick(kf_traffic_t *t);
+void handover_take(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_handover *part);
+void handover_on_ack(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_handover_ack *ack);
+bool handover_route(kf_traffic_t *t, packet_t *pkt);
+void handover_delete(kf_traffic_t *t);
+
 /* recent.c */
 recent_t *recent_new(void);
 void recent_note(
@@ -215,12 +249,18 @@
 /* lease.c */
 void lease_update(kf_traffic_t *t);
 void lease_tick(kf_traffic_t *t);
-void lease_heard(kf_traffic_t *t, kf_vm_id_t from, uint32_t shard);
 void lease_on_request(
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *request);
 void lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack);
 bool lease_cannot_have_fenced(
     const kf_traffic_t *t, kf_vm_id_t backup, uint32_t upstream);
+void lease_on_end(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_end *end);
+void lease_send_end(kf_traffic_t *t);
+u_int lease_fill_ended(const kf_traffic_t *t, kf_peer_ended *out, u_int max);
+int64_t lease_gone_since_us(
+    const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream);
+kf_liveness_t lease_liveness(
+    const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream);
 bool lease_may_fence(
     const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream);
 void lease_delete_all(kf_traffic_t *t);
@@ -243,10 +283,12 @@
 void serving_on_probe(
     kf_traffic_t *t, serving_t *s, const kf_rpc_reply_t *reply);
 void serving_failed(kf_traffic_t *t, serving_t *s, uint32_t path,
-    kf_upstream_failure_t failure);
+    int64_t sent_us, kf_upstream_failure_t failure);
 void serving_delete(serving_t *s);
 bool serving_owned(const kf_traffic_t *t, const serving_t *s);
 bool serving_usable(const kf_traffic_t *t, const serving_t *s);
+bool serving_accepts(
+    const kf_traffic_t *t, const serving_t *s, uint32_t service);
 
 /* request.c */
 request_t *request_new(kf_traffic_t *t, const packet_t *pkt);
@@ -276,7 +318,10 @@
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
 void peer_lease(kf_traffic_t *t, const lease_t *lease);
 void peer_lease_ack(
-    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, bool fenced);
+    kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, u_int state);
+void peer_end(kf_traffic_t *t, const lease_t *lease, bool fenced);
+void peer_message(
+    kf_traffic_t *t, const kf_view_vm_t *vm, uint32_t shard, kf_peer_msg *msg);
 void peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
 
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -15,7 +15,10 @@
 	KF_PEER_INTENT_NACK = 5,
 	KF_PEER_DONE = 6,
 	KF_PEER_LEASE = 7,
-	KF_PEER_LEASE_ACK = 8
+	KF_PEER_LEASE_ACK = 8,
+	KF_PEER_END = 9,
+	KF_PEER_HANDOVER = 10,
+	KF_PEER_HANDOVER_ACK = 11
 };
 
 /* A VM and the start time of its process in milliseconds. */
@@ -73,6 +76,10 @@
 	kf_peer_digest digests<KF_PEER_MAX_DIGESTS>;
 };
 
+/* Flags of a forwarded request. */
+const KF_FORWARD_TO_BACKUP = 1; /* the sender holds the owner for dead */
+const KF_FORWARD_MAY_HAVE_RUN = 2; /* an attempt got no reply */
+
 /* A caller's datagram handed to the VM that owns its flow. */
 struct kf_peer_forward {
 	unsigned int caller_ip;
@@ -81,7 +88,7 @@
 	unsigned int service_port;
 	unsigned int fabric_ip;
 	unsigned int fabric_port;
-	unsigned int to_backup;
+	unsigned int flags;
 	unsigned int hops;
 	opaque token<256>;
 	opaque datagram<KF_PEER_MAX_PAYLOAD>;
@@ -103,6 +110,11 @@
 	opaque reply<KF_PEER_MAX_PAYLOAD>;
 };
 
+const KF_LEASE_GRANTED = 0;
+const KF_LEASE_FENCED = 1; /* the owner is fenced already */
+/* The backup is leaving and will fence the owner only once that has ended. */
+const KF_LEASE_RELEASED = 2;
+
 /*
  * An owner's request that its backup does not fence it for a while, and the
  * backup's answer.
@@ -110,7 +122,50 @@
 struct kf_peer_lease {
 	unsigned int sequence;
 	unsigned int shard;	/* of the sender of the request */
-	unsigned int fenced;	/* answer: the owner is fenced already */
+	unsigned int state;	/* answer: KF_LEASE_... */
+};
+
+/* The sender's incarnation ends: it dispatches and fences nothing any more. */
+struct kf_peer_end {
+	unsigned int shard;
+	unsigned int fenced;	/* the sender had fenced the receiver */
+};
+
+const KF_PEER_MAX_HANDOVER_FLOWS = 128;
+const KF_PEER_MAX_HANDOVER_REQUESTS = 8;
+const KF_PEER_MAX_ADOPTED = 256;
+
+struct kf_peer_handover_request {
+	unsigned int xid;
+	unsigned int generation;
+	unsigned int refused;
+};
+
+/* A VM that the sender saw end. */
+struct kf_peer_ended {
+	kf_peer_id id;
+	unsigned int cannot_have_fenced;
+};
+
+struct kf_peer_handover_flow {
+	kf_peer_id owner;
+	unsigned hyper flow;
+	unsigned int floor;
+	kf_peer_handover_request requests<KF_PEER_MAX_HANDOVER_REQUESTS>;
+};
+
+/* Part of the records of a leaving VM; complete when all parts have come. */
+struct kf_peer_handover {
+	unsigned int part;
+	unsigned int parts;
+	unsigned int shard;
+	kf_peer_id adopted<KF_PEER_MAX_ADOPTED>;
+	kf_peer_ended ended<KF_PEER_MAX_ADOPTED>;
+	kf_peer_handover_flow flows<KF_PEER_MAX_HANDOVER_FLOWS>;
+};
+
+struct kf_peer_handover_ack {
+	unsigned int part;
 };
 
 union kf_peer_body switch (kf_peer_type type) {
@@ -130,6 +185,12 @@
 	kf_peer_lease lease;
 case KF_PEER_LEASE_ACK:
 	kf_peer_lease lease_ack;
+case KF_PEER_END:
+	kf_peer_end end;
+case KF_PEER_HANDOVER:
+	kf_peer_handover handover;
+case KF_PEER_HANDOVER_ACK:
+	kf_peer_handover_ack handover_ack;
 };
 
 struct kf_peer_msg {
