Test the fleet under failure with separate processes

Until now only single stand-ins were tested as processes; the demo kills one balancer, but it is no test. Each new script starts a fleet on addresses of its own, puts load on both services, causes one failure or two, and compares the ledgers of the upstreams with what the callers were told. Bounds on time are the stated targets and deadlines only.

One collision of addresses came from a rewriting of $net itself.

--- /dev/null
+++ b/tests/process/fail-balancer-added.sh
@@ -0,0 +1,25 @@
+# Guards against flows that break while a balancer is added, and against a new
+# balancer that takes no part.
+set -u
+build=$1
+. "$(dirname "$0")/fleet.sh"
+
+fleet_conf bengal 6
+start_platform
+start_upstreams
+start_fabric 5
+for number in 1 2 3 4 5; do
+	start_balancer "$number"
+done
+wait_until_served
+load_all 12
+sleep 2
+start_balancer 6
+wait_for "balancer-6 settled" 15 \
+    grep -q event=settled "$work/balancer-6.log"
+fabric add "$(ingress_of 6)"
+load_wait
+fabric balancers
+tr ' ' '\n' <"$work/fabric-control.log" | grep "^$(ingress_of 6)=" |
+    grep -q 'received:[1-9]' || fail "balancer-6 answered nothing"
+fleet_check planned
--- /dev/null
+++ b/tests/process/fail-balancer-stopped.sh
@@ -0,0 +1,15 @@
+# Guards against a balancer that resumes after 6 s and dispatches on state that
+# its backup has taken over.
+set -u
+build=$1
+. "$(dirname "$0")/fleet.sh"
+
+fleet_start bengal 6
+load_all 16
+sleep 3
+balancer 3 STOP
+sleep 6
+balancer 3 CONT
+load_wait
+recovered 11
+fleet_check invariants
--- /dev/null
+++ b/tests/process/fail-fabric-cut.sh
@@ -0,0 +1,15 @@
+# Guards against flows that break when the fabric loses a zone's balancers while
+# these still reach the other balancers: callers retransmit.
+set -u
+build=$1
+. "$(dirname "$0")/fleet.sh"
+
+fleet_start bengal 6
+load_all 10
+sleep 2
+fabric cut "${net}.33"
+fabric cut "${net}.34"
+sleep 4
+fabric heal "${net}.33"
+fabric heal "${net}.34"
+fleet_check invariants
--- /dev/null
+++ b/tests/process/fail-rolling-restart.sh
@@ -0,0 +1,17 @@
+# Guards against flows that break while balancers are restarted one after the
+# other, which is a planned change.
+set -u
+build=$1
+. "$(dirname "$0")/fleet.sh"
+
+fleet_start kowhai 4
+load_all 45
+for number in 1 2 3 4; do
+	sleep 1
+	stop "balancer-$number"
+	expect "exit status of balancer-$number" "$status" 0
+	start_balancer "$number"
+	wait_for "balancer-$number settled" 15 \
+	    grep -q event=settled "$work/balancer-$number.log"
+done
+fleet_check planned
--- /dev/null
+++ b/tests/process/fleet.sh
@@ -0,0 +1,413 @@
+# Helpers of the tests under failure (fail-*.sh).  A test sets `build`, sources
+# this file, calls fleet_start, puts load on the fleet, causes its failure and
+# ends with fleet_check.
+# shellcheck disable=SC1091 # the path depends on the caller
+. "$(dirname "$0")/common.sh"
+
+conf=$work/conf
+declaration=$conf/declaration.ini
+fabric_control=$net.10:7401
+platform_control=$net.10:8081
+# Mean service time of the upstreams of the first and the second service.
+fleet_service_us="4000 4000"
+# An upstream that runs in a process of its own, so that it can be killed.
+fleet_solo=
+# A revision is in force everywhere in 3 s.
+settle_s=3
+load_pids=
+
+# ini_value FILE SECTION KEY
+ini_value() {
+	awk -v section="[$2]" -v key="$3" '
+	    /^\[/ { inside = $0 == section }
+	    inside && $1 == key { sub(/^[^=]*= */, ""); print; exit }' "$1"
+}
+
+# ini_sections FILE KIND: names of the sections [KIND NAME].
+ini_sections() {
+	sed -n "s/^\[$2 \(.*\)\]\$/\1/p" "$1"
+}
+
+# first_section FILE KIND
+first_section() {
+	ini_sections "$1" "$2" | head -n 1
+}
+
+# Moves the addresses of a deployment to those of this run: group 0 keeps its
+# last number, balancers get 31 to 39, upstreams 101 to 114 and 121 to 129.
+rewrite_addresses() {
+	# A placeholder, because $net itself may look like one of the groups.
+	sed -e 's/127\.[0-9]*\.0\.\([0-9]*\):/NET.\1:/g' \
+	    -e 's/127\.[0-9]*\.1\.\([0-9]\):/NET.3\1:/g' \
+	    -e 's/127\.[0-9]*\.2\.\([0-9]\):/NET.10\1:/g' \
+	    -e 's/127\.[0-9]*\.2\.\([0-9][0-9]\):/NET.1\1:/g' \
+	    -e 's/127\.[0-9]*\.3\.\([0-9]\):/NET.12\1:/g' \
+	    -e "s/NET/$net/g" "$1"
+}
+
+# fleet_conf DEPLOYMENT BALANCERS: settings and documents of the run.
+fleet_conf() {
+	mkdir -p "$conf"
+	for file in "conf/$1"/*.ini; do
+		rewrite_addresses "$file" >"$conf/$(basename "$file")"
+	done
+	awk -v last="$2" '/^\[vm / { n++ } n <= last' "$conf/vms.ini" \
+	    >"$conf/vms.new"
+	mv "$conf/vms.new" "$conf/vms.ini"
+	services=$(ini_sections "$declaration" service)
+}
+
+service_tag() {
+	echo "$services" | grep -nx -- "$1" | cut -d: -f1
+}
+
+# up COMMAND UPSTREAM ARGUMENT...: controls one upstream.
+up() {
+	kf_command=$1
+	kf_upstream=$2
+	shift 2
+	if [ "$kf_upstream" = "$fleet_solo" ]; then
+		kf_port=8100
+	else
+		kf_port=$((8100 + $(service_tag "$(ini_value "$declaration" \
+		    "upstream $kf_upstream" service)")))
+	fi
+	control "$net.10:$kf_port" "$kf_command" "$kf_upstream" "$@" ||
+	    fail "$kf_command $kf_upstream"
+}
+
+platform() {
+	control "$platform_control" "$@" >"$work/platform-control.log" ||
+	    fail "platform $*: $(cat "$work/platform-control.log")"
+}
+
+fabric() {
+	control "$fabric_control" "$@" >"$work/fabric-control.log" ||
+	    fail "fabric $*: $(cat "$work/fabric-control.log")"
+}
+
+start_platform() {
+	mkdir -p "$work/docs"
+	cp "$declaration" "$conf/keys.ini" "$conf/vms.ini" "$work/docs"
+	start platform "$bin/standin-platform" --listen "$net.10:8080" \
+	    --control "$platform_control" --dir "$work/docs"
+	wait_line platform.log event=ready 20
+}
+
+upstream_option() { # UPSTREAM
+	section="upstream $1"
+	echo "--upstream"
+	echo "name=$1,address=$(ini_value "$declaration" "$section" address),slots=$(ini_value "$declaration" "$section" slots),service=$(service_tag "$(ini_value "$declaration" "$section" service)")"
+}
+
+# service_us SERVICE
+service_us() {
+	echo "$fleet_service_us" | cut -d ' ' -f "$(service_tag "$1")"
+}
+
+start_solo() {
+	service=$(ini_value "$declaration" "upstream $fleet_solo" service)
+	# shellcheck disable=SC2046 # two words
+	start upstreams-solo "$bin/standin-upstream" --seed 9 \
+	    --service-time-us "$(service_us "$service")" \
+	    --ledger "$work/ledger-solo" --control "$net.10:8100" \
+	    $(upstream_option "$fleet_solo")
+	wait_line upstreams-solo.log event=ready 20
+}
+
+start_upstreams() {
+	for service in $services; do
+		set --
+		for upstream in $(ini_sections "$declaration" upstream); do
+			[ "$(ini_value "$declaration" "upstream $upstream" \
+			    service)" = "$service" ] || continue
+			[ "$upstream" = "$fleet_solo" ] && continue
+			# shellcheck disable=SC2046 # two words
+			set -- "$@" $(upstream_option "$upstream")
+		done
+		tag=$(service_tag "$service")
+		start "upstreams-$service" "$bin/standin-upstream" \
+		    --seed "$tag" --service-time-us "$(service_us "$service")" \
+		    --ledger "$work/ledger-$tag" \
+		    --control "$net.10:$((8100 + tag))" "$@"
+		wait_line "upstreams-$service.log" event=ready 20
+	done
+	[ -z "$fleet_solo" ] || start_solo
+}
+
+ingress_of() { # BALANCER
+	ini_value "$conf/balancer-$1.ini" vm ingress_address
+}
+
+start_fabric() { # BALANCERS
+	set -- "$(seq 1 "$1")"
+	for number in $1; do
+		set -- "$@" --balancer "$(ingress_of "$number")"
+	done
+	shift
+	for service in $services; do
+		set -- "$@" --service \
+		    "$(ini_value "$declaration" "service $service" address)"
+	done
+	start fabric "$bin/standin-fabric" --encap-address "$net.10:7400" \
+	    --control "$fabric_control" --seed 5 "$@"
+	wait_line fabric.log event=ready 20
+}
+
+# start_balancer NUMBER: the log of an earlier process is kept apart.
+start_balancer() {
+	kf_log=$work/balancer-$1.log
+	[ ! -f "$kf_log" ] ||
+	    mv "$kf_log" "$work/balancer-$1.$(date +%s%N).log"
+	start "balancer-$1" "$bin/knapweedd" \
+	    --config "$conf/balancer-$1.ini"
+}
+
+balancer() { # NUMBER SIGNAL
+	kill -"$2" "$(pid_of "balancer-$1")" || fail "balancer-$1 is gone"
+}
+
+# procedures SERVICE KIND: "idempotent" or "non-idempotent" ones.
+procedures() {
+	awk -v section="[service $1]" -v kind="$2" '
+	    /^\[/ { inside = $0 == section }
+	    inside && $1 ~ /^procedure\./ && $3 == kind {
+		sub(/^procedure\./, "", $1); print $1 }' "$declaration"
+}
+
+# load SERVICE CALLER ARGUMENT...: calls every procedure of the service unless
+# the arguments hold a mix; CALLER is also the seed.
+load() {
+	kf_service=$1
+	kf_caller=$2
+	shift 2
+	kf_mix=
+	kf_once=
+	for kf_procedure in $(procedures "$kf_service" idempotent); do
+		kf_mix=$kf_mix,$kf_procedure=2
+	done
+	for kf_procedure in $(procedures "$kf_service" non-idempotent); do
+		kf_mix=$kf_mix,$kf_procedure=1
+		kf_once=$kf_once,$kf_procedure
+	done
+	[ -z "$kf_once" ] || set -- --non-idempotent "${kf_once#,}" "$@"
+	start "caller-$kf_caller" "$bin/standin-caller" \
+	    --service "$(ini_value "$declaration" \
+	    "service $kf_service" address)" \
+	    --program "$(ini_value "$declaration" \
+	    "service $kf_service" program)" \
+	    --bind "$net.200" --service-tag "$(service_tag "$kf_service")" \
+	    --caller "$kf_caller" --seed "$kf_caller" --mix "${kf_mix#,}" \
+	    --timeout-ms 8000 --results "$work/results-$kf_caller" "$@"
+	load_pids="$load_pids $pid"
+}
+
+# load_all SECONDS: load on both services, well below what the machine does.
+load_all() {
+	kf_number=0
+	for kf_each in $services; do
+		kf_number=$((kf_number + 1))
+		load "$kf_each" "$kf_number" --flows 40 --rate 80 \
+		    --duration-s "$1"
+	done
+}
+
+load_wait() {
+	for kf_pid in $load_pids; do
+		wait "$kf_pid" || fail "a caller failed"
+	done
+	load_pids=
+}
+
+# Waits until every service answers; these first calls are not counted in the
+# sums, but the ledgers are checked for them.
+wait_until_served() {
+	kf_attempt=500
+	for kf_each in $services; do
+		kf_answered=0
+		while [ "$kf_answered" -eq 0 ]; do
+			kf_attempt=$((kf_attempt + 1))
+			[ "$kf_attempt" -lt 540 ] || fail "$kf_each not served"
+			load "$kf_each" "$kf_attempt" --flows 1 \
+			    --duration-s 1 --timeout-ms 1000
+			load_wait
+			kf_answered=$(value answered \
+			    "$work/caller-$kf_attempt.log")
+		done
+	done
+}
+
+# fleet_start DEPLOYMENT BALANCERS
+fleet_start() {
+	[ -d "$conf" ] || fleet_conf "$1" "$2"
+	start_platform
+	start_upstreams
+	start_fabric "$2"
+	for number in $(seq 1 "$2"); do
+		start_balancer "$number"
+	done
+	wait_until_served
+}
+
+# accepted BALANCER KIND: revision and version of each document accepted.
+accepted() {
+	sed -n "s/.* event=document_accepted subject=$2 .* revision=\([0-9]*\) version=\([0-9]*\).*/\1 \2/p" \
+	    "$work/balancer-$1.log"
+}
+
+# in_force REVISION VERSION BALANCER...: whether all hold this declaration.
+in_force() {
+	kf_want="$1 $2"
+	shift 2
+	for kf_balancer in "$@"; do
+		[ "$(accepted "$kf_balancer" declaration | tail -n 1)" = \
+		    "$kf_want" ] || return 1
+	done
+}
+
+# publish KIND FILE: the version in $version.
+publish() {
+	platform publish "$1" "$2"
+	version=$(value version "$work/platform-control.log")
+}
+
+# change FILE REVISION AWK-PROGRAM: a changed copy of the declaration; the
+# program sees `section`, the line of the section it is in.
+change() {
+	awk -v revision="$2" '
+	    /^\[/ { section = $0 }
+	    $1 == "revision" { $0 = "revision = " revision }
+	    '"$3"'
+	    { print }' "$declaration" >"$1"
+}
+
+# share_change FILE REVISION FIRST SECOND: shares of the first service's
+# selectors.
+share_change() {
+	change "$1" "$2" '
+	    section ~ /^\[selector / && $1 == "service" { of = $3 }
+	    section ~ /^\[selector / && $1 == "share_percent" &&
+	    of == "'"$(first_section "$declaration" service)"'" {
+		$0 = "share_percent = " (moved++ ? '"$4"' : '"$3"') }'
+}
+
+# sum KEY PATTERN [CALLER...]: of the callers' lines that match; all callers
+# but those of wait_until_served if none are given.
+sum() {
+	kf_key=$1
+	kf_pattern=$2
+	shift 2
+	[ $# -gt 0 ] || set -- $(seq 1 50)
+	for kf_each in "$@"; do
+		[ -f "$work/caller-$kf_each.log" ] || continue
+		grep -- "$kf_pattern" "$work/caller-$kf_each.log"
+	done | tr ' ' '\n' | sed -n "s/^$kf_key=//p" |
+	    awk '{ n += $1 } END { print n + 0 }'
+}
+
+total() { # KEY [CALLER...]
+	kf_total=$1
+	shift
+	sum "$kf_total" '^event=summary' "$@"
+}
+
+# executions UPSTREAM: lines of the ledgers.
+executions() {
+	cat "$work"/ledger-* | grep -c "upstream=$1 "
+}
+
+# Guards against a declaration that is replaced by an older one.  A balancer
+# that was fenced starts over in the same process, without documents.
+check_never_reverts() {
+	for kf_log in "$work"/balancer-*.log; do
+		sed -n -e 's/.* event=started .*/0 0/p' \
+		    -e 's/.* event=document_accepted subject=declaration .* revision=\([0-9]*\) version=\([0-9]*\).*/\1 \2/p' \
+		    "$kf_log" | awk '
+		    $1 > 0 && ($1 < r || ($1 == r && $2 <= v)) { exit 1 }
+		    { r = $1; v = $2 }' ||
+		    fail "$(basename "$kf_log"): a declaration was reverted"
+	done
+}
+
+# Guards against errors that only a sanitizer sees.
+check_sanitizers() {
+	for kf_log in "$work"/*.log; do
+		if grep -qE 'ERROR: (Address|Leak)Sanitizer|WARNING: ThreadSanitizer|runtime error:' \
+		    "$kf_log"; then
+			cat "$kf_log" >&2
+			fail "sanitizer report in $(basename "$kf_log")"
+		fi
+	done
+}
+
+# Compares all ledgers with all results.
+check_ledgers() {
+	set --
+	for kf_file in "$work"/ledger-*; do
+		set -- "$@" --ledger "$kf_file"
+	done
+	for kf_file in "$work"/results-*; do
+		set -- "$@" --results "$kf_file"
+	done
+	"$bin/standin-check" "$@" >"$work/check.out" 2>&1
+	kf_checked=$?
+	cat "$work/check.out"
+	echo
+	[ "$kf_checked" -eq 0 ] || fail "the ledgers contradict the results"
+}
+
+# shellcheck disable=SC2120 # most callers want all of them
+summary() { # [CALLER...]
+	echo "requests=$(total requests "$@") answered=$(total answered "$@")" \
+	    "refused=$(total refused "$@")" \
+	    "unknown_outcome=$(total unknown_outcome "$@")" \
+	    "broken_flows=$(total broken_flows "$@")" \
+	    "wrong_answer=$(total wrong_answer "$@")"
+}
+
+# fleet_check MODE: ends everything and checks the invariants.
+#   planned	no flow breaks and every request is answered
+#   death	only flows with a non-idempotent request in doubt break
+#   invariants	no limit on broken flows
+fleet_check() {
+	load_wait
+	stop_all
+	# shellcheck disable=SC2119
+	summary
+	check_sanitizers
+	expect wrong_answer "$(total wrong_answer)" 0
+	check_ledgers
+	check_never_reverts
+	expect_some answered "$(total answered)"
+	case $1 in
+	planned)
+		expect broken_flows "$(total broken_flows)" 0
+		expect unknown_outcome "$(total unknown_outcome)" 0
+		;;
+	death)
+		expect "unknown outcomes of idempotent requests" \
+		    "$(sum unknown_outcome 'event=procedure .*non_idempotent=0')" 0
+		[ "$(total broken_flows)" -le "$(total unknown_outcome)" ] ||
+		    fail "a flow without a request in doubt broke"
+		;;
+	invariants) ;;
+	*)
+		fail "fleet_check $1"
+		;;
+	esac
+}
+
+# recovered CALLER: after the failure new load of both services must be
+# answered whole.
+recovered() {
+	kf_first=$1
+	kf_next=$1
+	for kf_each in $services; do
+		load "$kf_each" "$kf_next" --flows 20 --rate 40 --duration-s 3
+		kf_next=$((kf_next + 1))
+	done
+	load_wait
+	expect "answered after the failure" \
+	    "$(total answered "$kf_first" $((kf_first + 1)))" \
+	    "$(total requests "$kf_first" $((kf_first + 1)))"
+}
