Test that shared sets of labels keep upstreams apart

Labels of upstreams and selectors are now stored once for each set, but the tests used few sets, so a wrong comparison of two sets could pass. The test declares 2500 racks for 3000 upstreams, more sets than hash buckets, and checks the labels of each.

Ruled out: a test of the table alone, because what counts are the labels in an accepted declaration. The test fails if only the first label is compared, and passes as the code is.

--- a/tests/unit/declaration_test.cc
+++ b/tests/unit/declaration_test.cc
@@ -265,6 +265,45 @@
 	});
 }
 
+/*
+ * Guards against an upstream that gets the labels of another set: each has its
+ * own, some share one, and there are more sets than hash buckets.
+ */
+TEST(Declaration, EveryUpstreamHasItsOwnLabels)
+{
+	constexpr uint32_t kCount = 3000, kRacks = 2500;
+	std::string text = kService;
+
+	for (uint32_t i = 0; i < kCount; i++)
+		text += "[upstream u" + std::to_string(i) +
+		    "]\nservice = orders\nzone = z\nslots = 1\naddress = "
+		    "10.0." +
+		    std::to_string(i >> 8) + "." + std::to_string(i & 255) +
+		    ":1\nlabels = gen=x rack=r" + std::to_string(i % kRacks) +
+		    (i % 2 != 0 ? " row=a\n" : "\n");
+	text += "[selector s]\nservice = orders\nshare_percent = 100\n"
+		"match = gen=x\n";
+	Declaration d(text);
+
+	ASSERT_NE(nullptr, d.decl) << errors.substr(0, 1000);
+	for (uint32_t i = 0; i < kCount; i++) {
+		const kf_upstream_t &u = d.decl->upstreams[i];
+		std::string rack = "r" + std::to_string(i % kRacks);
+
+		ASSERT_EQ(i % 2 != 0 ? 3u : 2u, u.label_count);
+		EXPECT_STREQ("x", u.labels[0].value);
+		EXPECT_EQ(rack, u.labels[1].value);
+		if (i % 2 != 0) {
+			EXPECT_STREQ("a", u.labels[2].value);
+		}
+		if (i >= kRacks) {
+			EXPECT_EQ(
+			    d.decl->upstreams[i - kRacks].labels, u.labels);
+		}
+	}
+	EXPECT_EQ(kCount, d.decl->selectors[0].upstream_count);
+}
+
 /* Guards against a quadratic step; a run of minutes shows it. */
 TEST(Declaration, ParsesEightyThousandUpstreams)
 {
