--- a/lib/declaration/declaration_check.c
+++ b/lib/declaration/declaration_check.c
@@ -147,22 +147,22 @@
 groups_build(groups_t *groups, size_t services, const void *objects,
     size_t count, size_t size, size_t offset)
 {
+	const char *bytes = objects;
 	uint32_t i, service;
-	const char *field = (const char *)objects + offset;
 
 	groups->first = calloc(services + 2, sizeof(uint32_t));
 	groups->members = calloc(count + 1, sizeof(uint32_t));
 	if (groups->first == NULL || groups->members == NULL)
 		return false;
 	for (i = 0; i < count; i++) {
-		memcpy(&service, field + i * size, sizeof(service));
+		memcpy(&service, bytes + offset + i * size, sizeof(service));
 		if (service != KF_NO_SERVICE)
 			groups->first[service + 2]++;
 	}
 	for (i = 2; i < services + 2; i++)
 		groups->first[i] += groups->first[i - 1];
 	for (i = 0; i < count; i++) {
-		memcpy(&service, field + i * size, sizeof(service));
+		memcpy(&service, bytes + offset + i * size, sizeof(service));
 		if (service != KF_NO_SERVICE)
 			groups->members[groups->first[service + 1]++] = i;
 	}
--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -13,6 +13,7 @@
 
 #include "control_thread.h"
 #include "fetch.h"
+#include "metrics.h"
 #include "status_report.h"
 
 enum {
@@ -31,16 +32,18 @@
 
 struct control_thread {
 	kf_settings_t settings;
+	kf_vm_id_t self;
 	kf_logger_t *logger;
 	kf_control_t *core;
 	fetch_t *fetch;
+	metrics_t *metrics; /* NULL: off */
 	traffic_thread_t **traffic;
 	uint32_t traffic_count;
 	apr_pool_t *report_pool;
 	int control_fd;
 	int signal_fd;
 	bool leaving;
-	bool restart; /* leaves in order to start over */
+	uint64_t restart_above; /* leaves in order to start over; 0: to end */
 	bool ending;
 	int64_t leaving_us;
 	int64_t busy_us; /* when a request was last in progress */
@@ -97,9 +100,11 @@
 rpc_status(void *ctx, kf_rpc_status *status)
 {
 	control_thread_t *t = ctx;
+	status_sum_t sum = { 0 };
 
-	status_report_fill(status, t->report_pool, t->settings.name, t->now,
-	    t->core, t->traffic, t->traffic_count);
+	status_report_sum(&sum, t->core, t->traffic, t->traffic_count);
+	status_report_fill(
+	    status, t->report_pool, &t->settings, t->now, t->core, &sum);
 }
 
 /*
@@ -199,6 +204,15 @@
 	return t->core == NULL ? KF_ERR_NO_MEMORY : KF_OK;
 }
 
+static kf_status_t
+open_metrics(control_thread_t *t)
+{
+	if (t->settings.metrics_address.port == 0)
+		return KF_OK;
+	t->metrics = metrics_new(t->settings.metrics_address);
+	return t->metrics == NULL ? KF_ERR_IO : KF_OK;
+}
+
 control_thread_t *
 control_thread_new(const kf_settings_t *settings, kf_vm_id_t self,
     traffic_thread_t **traffic, uint32_t traffic_count, kf_logger_t *logger)
@@ -209,6 +223,7 @@
 	if (t == NULL)
 		return NULL;
 	t->settings = *settings;
+	t->self = self;
 	t->logger = logger;
 	t->traffic = traffic;
 	t->traffic_count = traffic_count;
@@ -220,8 +235,9 @@
 	if (kf_udp_open(settings->control_address, KF_UDP_ERRORS,
 		&t->control_fd) != KF_OK ||
 	    open_signals(t) != KF_OK || open_rpc(t) != KF_OK ||
-	    make_core(t, self) != KF_OK ||
-	    (t->fetch = fetch_new(settings->platform_url)) == NULL) {
+	    open_metrics(t) != KF_OK || make_core(t, self) != KF_OK ||
+	    (t->fetch = fetch_new(settings->platform_url,
+		 settings->control_address.ip)) == NULL) {
 		control_thread_delete(t);
 		return NULL;
 	}
@@ -233,6 +249,7 @@
 {
 	if (t == NULL)
 		return;
+	metrics_delete(t->metrics);
 	fetch_delete(t->fetch);
 	kf_control_delete(t->core);
 	if (t->control_fd >= 0)
@@ -291,7 +308,7 @@
 	struct signalfd_siginfo info;
 
 	while (read(t->signal_fd, &info, sizeof(info)) == sizeof(info)) {
-		t->restart = false;
+		t->restart_above = 0;
 		if (t->leaving)
 			continue;
 		t->leaving = true;
@@ -302,15 +319,17 @@
 	}
 }
 
-/* Leaves and starts over as a new incarnation, which no backup has fenced. */
+/* Leaves and starts over as an incarnation above the one given. */
 static void
-restart_fenced(control_thread_t *t)
+restart_above(control_thread_t *t, uint64_t incarnation, const char *reason)
 {
 	if (t->leaving)
 		return;
-	t->leaving = t->restart = true;
+	t->leaving = true;
+	t->restart_above = incarnation;
 	t->busy_us = t->leaving_us = t->now.mono_us;
-	kf_logger_event(t->logger, KF_LOG_WARN, "restarting", "reason=fenced");
+	kf_logger_event(
+	    t->logger, KF_LOG_WARN, "restarting", "reason=%s", reason);
 	kf_control_set_leaving(t->core, t->now);
 }
 
@@ -326,7 +345,7 @@
 			continue;
 		in_progress += snapshot.in_progress;
 		if (snapshot.fenced)
-			restart_fenced(t);
+			restart_above(t, t->self.incarnation, "fenced");
 		for (j = 0; j < snapshot.upstream_count; j++) {
 			const kf_traffic_upstream_t *u = &snapshot.upstreams[j];
 
@@ -362,20 +381,41 @@
 	return ended;
 }
 
+static void
+update_metrics(control_thread_t *t)
+{
+	metrics_values_t values = {
+		.revision = kf_control_doc(t->core, KF_DOC_DECLARATION)
+				.version.revision,
+		.platform_age_ms = kf_control_platform_age_ms(t->core, t->now),
+	};
+
+	if (t->metrics == NULL)
+		return;
+	status_report_sum(&values.sum, t->core, t->traffic, t->traffic_count);
+	metrics_set(t->metrics, &values);
+}
+
 /* Returns false when a leaving VM may stop. */
 static bool
 control_tick(control_thread_t *t)
 {
+	uint64_t newer;
+
 	if (t->now.mono_us - t->digest_us >= DIGEST_US) {
 		t->digest_us = t->now.mono_us;
 		if (collect_traffic(t) > 0)
 			t->busy_us = t->now.mono_us;
+		update_metrics(t);
 	}
 	kf_control_on_tick(t->core, t->now);
+	newer = kf_control_newer_self(t->core);
+	if (newer != 0)
+		restart_above(t, newer, "newer_incarnation_known");
 	return !t->leaving || !end_traffic(t);
 }
 
-bool
+uint64_t
 control_thread_run(control_thread_t *t)
 {
 	struct pollfd fds[POLL_MAX];
@@ -413,5 +453,5 @@
 			read_signal(t);
 		kf_control_server_handle(fds + FD_RPC, rpc);
 	}
-	return t->restart;
+	return t->restart_above;
 }
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -47,6 +47,7 @@
 	req->new_flow = pkt->new_flow;
 	req->may_have_run = pkt->may_have_run;
 	req->upstream = pkt->token.upstream;
+	req->attempt_us = pkt->service->deadline_ms * 1000 / 2;
 	req->deadline_us = t->now.mono_us + pkt->service->deadline_ms * 1000;
 	req->args_len = pkt->call.args_len;
 	if (req->args_len > 0)
@@ -211,7 +212,7 @@
 
 	vm = kf_view_vm(t->view, token->owner);
 	stored[0] = STORED_MOVED;
-	if (vm == NULL ||
+	if (vm == NULL || vm->peer_addr.port == 0 ||
 	    kf_token_seal(token, t->keys, t->now.wall_ms / 1000,
 		req->route.caller.ip, stored + 1) != KF_OK) {
 		request_refuse_now(t, req, KF_REASON_NO_UPSTREAM);
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -81,6 +81,7 @@
 	uint32_t attempts;
 	uint32_t upstream_xid; /* key of by_xid */
 	int64_t deadline_us;
+	int64_t attempt_us; /* time for a reply before another upstream */
 	int64_t sent_us;
 	int64_t slot_us; /* when the slot was taken */
 	int64_t intent_us;
@@ -157,6 +158,7 @@
 	request_t *deleted; /* unlinked during a sweep */
 	request_t *requeue; /* taken out of their queues by a view */
 	bool sweeping;
+	uint32_t pumping; /* upstream whose queue is being emptied, or 0 */
 	uint32_t request_count;
 	kf_candidate_t *candidates; /* scratch, one per upstream */
 	kf_counters_t counters;
@@ -172,6 +174,8 @@
 kf_reason_t packet_set_token(
     kf_traffic_t *t, packet_t *pkt, const uint8_t *token, size_t len);
 uint64_t packet_hash(const packet_t *pkt);
+void packet_decision(
+    kf_traffic_t *t, const packet_t *pkt, kf_event_t event, kf_reason_t reason);
 void packet_drop(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_refuse(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
 void packet_unknown(kf_traffic_t *t, const packet_t *pkt, kf_reason_t reason);
@@ -187,6 +191,8 @@
     uint32_t exclude, placement_t *out);
 kf_status_t place_point(kf_traffic_t *t, const kf_service_t *service,
     uint32_t point, uint32_t exclude, placement_t *out);
+bool place_has_other(kf_traffic_t *t, const kf_service_t *service,
+    uint32_t point, uint32_t exclude);
 kf_status_t place_hash(kf_traffic_t *t, const kf_service_t *service,
     uint64_t flow, placement_t *out);
 bool place_still_valid(
--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -43,6 +43,7 @@
 struct Options {
 	uint32_t vms = 3;
 	uint32_t shards = 1;
+	uint32_t second_zone = 100; /* VMs from this one on are in z2 */
 	uint64_t seed = 1;
 	uint32_t paths = 2;
 	std::function<void(kf_traffic_config_t *)> config;
@@ -58,7 +59,8 @@
 	int answered = 0;
 	int denied = 0;
 	int unknown = 0;
-	uint32_t auth_stat = 0; /* of the last denial */
+	bool refused_first = false; /* told something else than its answer */
+	uint32_t auth_stat = 0;	    /* of the last denial */
 	bool idempotent() const
 	{
 		return proc < 10;
@@ -68,8 +70,10 @@
 struct Caller {
 	kf_addr_t addr;
 	kf_addr_t service;
+	uint32_t service_id;
 	Bytes token; /* empty: AUTH_SYS */
 	uint32_t next_xid;
+	uint32_t token_xid; /* of the newest answered call */
 };
 
 struct Event {
@@ -86,6 +90,7 @@
 	uint64_t incarnation = 1;
 	Mode mode = ANSWER;
 	std::vector<Event> held;
+	std::set<uint32_t> silent_paths; /* until they are replaced */
 };
 
 class World {
@@ -110,7 +115,10 @@
 		leaving.resize(options.vms);
 		paused.resize(options.vms);
 		dead.resize(options.vms);
-		zones.resize(options.vms, "z1");
+		for (size_t i = 0; i < options.vms; i++)
+			zones.push_back(i < options.second_zone ? "z1" : "z2");
+		incarnations_.resize(options.vms);
+		ended_us_.resize(options.vms);
 		for (size_t i = 0; i < options.vms * options.shards; i++)
 			AddCore(i);
 	}
@@ -128,9 +136,10 @@
 	{
 		return { now_us, 1000000 + now_us / 1000 };
 	}
-	static kf_vm_id_t VmId(size_t vm)
+	kf_vm_id_t VmId(size_t vm) const
 	{
-		return { (uint32_t)(100 + vm), 1000 + vm };
+		return { (uint32_t)(100 + vm),
+			1000 + vm + 10 * incarnations_[vm] };
 	}
 	kf_traffic_t *Traffic(size_t core)
 	{
@@ -186,6 +195,7 @@
 
 			if (absent.count(i) != 0)
 				continue;
+			ListEnded(&vms, i);
 			v.id = VmId(i);
 			snprintf(v.name, sizeof(v.name), "vm%zu", i);
 			v.zone = kf_name_id(zones[i].c_str());
@@ -242,6 +252,28 @@
 				i++;
 		}
 	}
+	/*
+	 * Starts a new process of a dead VM.  Heartbeats of a newer incarnation
+	 * prove to all that the one before has ended.
+	 */
+	void Restart(size_t vm)
+	{
+		dead[vm] = paused[vm] = leaving[vm] = false;
+		ended_us_[vm].push_back(now_us);
+		incarnations_[vm]++;
+		for (Core &core : *cores_) {
+			if (core.vm != vm)
+				continue;
+			kf_traffic_delete(core.traffic);
+			core.decl = nullptr;
+			Start(&core);
+		}
+		for (size_t i = 0; i < options_.vms; i++) {
+			SetLive(vm, i, KF_VM_UNKNOWN);
+			SetLive(i, vm, KF_VM_ALIVE);
+		}
+		ViewAll();
+	}
 	size_t VmOf(size_t core) const
 	{
 		return core / options_.shards;
@@ -261,6 +293,7 @@
 			if (strcmp(decl->services[i].name, service) == 0)
 				c.service = decl->services[i].addr;
 		}
+		c.service_id = kf_name_id(service);
 		c.next_xid = 100;
 		callers.push_back(c);
 		return (int)callers.size() - 1;
@@ -269,8 +302,6 @@
 	int NewRequest(int caller, uint32_t proc)
 	{
 		Caller &c = callers[(size_t)caller];
-		const kf_service_t *service =
-		    kf_declaration_service_at(Declaration(), c.service);
 		uint8_t args[8], sys[32], buf[1024];
 		kf_rpc_sys_t id = { 42, 43 };
 		kf_rpc_call_t call = {};
@@ -278,7 +309,7 @@
 
 		r.caller = caller;
 		r.xid = c.next_xid++;
-		r.service = service == nullptr ? 0 : service->id;
+		r.service = c.service_id;
 		r.proc = proc;
 		kf_put_u32(args, (uint32_t)requests.size());
 		kf_put_u32(args + 4, r.service);
@@ -562,31 +593,48 @@
 	Mutations mutations;
 
       private:
-	void AddCore(size_t i)
+	/* Earlier incarnations of a VM. */
+	void ListEnded(std::vector<kf_view_vm_t> *vms, size_t vm) const
 	{
-		kf_traffic_config_t config = {};
-		const int64_t lifetime_s = 600;
+		for (size_t n = 0; n < ended_us_[vm].size(); n++) {
+			kf_view_vm_t v = {};
 
+			v.id = { (uint32_t)(100 + vm), 1000 + vm + 10 * n };
+			v.shards = options_.shards;
+			v.liveness = KF_VM_GONE;
+			v.gone_since_us = ended_us_[vm][n];
+			vms->push_back(v);
+		}
+	}
+	void AddCore(size_t i)
+	{
 		if (i == 0)
 			cores_->reserve(options_.vms * options_.shards);
 		cores_->push_back({ this, i, i / options_.shards,
 		    (uint32_t)(i % options_.shards), nullptr, nullptr });
-		Core &core = cores_->back();
-		config.self = VmId(core.vm);
-		config.zone = kf_name_id("z1");
-		config.shard = core.shard;
-		config.seed = options_.seed * 1000 + i;
+		Start(&cores_->back());
+	}
+	void Start(Core *core)
+	{
+		kf_traffic_config_t config = {};
+		const int64_t lifetime_s = 600;
+
+		config.self = VmId(core->vm);
+		config.zone = kf_name_id(zones[core->vm].c_str());
+		config.shard = core->shard;
+		config.seed = options_.seed * 1000 + core->index +
+		    incarnations_[core->vm] * 100;
 		config.paths = options_.paths;
 		config.token_lifetime_s = lifetime_s;
 		config.flow_limits = { 4096, 1 << 20,
 			(lifetime_s + KF_RETRANSMIT_HORIZON_S) * 1000000,
 			(int64_t)KF_RETRANSMIT_HORIZON_S * 1000000 };
 		kf_admission_config_init(&config.admission);
-		config.ops = { &core, OnCaller, OnPeer, OnUpstream, OnReset,
+		config.ops = { core, OnCaller, OnPeer, OnUpstream, OnReset,
 			OnDecision };
 		if (options_.config)
 			options_.config(&config);
-		core.traffic = kf_traffic_new(&config);
+		core->traffic = kf_traffic_new(&config);
 	}
 	void Violate(const std::string &text)
 	{
@@ -619,6 +667,8 @@
 			Violate("malformed call to an upstream");
 			return;
 		}
+		if (u.silent_paths.count(e.path) != 0)
+			return;
 		if (call.prog == KF_UPSTREAM_PROG) {
 			if (u.mode != SILENT &&
 			    call.proc == KF_UPSTREAM_PROC_STATUS)
@@ -713,6 +763,10 @@
 			return;
 		}
 		Request &r = requests[i];
+		if (r.answered == 0 &&
+		    (reply.reply_stat == KF_RPC_MSG_DENIED ||
+			reply.accept_stat != KF_RPC_SUCCESS))
+			r.refused_first = true;
 		if (reply.reply_stat == KF_RPC_MSG_DENIED ||
 		    (mutations.deny_unknown && reply.accept_stat != 0)) {
 			r.denied++;
@@ -735,7 +789,13 @@
 		if (r.proc != 0 &&
 		    (reply.results_len != 8 || kf_get_u32(reply.results) != i))
 			Violate("answer of another request");
-		r.answered++;
+		/*
+		 * The stock client ignores replies to calls that have ended,
+		 * and an older call does not take it back to an older token.
+		 */
+		if (r.answered++ > 0 || r.xid < c.token_xid)
+			return;
+		c.token_xid = r.xid;
 		if (reply.verf.flavor == KF_RPC_AUTH_SHORT &&
 		    reply.verf.len == KF_TOKEN_VERIFIER_BYTES)
 			c.token.assign(reply.verf.body + 8,
@@ -826,8 +886,12 @@
 		core->world->CheckCall(*core, upstream, e.data);
 		core->world->events.push_back(e);
 	}
-	static void OnReset(void *, uint32_t, uint32_t)
+	static void OnReset(void *ctx, uint32_t upstream, uint32_t path)
 	{
+		World *world = static_cast<Core *>(ctx)->world;
+
+		world->upstreams[world->NameOf(upstream)].silent_paths.erase(
+		    path);
 	}
 	static void OnDecision(void *ctx, const kf_decision_t *d)
 	{
@@ -858,6 +922,8 @@
 	std::shared_ptr<kf_declref_t> decl_;
 	std::vector<kf_liveness_t> live_;
 	std::vector<int64_t> gone_us_;
+	std::vector<uint64_t> incarnations_;
+	std::vector<std::vector<int64_t>> ended_us_; /* by incarnation */
 	/* Its address is stable, as the cores are contexts of callbacks. */
 	std::unique_ptr<std::vector<Core>> cores_ =
 	    std::make_unique<std::vector<Core>>();
@@ -869,6 +935,7 @@
 	uint32_t revision = 1;
 	std::string drained; /* name of a draining upstream */
 	std::string removed; /* name of an upstream left out */
+	std::string far;     /* name of an upstream in z2 */
 	std::string moved;   /* name of an upstream moved to certs */
 	std::string selectors =
 	    "[selector orders-all]\nservice = orders\nmatch = "
@@ -915,8 +982,10 @@
 			return "";
 		return "[upstream " + name +
 		    "]\nservice = " + (certs ? "certs" : "orders") +
-		    "\nzone = z1\naddress = 127.0.1." + std::to_string(i + 1) +
-		    ":2049\nslots = " + std::to_string(slots) + "\n" +
+		    "\nzone = " + (name == far ? "z2" : "z1") +
+		    "\naddress = 127.0.1." + std::to_string(i + 1) +
+		    ":2049\nslots = " + std::to_string(slots) +
+		    "\nlabels = gen=" + (name == "c" ? "new" : "old") + "\n" +
 		    (name == drained ? "state = draining\n" : "");
 	}
 };
--- a/tests/unit/view_test.cc
+++ b/tests/unit/view_test.cc
@@ -1,224 +1,203 @@
 #include <gtest/gtest.h>
 
-#include <random>
-#include <string>
-#include <vector>
-
-#include "kf/placement.h"
-#include "kf/view.h"
+#include "support/traffic_world.h"
 
 namespace {
 
-constexpr uint32_t kUpstreams = 60;
-constexpr uint32_t kZones = 5;
-
-void
-OnError(void *, const char *, int line, const char *text)
-{
-	ADD_FAILURE() << line << ": " << text;
-}
-
-std::string
-ZoneName(uint32_t zone)
-{
-	return "z" + std::to_string(zone);
-}
-
-std::string
-Declaration()
-{
-	std::string text = "[declaration]\nrevision = 1\n"
-			   "[service s]\naddress = 127.1.0.1:1\n"
-			   "[selector all]\nservice = s\nmatch = g=n\n"
-			   "share_percent = 100\n";
-
-	for (uint32_t i = 0; i < kUpstreams; i++)
-		text += "[upstream u" + std::to_string(i) +
-		    "]\nservice = s\nzone = " + ZoneName(i % kZones) +
-		    "\naddress = 127.2.0.1:" + std::to_string(i + 1) +
-		    "\nslots = 2\nlabels = g=n\n";
-	return text;
-}
-
-bool
-MayOwn(const kf_view_vm_t &vm)
-{
-	return !vm.leaving &&
-	    (vm.liveness == KF_VM_ALIVE || vm.liveness == KF_VM_SUSPECT);
-}
-
-/* The rule of the design, written as plainly as possible. */
-uint32_t
-BestOf(const kf_view_t *view, const kf_upstream_t &upstream, bool own_zone,
-    uint32_t except)
-{
-	uint32_t best = KF_VIEW_NONE;
-	uint64_t best_score = 0;
-
-	for (uint32_t i = 0; i < view->vm_count; i++) {
-		const kf_view_vm_t &vm = view->vms[i];
-		uint64_t score = kf_rendezvous_score(
-		    vm.id.vm, vm.id.incarnation, upstream.id);
-
-		if (!MayOwn(vm) || i == except ||
-		    (own_zone && vm.zone != upstream.zone))
-			continue;
-		if (best == KF_VIEW_NONE || score > best_score) {
-			best = i;
-			best_score = score;
-		}
-	}
-	return best;
-}
+using namespace kf_test;
 
-uint32_t
-BestLocalFirst(
-    const kf_view_t *view, const kf_upstream_t &upstream, uint32_t except)
-{
-	uint32_t best = BestOf(view, upstream, true, except);
+using View = std::unique_ptr<kf_view_t, decltype(&kf_view_release)>;
 
-	return best != KF_VIEW_NONE ? best
-				    : BestOf(view, upstream, false, except);
-}
+struct Vm {
+	kf_vm_id_t id;
+	const char *zone;
+	kf_liveness_t liveness;
+	bool leaving;
+};
 
-struct View : testing::Test {
-	kf_declref_t *decl = nullptr;
-	kf_keyring_t *keys = nullptr;
-	std::mt19937 random{ 7 };
+const kf_vm_id_t kSelf = { 1, 10 };
 
-	View()
+class ViewTest : public ::testing::Test {
+      protected:
+	void SetUp() override
 	{
-		std::string text = Declaration();
-
-		decl = kf_declref_new(kf_declaration_parse(
-		    "d", text.data(), text.size(), OnError, nullptr));
+		std::string text = "[declaration]\nrevision = 1\n"
+				   "[service orders]\n"
+				   "address = 127.0.0.1:2049\n"
+				   "[selector all]\nservice = orders\n"
+				   "match = service=orders\n"
+				   "share_percent = 100\n";
+
+		for (int i = 0; i < 60; i++)
+			text += "[upstream u" + std::to_string(i) +
+			    "]\nservice = orders\nzone = z" +
+			    std::to_string(i % 3) + "\naddress = 127.0.1." +
+			    std::to_string(i + 1) + ":2049\nslots = 2\n";
+		kf_declaration_t *parsed = kf_declaration_parse(
+		    "d", text.data(), text.size(), IgnoreError, nullptr);
+		ASSERT_NE(nullptr, parsed);
+		decl = kf_declref_new(parsed);
 		keys = kf_keyring_new();
 	}
-	~View() override
+	void TearDown() override
 	{
 		kf_declref_release(decl);
 		kf_keyring_delete(keys);
 	}
-
-	kf_view_vm_t RandomVm(uint32_t i)
+	static void IgnoreError(void *, const char *, int, const char *)
 	{
-		static const kf_liveness_t liveness[] = { KF_VM_ALIVE,
-			KF_VM_ALIVE, KF_VM_SUSPECT, KF_VM_DEAD, KF_VM_GONE };
-		kf_view_vm_t vm = {};
-
-		vm.id = { (uint32_t)random() | 1, 1 + random() % 3 };
-		/* Some zones get no VM, some one. */
-		vm.zone = kf_name_id(ZoneName(random() % (1 + i / 2)).c_str());
-		vm.liveness = liveness[random() % 5];
-		vm.leaving = random() % 8 == 0;
-		return vm;
 	}
-	std::vector<kf_view_vm_t> RandomFleet()
+	View Make(const std::vector<Vm> &vms)
 	{
-		std::vector<kf_view_vm_t> vms;
-		uint32_t count = 1 + random() % 20;
+		std::vector<kf_view_vm_t> list;
+		kf_view_input_t input = {};
+
+		for (const Vm &vm : vms) {
+			kf_view_vm_t v = {};
 
-		for (uint32_t i = 0; i < count; i++)
-			vms.push_back(RandomVm(i));
+			v.id = vm.id;
+			v.zone = kf_name_id(vm.zone);
+			v.shards = 1;
+			v.liveness = vm.liveness;
+			v.leaving = vm.leaving;
+			list.push_back(v);
+		}
+		input.self = kSelf;
+		input.settled = true;
+		input.decl = decl;
+		input.keys = keys;
+		input.vms = list.data();
+		input.vm_count = (uint32_t)list.size();
+		return View(kf_view_new(&input), kf_view_release);
+	}
+	/* Six VMs, two of each zone. */
+	std::vector<Vm> Fleet()
+	{
+		std::vector<Vm> vms;
+		static const char *const zones[] = { "z0", "z1", "z2" };
+
+		for (uint32_t i = 0; i < 6; i++)
+			vms.push_back({ { i + 1, 10 }, zones[i % 3],
+			    KF_VM_ALIVE, false });
 		return vms;
 	}
-	void ChangeFleet(std::vector<kf_view_vm_t> &vms)
+	uint32_t Owner(const View &view, uint32_t i)
 	{
-		/* The first is the VM that builds the view. */
-		size_t i = random() % vms.size();
-		kf_view_vm_t &vm = vms[i];
-
-		switch (random() % 7) {
-		case 0:
-			vm.leaving = !vm.leaving;
-			break;
-		case 1:
-			vm.liveness = vm.liveness == KF_VM_ALIVE ? KF_VM_DEAD
-								 : KF_VM_ALIVE;
-			break;
-		case 2:
-			vm.id.incarnation += 5;
-			break;
-		case 3:
-			vm.zone =
-			    kf_name_id(ZoneName(random() % kZones).c_str());
-			break;
-		case 4:
-			vms.push_back(RandomVm(8));
-			break;
-		case 5:
-			if (i > 0)
-				vms.erase(vms.begin() + (long)i);
-			break;
-		default:
-			vm.heard_us++;
-			break;
-		}
+		return view->vms[view->upstreams[i].owner].id.vm;
 	}
-	kf_view_t *Build(const std::vector<kf_view_vm_t> &vms,
-	    const kf_view_t *previous = nullptr)
+	uint32_t Backup(const View &view, uint32_t i)
 	{
-		kf_view_input_t input = {};
-
-		input.self = vms[0].id;
-		input.decl = decl;
-		input.keys = keys;
-		input.vms = vms.data();
-		input.vm_count = (uint32_t)vms.size();
-		input.previous = previous;
-		return kf_view_new(&input);
+		return view->vms[view->upstreams[i].backup].id.vm;
 	}
-	static void ExpectOwners(const kf_view_t *view)
+	uint32_t Zone(const View &view, uint32_t vm_index)
 	{
-		for (uint32_t i = 0; i < kUpstreams; i++) {
-			const kf_upstream_t &upstream =
-			    view->decl->upstreams[i];
-			uint32_t owner =
-			    BestLocalFirst(view, upstream, KF_VIEW_NONE);
-			uint32_t backup = owner == KF_VIEW_NONE
-			    ? KF_VIEW_NONE
-			    : BestLocalFirst(view, upstream, owner);
-
-			EXPECT_EQ(owner, view->upstreams[i].owner);
-			EXPECT_EQ(backup, view->upstreams[i].backup);
-		}
+		return view->vms[vm_index].zone;
 	}
+
+	kf_declref_t *decl = nullptr;
+	kf_keyring_t *keys = nullptr;
 };
 
-/*
- * Guards against VMs that choose different owners because one of them left
- * out a VM while scoring.
- */
-TEST_F(View, OwnerAndBackupFollowTheRule)
+/* Guards against an owner outside the zone, or without a backup. */
+TEST_F(ViewTest, OwnerAndBackupAreOfTheZone)
 {
-	for (int round = 0; round < 300; round++) {
-		kf_view_t *view = Build(RandomFleet());
+	View view = Make(Fleet());
 
-		ASSERT_NE(nullptr, view);
-		ExpectOwners(view);
-		kf_view_release(view);
+	for (uint32_t i = 0; i < view->decl->upstream_count; i++) {
+		uint32_t zone = view->decl->upstreams[i].zone;
+
+		EXPECT_NE(Owner(view, i), Backup(view, i));
+		EXPECT_EQ(zone, Zone(view, view->upstreams[i].owner));
+		EXPECT_EQ(zone, Zone(view, view->upstreams[i].backup));
 	}
 }
 
-/*
- * Guards against owners of an earlier view that stay in force after the VMs
- * they were chosen from have changed.
- */
-TEST_F(View, OwnersFollowEveryChangeOfTheFleet)
+/* Guards against a change of owner that the departure does not need. */
+TEST_F(ViewTest, BackupBecomesOwner)
+{
+	View before = Make(Fleet());
+
+	for (int how = 0; how < 3; how++) {
+		std::vector<Vm> vms = Fleet();
+
+		if (how == 0)
+			vms[1].liveness = KF_VM_DEAD;
+		else if (how == 1)
+			vms[1].leaving = true;
+		else
+			vms.erase(vms.begin() + 1);
+		View after = Make(vms);
+		for (uint32_t i = 0; i < 60; i++) {
+			uint32_t expected = Owner(before, i) == 2
+			    ? Backup(before, i)
+			    : Owner(before, i);
+
+			EXPECT_EQ(expected, Owner(after, i)) << how;
+			EXPECT_NE(2u, Backup(after, i)) << how;
+		}
+	}
+}
+
+/* Guards against an upstream that nobody serves when its zone has no VM. */
+TEST_F(ViewTest, OtherZonesStandIn)
+{
+	View lone = Make({ { kSelf, "z0", KF_VM_ALIVE, false },
+	    { { 2, 10 }, "z1", KF_VM_SUSPECT, false } });
+
+	for (uint32_t i = 0; i < 60; i++) {
+		EXPECT_NE(Owner(lone, i), Backup(lone, i));
+		EXPECT_TRUE(i % 3 != 0 || Owner(lone, i) == 1);
+		EXPECT_TRUE(i % 3 != 1 || Owner(lone, i) == 2);
+	}
+}
+
+/* Guards against an owner that is not heard, or a view without any. */
+TEST_F(ViewTest, NobodyMayOwn)
+{
+	View view = Make({ { kSelf, "z0", KF_VM_ALIVE, true },
+	    { { 2, 10 }, "z0", KF_VM_UNKNOWN, false },
+	    { { 3, 10 }, "z0", KF_VM_GONE, false } });
+
+	EXPECT_TRUE(view->leaving);
+	EXPECT_EQ((uint32_t)KF_VIEW_NONE, view->upstreams[0].owner);
+	EXPECT_EQ((uint32_t)KF_VIEW_NONE, view->upstreams[0].backup);
+	EXPECT_EQ(nullptr, Make({ { { 2, 10 }, "z0", KF_VM_ALIVE, false } }));
+}
+
+/* Guards against an ended process that counts as alive. */
+TEST_F(ViewTest, OlderIncarnationIsGone)
+{
+	View view = Make({ { kSelf, "z0", KF_VM_ALIVE, false },
+	    { { 2, 10 }, "z0", KF_VM_ALIVE, false },
+	    { { 2, 5 }, "z0", KF_VM_GONE, false } });
+
+	EXPECT_EQ(KF_VM_ALIVE, kf_view_liveness(view.get(), { 2, 10 }));
+	EXPECT_EQ(KF_VM_GONE, kf_view_liveness(view.get(), { 2, 5 }));
+	EXPECT_EQ(KF_VM_GONE, kf_view_liveness(view.get(), { 2, 7 }));
+	EXPECT_EQ(KF_VM_UNKNOWN, kf_view_liveness(view.get(), { 2, 11 }));
+	EXPECT_EQ(KF_VM_UNKNOWN, kf_view_liveness(view.get(), { 9, 1 }));
+	EXPECT_EQ(nullptr, kf_view_vm(view.get(), { 2, 7 }));
+}
+
+/* Guards against an upstream served by two shards or by none. */
+TEST_F(ViewTest, ShardsShareTheUpstreams)
 {
-	for (int round = 0; round < 1000; round++) {
-		std::vector<kf_view_vm_t> vms = RandomFleet();
-		kf_view_t *first = Build(vms), *second;
-
-		ASSERT_NE(nullptr, first);
-		for (uint32_t changes = random() % 4; changes > 0; changes--)
-			ChangeFleet(vms);
-		second = Build(vms, first);
-		ASSERT_NE(nullptr, second);
-		ExpectOwners(second);
-		kf_view_release(first);
-		kf_view_release(second);
+	View view = Make(Fleet());
+	kf_view_vm_t vm = view->vms[0];
+	int counts[4] = {};
+
+	vm.shards = 4;
+	vm.peer_addr = { 1, 7000 };
+	for (uint32_t i = 0; i < 60; i++) {
+		uint32_t id = view->decl->upstreams[i].id;
+		uint32_t shard = kf_view_shard(&vm, id);
+
+		ASSERT_LT(shard, 4u);
+		EXPECT_EQ(7000 + shard, kf_view_shard_addr(&vm, id).port);
+		counts[shard]++;
 	}
+	for (int count : counts)
+		EXPECT_GT(count, 5);
 }
 
 } // namespace
