--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -124,6 +124,30 @@
 	    c->config.ops.ctx, peer, source_addr(c, peer), kind);
 }
 
+/* The liveness and state of a VM as last recorded. */
+typedef struct recorded {
+	kf_vm_id_t id;
+	uint32_t value;
+	int64_t listed_us;
+} recorded_t;
+
+/* Drops what was recorded of VMs that membership no longer lists. */
+static void
+control_forget_members(kf_control_t *c)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, c->liveness); hi != NULL;
+	     hi = apr_hash_next(hi)) {
+		recorded_t *entry = apr_hash_this_val(hi);
+
+		if (entry->listed_us == c->now.mono_us)
+			continue;
+		apr_hash_set(c->liveness, &entry->id, sizeof(entry->id), NULL);
+		free(entry);
+	}
+}
+
 /* Records a VM whose liveness or state is not the one last recorded. */
 static void
 control_record_member(kf_control_t *c, const kf_member_t *member)
@@ -131,14 +155,12 @@
 	kf_control_record_t record = {
 		.event = KF_CONTROL_VM_CHANGED,
 		.text = member->name,
-		.state = member->leaving ? "leaving"
-					 : kf_liveness_name(member->liveness),
+		.state = member->leaving && member->liveness == KF_VM_ALIVE
+		    ? "leaving"
+		    : kf_liveness_name(member->liveness),
 		.version = member->id.incarnation,
 	};
-	struct {
-		kf_vm_id_t id;
-		uint32_t value;
-	} * entry, key;
+	recorded_t *entry, key;
 	uint32_t value =
 	    (uint32_t)member->liveness * 2 + (member->leaving ? 1 : 0);
 
@@ -153,8 +175,11 @@
 		entry->id.vm = member->id.vm;
 		entry->id.incarnation = member->id.incarnation;
 		apr_hash_set(c->liveness, &entry->id, sizeof(entry->id), entry);
-	} else if (entry->value == value)
+	} else if (entry->value == value) {
+		entry->listed_us = c->now.mono_us;
 		return;
+	}
+	entry->listed_us = c->now.mono_us;
 	entry->value = value;
 	c->config.ops.record(c->config.ops.ctx, &record);
 }
@@ -188,8 +213,10 @@
 		vm->leaving = member.leaving;
 		vm->liveness = i == 0 ? KF_VM_ALIVE : member.liveness;
 		vm->gone_since_us = member.gone_since_us;
+		vm->heard_us = member.heard_us;
 		n++;
 	}
+	control_forget_members(c);
 	*vm_count = n;
 	return vms;
 }
@@ -204,6 +231,7 @@
 		.decl = decl.parsed,
 		.declaration_version = decl.version.platform_version,
 		.keys = documents_keys(c),
+		.previous = c->view,
 		.digest = digests_find,
 		.ctx = c,
 	};
@@ -229,6 +257,15 @@
 	c->config.ops.publish(c->config.ops.ctx, view);
 }
 
+static int64_t
+control_digest_interval_us(const kf_control_t *c)
+{
+	int64_t entries =
+	    (int64_t)c->view->vm_count + c->view->decl->upstream_count;
+
+	return DIGEST_VIEW_US + DIGEST_VIEW_PER_ENTRY_US * entries;
+}
+
 static void
 control_publish_if_changed(kf_control_t *c)
 {
@@ -236,7 +273,8 @@
 	    c->seen_members != kf_membership_version(c->membership) ||
 	    c->seen_docs != kf_confdist_generation(c->confdist) ||
 	    (c->digests_changed &&
-		c->now.mono_us - c->published_us >= DIGEST_VIEW_US))
+		c->now.mono_us - c->published_us >=
+		    control_digest_interval_us(c)))
 		control_publish(c);
 }
 
@@ -313,6 +351,7 @@
 	control_zone_members(c);
 	kf_confdist_tick(c->confdist, now.mono_us, &actions);
 	heartbeat_send_due(c);
+	digests_expire(c);
 	control_settle(c);
 	control_publish_if_changed(c);
 }
@@ -380,6 +419,14 @@
 	control_publish_if_changed(c);
 }
 
+uint64_t
+kf_control_newer_self(const kf_control_t *c)
+{
+	uint64_t newest = kf_membership_newer_self(c->membership);
+
+	return newest > c->config.membership.self.incarnation ? newest : 0;
+}
+
 kf_doc_t
 kf_control_doc(const kf_control_t *c, kf_doc_kind_t kind)
 {
@@ -404,6 +451,12 @@
 	return &c->counters;
 }
 
+int32_t
+kf_control_platform_age_ms(const kf_control_t *c, kf_time_t now)
+{
+	return kf_confdist_confirmed_age_ms(c->confdist, now.mono_us);
+}
+
 bool
 kf_control_knows_ip(const kf_control_t *c, uint32_t ip)
 {
--- a/lib/declaration/draft.h
+++ b/lib/declaration/draft.h
@@ -13,15 +13,13 @@
  *	with what only the checks need.
  */
 
-enum {
-	KF_MAX_SELECTORS = 64, /* of one service */
-	KF_NO_SERVICE = 0xffffffff,
-};
+enum { KF_NO_SERVICE = 0xffffffff };
 
 typedef struct kf_ref {
 	char service[KF_NAME_BYTES];
 	int line;
-	bool bad; /* an error of the object itself was reported */
+	bool bad;	 /* an error of the object itself was reported */
+	bool labels_bad; /* its labels or match could not be read */
 } kf_ref_t;
 
 typedef struct kf_service_draft {
@@ -31,12 +29,14 @@
 
 typedef struct kf_upstream_draft {
 	kf_upstream_t upstream;
+	kf_label_t labels[KF_MAX_LABELS];
 	kf_ref_t ref;
 	int state;
 } kf_upstream_draft_t;
 
 typedef struct kf_selector_draft {
 	kf_selector_t selector;
+	kf_label_t match[KF_MAX_LABELS];
 	kf_ref_t ref;
 	double ramp_from_percent; /* negative: not given */
 	int64_t ramp_start_s;	  /* negative: not given */
@@ -54,6 +54,7 @@
 	kf_array_t selector_refs;
 	kf_array_t matches; /* uint32_t, indexes into upstreams */
 	uint32_t *services_by_id;
+	kf_label_sets_t *label_sets;
 	/* The section being read. */
 	kf_service_draft_t service;
 	kf_upstream_draft_t upstream;
@@ -62,6 +63,8 @@
 
 extern const kf_section_t kf_draft_sections[];
 extern const size_t kf_draft_section_count;
+extern const kf_section_t kf_vm_section;
+extern const kf_section_t kf_key_section;
 
 /*
  * Resolves references, groups selectors by service, finds the upstreams of
--- a/lib/declaration/include/kf/declaration.h
+++ b/lib/declaration/include/kf/declaration.h
@@ -26,6 +26,7 @@
 	KF_NAME_BYTES = 64,
 	KF_MAX_LABELS = 8,
 	KF_MAX_PROCEDURES = 32,
+	KF_MAX_SELECTORS = 64, /* of one service */
 	KF_SHARE_POINTS = 65536,
 };
 
@@ -75,14 +76,14 @@
 	uint32_t slots;
 	bool draining;
 	uint32_t label_count;
-	kf_label_t labels[KF_MAX_LABELS];
+	const kf_label_t *labels; /* shared with other upstreams */
 } kf_upstream_t;
 
 typedef struct kf_selector {
 	char name[KF_NAME_BYTES];
 	uint32_t service; /* index into services */
 	uint32_t match_count;
-	kf_label_t match[KF_MAX_LABELS];
+	const kf_label_t *match; /* shared with other selectors */
 	double share_percent;
 	double ramp_from_percent;
 	int64_t ramp_start_s;
@@ -92,6 +93,8 @@
 	uint32_t *upstreams; /* indexes of matching upstreams */
 } kf_selector_t;
 
+typedef struct kf_label_sets kf_label_sets_t;
+
 typedef struct kf_declaration {
 	uint32_t revision;
 	uint64_t digest; /* xxh64 of the text */
@@ -105,6 +108,7 @@
 	uint32_t *services_by_id;   /* indexes ordered by id */
 	uint32_t *services_by_addr; /* indexes ordered by address */
 	uint32_t *matches;	    /* storage of every selector's upstreams */
+	kf_label_sets_t *label_sets;
 } kf_declaration_t;
 
 /*
@@ -142,6 +146,13 @@
     const kf_selector_t *selector, const kf_upstream_t *upstream);
 
 const char *kf_class_name(kf_class_t cls);
+const char *kf_zone_preference_name(kf_zone_preference_t preference);
+
+enum { KF_LABELS_TEXT_BYTES = KF_MAX_LABELS * (int)sizeof(kf_label_t) + 1 };
+
+/* Writes "key=value key=value" and returns buf. */
+const char *kf_labels_format(
+    const kf_label_t *labels, uint32_t count, char buf[KF_LABELS_TEXT_BYTES]);
 
 #ifdef __cplusplus
 }
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -129,6 +131,7 @@
 record_t *
 membership_obtain(kf_membership_t *m, int64_t now_us, uint32_t vm)
 {
+	uint32_t pair[2] = { m->self.id.vm, vm };
 	size_t i = lower_bound(m, vm);
 	record_t *rec;
 
@@ -141,6 +144,7 @@
 		return NULL;
 	}
 	rec->pub.id.vm = vm;
+	rec->score = XXH64(pair, sizeof(pair), 0);
 	rec->pub.heard_us = -1;
 	rec->direct_us = -1;
 	rec->since_us = now_us;
@@ -233,6 +237,8 @@
 	rec->pub.id.incarnation = incarnation;
 	rec->pub.leaving = false;
 	rec->list_leaving = false;
+	rec->unlisted = false;
+	rec->first_us = now_us;
 	rec->pub.liveness = KF_VM_UNKNOWN;
 	rec->pub.gone_since_us = 0;
 	rec->pub.heard_us = -1;
@@ -319,9 +325,11 @@
 	for (i = 0; i < m->count; i++) {
 		record_t *rec = m->records[i];
 
-		if (!rec->listed || contains(ids, count, rec->pub.id.vm))
+		if (!rec->was_listed || contains(ids, count, rec->pub.id.vm))
 			continue;
 		rec->listed = false;
+		if (now_us - rec->first_us < LIST_LAG_US)
+			continue;
 		rec->unlisted = true;
 		record_update(m, now_us, rec);
 	}
@@ -368,6 +376,7 @@
 		return;
 	move_listed(m, now_us, rec, entry->addr);
 	rec->listed = true;
+	rec->was_listed = true;
 	rec->unlisted = false;
 	set_list_leaving(m, rec, entry->leaving);
 	if (strcmp(rec->pub.name, entry->name) != 0) {
--- a/lib/net/daemon.c
+++ b/lib/net/daemon.c
@@ -22,8 +22,12 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
+/*
+ * Runs an incarnation above *above, and sets that to 0 or to the one that the
+ * next must exceed.
+ */
 static kf_status_t
-run_threads(const kf_settings_t *settings, kf_logger_t *logger)
+run_threads(const kf_settings_t *settings, kf_logger_t *logger, uint64_t *above)
 {
 	traffic_thread_t *traffic[KF_SETTINGS_MAX_THREADS] = { 0 };
 	kf_vm_id_t self = {
@@ -34,6 +38,10 @@
 	kf_status_t status = KF_OK;
 	uint32_t i;
 
+	/* Peers ignore an incarnation below one that they know. */
+	if (self.incarnation <= *above)
+		self.incarnation = *above + 1;
+	*above = 0;
 	for (i = 0; i < settings->traffic_threads; i++) {
 		traffic[i] = traffic_thread_new(settings, self, i, logger);
 		if (traffic[i] == NULL)
@@ -51,7 +59,7 @@
 		    "incarnation=%llu shards=%u",
 		    (unsigned long long)self.incarnation,
 		    settings->traffic_threads);
-		control_thread_run(control);
+		*above = control_thread_run(control);
 	} else
 		kf_logger_event(logger, KF_LOG_ERROR, "start_failed",
 		    "reason=\"%s\"", kf_status_message());
@@ -66,6 +74,7 @@
 {
 	kf_logger_t *logger;
 	kf_status_t status;
+	uint64_t above = 0;
 
 	block_signals();
 	if (apr_initialize() != APR_SUCCESS)
@@ -74,7 +83,9 @@
 	logger = kf_logger_new(settings);
 	if (logger == NULL)
 		return KF_ERR_IO;
-	status = run_threads(settings, logger);
+	do {
+		status = run_threads(settings, logger, &above);
+	} while (status == KF_OK && above != 0);
 	kf_logger_event(logger, KF_LOG_INFO, "stopped", "status=%s",
 	    kf_status_name(status));
 	kf_logger_delete(logger);
--- a/lib/net/traffic_thread.c
+++ b/lib/net/traffic_thread.c
@@ -21,6 +21,8 @@
 	/* Datagrams read from one socket before the next one's turn. */
 	BATCH = 64,
 	SNAPSHOT_US = 100000,
+	/* A longer gap between two rounds of the loop is a pause. */
+	PAUSE_US = 1000000,
 };
 
 typedef enum source_kind {
@@ -54,6 +56,8 @@
 	traffic_snapshot_t snapshot;
 	uint32_t snapshot_cap;
 	bool stopping;
+	bool ending; /* the core is to end */
+	bool ended;
 	apr_hash_t *paths; /* source_t by key */
 	source_t wake;
 	source_t ingress;
@@ -242,7 +246,7 @@
 {
 	kf_view_t *view;
 	uint64_t count;
-	bool stopping;
+	bool stopping, ending;
 
 	if (read(t->wake.fd, &count, sizeof(count)) < 0)
 		count = 0;
@@ -250,7 +254,10 @@
 	view = t->next_view;
 	t->next_view = NULL;
 	stopping = t->stopping;
+	ending = t->ending;
 	apr_thread_mutex_unlock(t->mutex);
+	if (ending)
+		kf_traffic_on_end(t->core, t->now);
 	if (view != NULL) {
 		kf_traffic_on_view(t->core, t->now, view);
 		kf_view_release(view);
@@ -285,7 +292,9 @@
 	t->snapshot_us = t->now.mono_us;
 	apr_thread_mutex_lock(t->mutex);
 	t->snapshot.in_progress = kf_traffic_in_progress(t->core);
+	t->snapshot.fenced = kf_traffic_fenced(t->core);
 	t->snapshot.flows = kf_traffic_flow_stats(t->core);
+	t->ended = kf_traffic_ended(t->core);
 	t->snapshot.upstream_count = 0;
 	kf_traffic_each_upstream(t->core, t->now, on_upstream_state, t);
 	apr_thread_mutex_unlock(t->mutex);
@@ -338,12 +347,23 @@
 	return run;
 }
 
+/* Drops what arrived while this process did not run. */
+static void
+after_pause(traffic_thread_t *t, int64_t last_us)
+{
+	kf_udp_discard(t->ingress.fd);
+	kf_udp_discard(t->peer.fd);
+	kf_traffic_on_pause(t->core, t->now);
+	kf_logger_event(t->logger, KF_LOG_WARN, "traffic_paused",
+	    "pause_ms=%lld", (long long)((t->now.mono_us - last_us) / 1000));
+}
+
 static void *APR_THREAD_FUNC
 traffic_main(apr_thread_t *thread, void *ctx)
 {
 	struct epoll_event events[EVENTS_MAX];
 	traffic_thread_t *t = ctx;
-	int64_t tick_us = 0;
+	int64_t tick_us = 0, last_us;
 	bool run = true;
 	int count;
 
@@ -351,7 +371,10 @@
 	while (run) {
 		count = epoll_wait(
 		    t->epoll_fd, events, EVENTS_MAX, KF_TRAFFIC_TICK_MS);
+		last_us = t->now.mono_us;
 		t->now = kf_clock_now();
+		if (last_us > 0 && t->now.mono_us - last_us > PAUSE_US)
+			after_pause(t, last_us);
 		/* Timers first: after a pause, queued work may be too late. */
 		if (t->now.mono_us - tick_us >= KF_TRAFFIC_TICK_MS * 1000) {
 			tick_us = t->now.mono_us;
@@ -519,6 +542,19 @@
 	free(t);
 }
 
+bool
+traffic_thread_end(traffic_thread_t *t)
+{
+	bool ended;
+
+	apr_thread_mutex_lock(t->mutex);
+	t->ending = true;
+	ended = t->ended;
+	apr_thread_mutex_unlock(t->mutex);
+	wake(t);
+	return ended;
+}
+
 void
 traffic_thread_set_view(traffic_thread_t *t, kf_view_t *view)
 {
--- a/lib/net/traffic_thread.h
+++ b/lib/net/traffic_thread.h
@@ -19,6 +19,7 @@
 /* What other threads may read; a copy. */
 typedef struct traffic_snapshot {
 	uint32_t in_progress;
+	bool fenced; /* a backup has fenced this incarnation */
 	kf_flow_stats_t flows;
 	uint32_t upstream_count;
 	kf_traffic_upstream_t *upstreams; /* freed by the reader */
@@ -32,6 +33,9 @@
 void traffic_thread_stop(traffic_thread_t *thread);
 void traffic_thread_delete(traffic_thread_t *thread);
 
+/* Lets the core end; returns true once it has handed over its records. */
+bool traffic_thread_end(traffic_thread_t *thread);
+
 void traffic_thread_set_view(traffic_thread_t *thread, kf_view_t *view);
 kf_status_t traffic_thread_snapshot(
     traffic_thread_t *thread, traffic_snapshot_t *out);
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -28,14 +28,15 @@
 	{ "vm", "zone", KF_FIELD_NAME, PLACE(zone_name),
 	    .text = "availability zone of the VM" },
 	{ "vm", "ingress_address", KF_FIELD_ADDR, PLACE(ingress_address),
-	    .unit = "ip:port", .text = "datagrams of the fabric, UDP" },
+	    .text = "datagrams of the fabric, UDP" },
 	{ "vm", "peer_address", KF_FIELD_ADDR, PLACE(peer_address),
-	    .unit = "ip:port",
 	    .text = "peer datagrams, UDP; traffic thread i adds i" },
 	{ "vm", "control_address", KF_FIELD_ADDR, PLACE(control_address),
-	    .unit = "ip:port", .text = "heartbeats, UDP" },
+	    .text = "heartbeats, UDP" },
 	{ "vm", "rpc_address", KF_FIELD_ADDR, PLACE(rpc_address),
-	    .unit = "ip:port", .text = "operator RPC, TCP" },
+	    .text = "operator RPC, TCP" },
+	{ "vm", "metrics_address", KF_FIELD_ADDR, PLACE(metrics_address),
+	    .fallback = "", .text = "counters over HTTP, TCP; absent: off" },
 	{ "vm", "traffic_threads", KF_FIELD_U32, PLACE(traffic_threads),
 	    .unit = "threads", .min = 1, .max = KF_SETTINGS_MAX_THREADS,
 	    .fallback = "1", .text = "traffic threads" },
@@ -207,6 +208,18 @@
 		    reader, 0, "vm: control_address is a port of peer_address");
 }
 
+/* The RPC server listens on the control address as well. */
+static void
+check_metrics(const kf_settings_t *settings, kf_reader_t *reader)
+{
+	if (kf_addr_equal(settings->metrics_address, settings->rpc_address))
+		kf_reader_error(reader, 0,
+		    "vm: metrics_address and rpc_address are the same");
+	if (kf_addr_equal(settings->metrics_address, settings->control_address))
+		kf_reader_error(reader, 0,
+		    "vm: metrics_address and control_address are the same");
+}
+
 kf_settings_t *
 kf_settings_parse(const char *file, const char *text, size_t len,
     kf_error_fn *on_error, void *ctx)
@@ -228,8 +241,10 @@
 	reader.section_count = build_sections(sections);
 	reader.target = settings;
 	kf_reader_run(&reader, text, len, KF_DOCUMENT_MAX_BYTES);
-	if (reader.error_count == 0)
+	if (reader.error_count == 0) {
 		check_addresses(settings, &reader);
+		check_metrics(settings, &reader);
+	}
 	if (reader.error_count > 0) {
 		kf_settings_delete(settings);
 		return NULL;
--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -102,15 +102,24 @@
 	    t->config.ops.ctx, s->id, s->addr, req->path, t->buf, len);
 }
 
-/* Dispatches queued requests while the upstream has free slots. */
+/*
+ * Dispatches queued requests while the upstream has free slots.  A request that
+ * cannot be sent gives its slot back, which leads here again; the outer call
+ * goes on then, so that a long queue does not take a deep stack.
+ */
 void
 dispatch_pump(kf_traffic_t *t, uint32_t upstream)
 {
+	uint32_t outer = t->pumping;
 	request_t *req;
 
+	if (outer == upstream)
+		return;
+	t->pumping = upstream;
 	while ((req = kf_admission_next(
 		    t->admission, t->now.mono_us, upstream)) != NULL)
 		dispatch_start(t, req);
+	t->pumping = outer;
 }
 
 /* Gives back the request's slot, if it has one. */
@@ -189,8 +198,8 @@
 	uint32_t index = place_index(t, req->upstream);
 
 	dispatch_release(t, req, -1);
-	req->may_have_run = true;
 	kf_counters_add(&t->counters, KF_COUNT_RETRIED, 1);
+	req->may_have_run = true;
 	request_decision(t, req, KF_EVENT_RETRY, KF_REASON_UPSTREAM_LOST, NULL);
 	owner_replace(t, req, index);
 }
@@ -216,7 +225,8 @@
 
 	dispatch_cancel(t, req);
 	if (s != NULL)
-		serving_failed(t, s, req->path, KF_UPSTREAM_TIMEOUT);
+		serving_failed(
+		    t, s, req->path, req->sent_us, KF_UPSTREAM_TIMEOUT);
 	request_record(t, req, KF_MAY_HAVE_RUN, KF_REASON_DEADLINE, NULL, 0);
 	kf_counters_add(&t->counters, KF_COUNT_MAY_HAVE_RUN, 1);
 	reply_unknown(t, &req->route, req->id.xid);
@@ -250,7 +260,8 @@
 
 	dispatch_cancel(t, req);
 	if (s != NULL)
-		serving_failed(t, s, req->path, KF_UPSTREAM_TIMEOUT);
+		serving_failed(
+		    t, s, req->path, req->sent_us, KF_UPSTREAM_TIMEOUT);
 	dispatch_retry_elsewhere(t, req);
 }
 
@@ -266,6 +277,21 @@
 		peer_intent(t, req);
 }
 
+/*
+ * The backup has not acknowledged the request in time.  A silent backup may
+ * answer again, so the request is forgotten and a copy of it starts anew; one
+ * that is gone may have run it.
+ */
+static void
+dispatch_no_ack(kf_traffic_t *t, request_t *req)
+{
+	if (lease_liveness(t, req->token.backup, req->token.upstream) ==
+	    KF_VM_GONE)
+		request_unknown(t, req, KF_REASON_IN_DOUBT);
+	else
+		request_forget(t, req);
+}
+
 static void
 dispatch_timeout(kf_traffic_t *t, request_t *req)
 {
@@ -282,7 +308,7 @@
 	case REQUEST_MOVING:
 	case REQUEST_REFUSING:
 		if (late)
-			request_unknown(t, req, KF_REASON_IN_DOUBT);
+			dispatch_no_ack(t, req);
 		else
 			dispatch_wait_ack(t, req);
 		break;
@@ -320,7 +346,8 @@
 {
 	if (reply->reject_stat == 1 &&
 	    reply->auth_stat == KF_RPC_AUTH_REJECTEDVERF) {
-		serving_failed(t, s, req->path, KF_UPSTREAM_WRONG_INCARNATION);
+		serving_failed(t, s, req->path, req->sent_us,
+		    KF_UPSTREAM_WRONG_INCARNATION);
 		dispatch_not_run(t, req, KF_REASON_UPSTREAM_LOST);
 	} else if (reply->reject_stat == 1 &&
 	    reply->auth_stat == KF_RPC_AUTH_FAILED) {
@@ -410,7 +437,7 @@
 	s = serving_find(t, upstream);
 	if (s == NULL || t->view == NULL)
 		return;
-	serving_failed(t, s, path, KF_UPSTREAM_UNREACHABLE);
+	serving_failed(t, s, path, t->now.mono_us, KF_UPSTREAM_UNREACHABLE);
 	request_sweep_begin(t);
 	for (req = t->requests; req != NULL; req = next) {
 		if (!req->deleted && req->state == REQUEST_DISPATCHED &&
--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -2,6 +2,14 @@
 
 #include "traffic_internal.h"
 
+enum {
+	/*
+	 * Callers send again for about this long.  Until then an answer that
+	 * the outcome is unknown would break flows that a VM still knows.
+	 */
+	SILENCE_GRACE_US = 10000000,
+};
+
 /* Fills in uid and gid of a call without a token. */
 static void
 ingress_identity(const packet_t *pkt, kf_token_t *token)
@@ -84,6 +92,19 @@
 	return true;
 }
 
+/*
+ * Whether a VM fell silent so lately that it may still answer, or that its end
+ * is not known yet.
+ */
+static bool
+silent_lately(const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream)
+{
+	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+
+	return vm != NULL && lease_liveness(t, id, upstream) == KF_VM_DEAD &&
+	    t->now.mono_us - vm->heard_us < SILENCE_GRACE_US;
+}
+
 /* Whether this VM has known a whole fleet for long enough. */
 static bool
 ingress_fleet_complete(const kf_traffic_t *t, int64_t horizon_us)
@@ -126,14 +147,15 @@
 {
 	const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
 	const kf_view_vm_t *vm = kf_view_vm(t->view, id);
+	int64_t since_us;
 
 	if (id.vm == 0)
 		return true;
 	if (vm == NULL)
 		return ingress_token_older(t, pkt, KF_RETRANSMIT_HORIZON_S) &&
 		    ingress_fleet_complete(t, horizon_us);
-	return vm->liveness == KF_VM_GONE &&
-	    t->now.mono_us - vm->gone_since_us >= horizon_us;
+	since_us = lease_gone_since_us(t, id, pkt->token.upstream);
+	return since_us >= 0 && t->now.mono_us - since_us >= horizon_us;
 }
 
 static bool
@@ -147,6 +169,8 @@
 static void
 ingress_orphan(kf_traffic_t *t, packet_t *pkt)
 {
+	uint32_t upstream = pkt->token.upstream;
+
 	if (pkt->proc.idempotent) {
 		if (pkt->hops > 0)
 			packet_drop(t, pkt, KF_REASON_OWNER_LOST);
@@ -154,7 +178,12 @@
 			ingress_route(t, pkt);
 		return;
 	}
-	if (ingress_both_long_gone(t, pkt))
+	if (handover_route(t, pkt))
+		return;
+	if (silent_lately(t, pkt->token.owner, upstream) ||
+	    silent_lately(t, pkt->token.backup, upstream))
+		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
+	else if (ingress_both_long_gone(t, pkt))
 		packet_refuse(t, pkt, KF_REASON_OWNER_LOST);
 	else
 		packet_unknown(t, pkt, KF_REASON_OWNER_LOST);
@@ -195,7 +224,7 @@
 		backup_takeover(t, pkt);
 		return;
 	}
-	liveness = kf_view_liveness(t->view, pkt->token.backup);
+	liveness = lease_liveness(t, pkt->token.backup, pkt->token.upstream);
 	if (liveness >= KF_VM_DEAD)
 		ingress_orphan(t, pkt);
 	else if (vm == NULL || vm->peer_addr.port == 0)
@@ -222,7 +251,7 @@
 		ingress_to_backup(t, pkt);
 		return;
 	}
-	liveness = kf_view_liveness(t->view, pkt->token.owner);
+	liveness = lease_liveness(t, pkt->token.owner, pkt->token.upstream);
 	if (liveness < KF_VM_DEAD && vm != NULL && vm->peer_addr.port != 0) {
 		ingress_send(t, pkt, vm, false);
 		return;
@@ -282,6 +311,10 @@
 
 	t->now = now;
 	kf_counters_add(&t->counters, KF_COUNT_CALLER_PACKETS, 1);
+	if (t->ending) {
+		packet_drop(t, &pkt, KF_REASON_DRAINING);
+		return;
+	}
 	if (t->view == NULL || !t->view->settled) {
 		packet_drop(t, &pkt, KF_REASON_NO_CONFIG);
 		return;
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -6,6 +6,12 @@
 
 #include "traffic_internal.h"
 
+enum {
+	/* Longer than it takes all VMs to adopt a view and callers to resend.
+	 */
+	UNSTABLE_US = 5000000,
+};
+
 static const char *const event_names[KF_EVENT_COUNT] = {
 	[KF_EVENT_PLACE] = "place",
 	[KF_EVENT_MOVE] = "move",
@@ -61,6 +67,7 @@
 	t->by_id = apr_hash_make_custom(t->pool, hash_key);
 	t->by_xid = apr_hash_make_custom(t->pool, hash_key);
 	t->serving = apr_hash_make_custom(t->pool, hash_key);
+	t->adoptions = apr_hash_make_custom(t->pool, hash_key);
 	t->leases = apr_hash_make_custom(t->pool, hash_key);
 	t->random.state = t->config.seed;
 	t->balance =
@@ -71,7 +78,9 @@
 	t->config.admission.ctx = t;
 	t->admission = kf_admission_new(&t->config.admission);
 	t->flows = kf_flow_table_new(&t->config.flow_limits);
-	if (t->balance == NULL || t->admission == NULL || t->flows == NULL)
+	t->recent = recent_new();
+	if (t->recent == NULL || t->balance == NULL || t->admission == NULL ||
+	    t->flows == NULL)
 		return KF_ERR_NO_MEMORY;
 	return KF_OK;
 }
@@ -106,6 +115,7 @@
 		     hi = apr_hash_next(hi))
 			serving_delete(apr_hash_this_val(hi));
 		lease_delete_all(t);
+		handover_delete(t);
 		apr_pool_destroy(t->pool);
 	}
 	kf_balance_delete(t->balance);
@@ -114,9 +124,35 @@
 	kf_view_release(t->view);
 	kf_keyring_delete(t->keys);
 	free(t->candidates);
+	free(t->recent);
 	free(t);
 }
 
+/* Copies of a request may have gone elsewhere while this VM was unheard. */
+static void
+traffic_unstable(kf_traffic_t *t)
+{
+	t->unstable_until_us = t->now.mono_us + UNSTABLE_US;
+}
+
+/* Whether two views may send copies of a request to different VMs. */
+static bool
+view_routes_differ(const kf_view_t *a, const kf_view_t *b)
+{
+	uint32_t i;
+
+	if (a->decl != b->decl || a->vm_count != b->vm_count)
+		return true;
+	for (i = 0; i < a->vm_count; i++) {
+		if (a->vms[i].id.vm != b->vms[i].id.vm ||
+		    a->vms[i].id.incarnation != b->vms[i].id.incarnation ||
+		    a->vms[i].liveness != b->vms[i].liveness ||
+		    a->vms[i].leaving != b->vms[i].leaving)
+			return true;
+	}
+	return false;
+}
+
 /* Makes what depends on the view's documents; false keeps the old view. */
 static bool
 traffic_adopt(kf_traffic_t *t, const kf_view_t *view)
@@ -150,6 +186,8 @@
 	t->now = now;
 	if (!traffic_adopt(t, view))
 		return;
+	if (t->view == NULL || view_routes_differ(t->view, view))
+		traffic_unstable(t);
 	if (t->view == NULL || !t->view->settled)
 		t->settled_us = now.mono_us;
 	kf_view_retain(view);
@@ -168,10 +206,37 @@
 	kf_flow_expire(t->flows, now.mono_us);
 	if (t->view != NULL) {
 		lease_tick(t);
+		handover_tick(t);
 		serving_tick(t);
 	}
 }
 
+void
+kf_traffic_on_pause(kf_traffic_t *t, kf_time_t now)
+{
+	t->now = now;
+	traffic_unstable(t);
+}
+
+void
+kf_traffic_on_end(kf_traffic_t *t, kf_time_t now)
+{
+	t->now = now;
+	t->ending = true;
+}
+
+bool
+kf_traffic_ended(const kf_traffic_t *t)
+{
+	return t->ended;
+}
+
+bool
+kf_traffic_fenced(const kf_traffic_t *t)
+{
+	return t->fenced;
+}
+
 uint32_t
 kf_traffic_in_progress(const kf_traffic_t *t)
 {
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -72,7 +72,7 @@
 	bool alone;    /* the backup need not acknowledge */
 	bool acked;    /* the backup has acknowledged */
 	bool new_flow;
-	bool may_have_run; /* an earlier attempt got no reply */
+	bool may_have_run; /* idempotent: an attempt or a copy of it */
 	bool has_slot;
 	bool deleted; /* freed at the end of the sweep */
 	kf_reason_t refuse_reason;
@@ -126,6 +126,9 @@
 	int64_t ended_us;
 } lease_t;
 
+typedef struct recent recent_t;
+typedef struct handover handover_t;
+
 struct kf_traffic {
 	kf_traffic_config_t config;
 	kf_view_t *view;
@@ -136,6 +139,9 @@
 	kf_share_sequence_t shares;
 	kf_random_t random;
 	uint32_t next_xid;
+	bool fenced;
+	/* Until then copies of a request may be at another VM. */
+	int64_t unstable_until_us;
 	int64_t settled_us; /* since when views have been settled */
 	kf_time_t now;	    /* of the event being handled */
 	apr_pool_t *pool;
@@ -143,10 +149,16 @@
 	apr_hash_t *by_xid;  /* request_t by upstream_xid */
 	apr_hash_t *serving; /* serving_t by id */
 	apr_hash_t *leases;  /* lease_t by key */
+	recent_t *recent;
+	bool ending;	       /* takes no more requests */
+	bool ended;	       /* has handed over and may stop */
+	handover_t *handover;  /* while ending */
+	apr_hash_t *adoptions; /* adoption_t by VM id */
 	request_t *requests;
 	request_t *deleted; /* unlinked during a sweep */
 	request_t *requeue; /* taken out of their queues by a view */
 	bool sweeping;
+	uint32_t pumping; /* upstream whose queue is being emptied, or 0 */
 	uint32_t request_count;
 	kf_candidate_t *candidates; /* scratch, one per upstream */
 	kf_counters_t counters;
@@ -222,6 +234,22 @@
     kf_traffic_t *t, kf_vm_id_t from, const kf_peer_intent *intent);
 void backup_on_done(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_done *done);
 
+/* handover.c */
+void handover_tick(kf_traffic_t *t);
+void handover_take(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_handover *part);
+void handover_on_ack(
+    kf_traffic_t *t, kf_vm_id_t from, const kf_peer_handover_ack *ack);
+bool handover_route(kf_traffic_t *t, packet_t *pkt);
+void handover_delete(kf_traffic_t *t);
+
+/* recent.c */
+recent_t *recent_new(void);
+void recent_note(
+    kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t reason);
+bool recent_find(
+    const kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t *reason);
+
 /* lease.c */
 void lease_update(kf_traffic_t *t);
 void lease_tick(kf_traffic_t *t);
@@ -230,6 +258,13 @@
 void lease_on_ack(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_lease *ack);
 bool lease_cannot_have_fenced(
     const kf_traffic_t *t, kf_vm_id_t backup, uint32_t upstream);
+void lease_on_end(kf_traffic_t *t, kf_vm_id_t from, const kf_peer_end *end);
+void lease_send_end(kf_traffic_t *t);
+u_int lease_fill_ended(const kf_traffic_t *t, kf_peer_ended *out, u_int max);
+int64_t lease_gone_since_us(
+    const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream);
+kf_liveness_t lease_liveness(
+    const kf_traffic_t *t, kf_vm_id_t id, uint32_t upstream);
 bool lease_may_fence(
     const kf_traffic_t *t, kf_vm_id_t owner, uint32_t upstream);
 void lease_delete_all(kf_traffic_t *t);
@@ -252,7 +287,7 @@
 void serving_on_probe(
     kf_traffic_t *t, serving_t *s, const kf_rpc_reply_t *reply);
 void serving_failed(kf_traffic_t *t, serving_t *s, uint32_t path,
-    kf_upstream_failure_t failure);
+    int64_t sent_us, kf_upstream_failure_t failure);
 void serving_delete(serving_t *s);
 bool serving_owned(const kf_traffic_t *t, const serving_t *s);
 bool serving_usable(const kf_traffic_t *t, const serving_t *s);
@@ -270,6 +305,7 @@
 void request_moved(kf_traffic_t *t, request_t *req, const kf_token_t *token);
 void request_refuse_now(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void request_unknown(kf_traffic_t *t, request_t *req, kf_reason_t reason);
+void request_forget(kf_traffic_t *t, request_t *req);
 void request_silent(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void request_record(kf_traffic_t *t, request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
@@ -287,6 +323,9 @@
 void peer_lease(kf_traffic_t *t, const lease_t *lease);
 void peer_lease_ack(
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_lease *request, u_int state);
+void peer_end(kf_traffic_t *t, const lease_t *lease, bool fenced);
+void peer_message(
+    kf_traffic_t *t, const kf_view_vm_t *vm, uint32_t shard, kf_peer_msg *msg);
 void peer_done(kf_traffic_t *t, const request_t *req, kf_verdict_t verdict,
     kf_reason_t reason, const uint8_t *stored, size_t len);
 
