Let no request wait for its backup with a slot

Cause: a request that must not run twice took a slot and then waited for INTENT_ACK. With a dead or silent backup the 2 or 3 slots of an upstream filled with such requests, and idempotent ones behind them were refused. Requests of flows whose owner had ended were placed by a hash although their upstream was in force. Ruled out: more slots, and a shorter wait for the acknowledgement, which would end requests as unknown. Change: a request is queued only when the backup has acknowledged it, or need not; an idempotent request of an ended owner stays with its upstream. Conclusion: the death of one balancer breaks no flow without a request in doubt; a VM that falls silent without errors still breaks some.

--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -26,10 +26,7 @@
 	req->slot_us = t->now.mono_us;
 	if (s != NULL)
 		s->active++;
-	if (req->alone || req->acked)
-		dispatch_send(t, req);
-	else
-		req->state = REQUEST_WAIT_ACK;
+	dispatch_send(t, req);
 }
 
 static size_t
@@ -268,8 +265,6 @@
 static void
 dispatch_wait_ack(kf_traffic_t *t, request_t *req)
 {
-	if (req->alone || req->acked)
-		return;
 	if (owner_alone(t, &req->token)) {
 		req->alone = true;
 		owner_acked(t, req);
@@ -305,8 +300,6 @@
 			dispatch_attempt_timeout(t, req);
 		break;
 	case REQUEST_WAIT_ACK:
-	case REQUEST_MOVING:
-	case REQUEST_REFUSING:
 		if (late)
 			dispatch_no_ack(t, req);
 		else
@@ -319,7 +312,6 @@
 		}
 		break;
 	default:
-		dispatch_wait_ack(t, req);
 		break;
 	}
 }
--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -165,6 +165,32 @@
 	    ingress_long_gone(t, pkt, pkt->token.backup);
 }
 
+/*
+ * Gives an idempotent call whose owner has ended to the present owner of its
+ * upstream, or places it like a call without a token.
+ */
+static bool
+ingress_adopt(kf_traffic_t *t, packet_t *pkt)
+{
+	placement_t place = { .point = pkt->token.share_point };
+	uint64_t flow = packet_hash(pkt);
+
+	if (!place_still_valid(t, pkt->service, &pkt->token))
+		return ingress_place(t, pkt);
+	place.upstream = place_index(t, pkt->token.upstream);
+	if (place_token(t, pkt->service, &place, &pkt->token) != KF_OK)
+		return ingress_place(t, pkt);
+	pkt->token.flow = flow;
+	pkt->token.generation = KEPT_UPSTREAM;
+	if (kf_token_seal(&pkt->token, t->keys, t->now.wall_ms / 1000,
+		pkt->route.caller.ip, pkt->token_bytes) != KF_OK) {
+		packet_drop(t, pkt, KF_REASON_NO_CONFIG);
+		return false;
+	}
+	pkt->new_flow = true;
+	return true;
+}
+
 /* Neither owner nor backup can say what became of the request. */
 static void
 ingress_orphan(kf_traffic_t *t, packet_t *pkt)
@@ -174,7 +200,7 @@
 	if (pkt->proc.idempotent) {
 		if (pkt->hops > 0)
 			packet_drop(t, pkt, KF_REASON_OWNER_LOST);
-		else if (ingress_place(t, pkt))
+		else if (ingress_adopt(t, pkt))
 			ingress_route(t, pkt);
 		return;
 	}
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -108,6 +108,21 @@
 		    KF_REASON_OVERLOAD, NULL, 0);
 }
 
+/*
+ * Refuses or starts a request that the backup knows of, or need not.  Nothing
+ * else is done with it earlier: it would hold a slot while its backup is
+ * silent, and without a record the backup would run a late copy of a request
+ * that was refused.
+ */
+static void
+owner_go(kf_traffic_t *t, request_t *req)
+{
+	if (req->refuse_reason != KF_REASON_NONE)
+		owner_refuse(t, req, req->refuse_reason);
+	else
+		owner_start(t, req);
+}
+
 /* Handles a request whose token names this VM as the owner of its flow. */
 void
 owner_handle(kf_traffic_t *t, packet_t *pkt)
@@ -139,12 +154,14 @@
 	req->may_have_run = req->may_have_run || recent;
 	req->recorded = !pkt->proc.idempotent;
 	req->alone = pkt->proc.idempotent || owner_alone(t, &pkt->token);
-	if (!req->alone)
-		peer_intent(t, req);
 	if (pkt->expired && req->recorded)
-		owner_refuse(t, req, KF_REASON_TOKEN_EXPIRED);
-	else
-		owner_start(t, req);
+		req->refuse_reason = KF_REASON_TOKEN_EXPIRED;
+	if (req->alone) {
+		owner_go(t, req);
+		return;
+	}
+	req->state = REQUEST_WAIT_ACK;
+	peer_intent(t, req);
 }
 
 /*
@@ -231,10 +248,7 @@
 owner_move(kf_traffic_t *t, request_t *req, const kf_token_t *token)
 {
 	req->reply_token = *token;
-	if (req->alone || req->acked)
-		request_moved(t, req, token);
-	else
-		req->state = REQUEST_MOVING;
+	request_moved(t, req, token);
 }
 
 void
@@ -294,12 +308,7 @@
 		request_silent(t, req, reason);
 		return;
 	}
-	if (req->alone || req->acked) {
-		request_refuse_now(t, req, reason);
-		return;
-	}
-	req->refuse_reason = reason;
-	req->state = REQUEST_REFUSING;
+	request_refuse_now(t, req, reason);
 }
 
 /* The backup has recorded the request, or need not. */
@@ -307,20 +316,8 @@
 owner_acked(kf_traffic_t *t, request_t *req)
 {
 	req->acked = true;
-	switch (req->state) {
-	case REQUEST_WAIT_ACK:
-		dispatch_send(t, req);
-		break;
-	case REQUEST_MOVING:
-		/* The view may have changed since the move was chosen. */
-		owner_start(t, req);
-		break;
-	case REQUEST_REFUSING:
-		request_refuse_now(t, req, req->refuse_reason);
-		break;
-	default:
-		break;
-	}
+	if (req->state == REQUEST_WAIT_ACK)
+		owner_go(t, req);
 }
 
 /*
@@ -333,8 +330,6 @@
 	const kf_view_vm_t *vm = kf_view_vm(t->view, req->token.backup);
 
 	t->fenced = true;
-	if (req->state == REQUEST_QUEUED)
-		return;
 	if (vm != NULL && vm->peer_addr.port != 0)
 		peer_forward_request(t, req, &req->token, vm, true);
 	request_silent(t, req, KF_REASON_FENCED);
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -160,7 +160,8 @@
 	*token = req->reply_token;
 	service = kf_declaration_service(t->view->decl, req->service);
 	/* The hash that placed a call without a token balances less well. */
-	if (req->new_flow && service != NULL &&
+	if (req->new_flow && token->generation != KEPT_UPSTREAM &&
+	    service != NULL &&
 	    place_new(t, service, KF_VIEW_NONE, &place) == KF_OK &&
 	    place_token(t, service, &place, token) == KF_OK)
 		return;
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -22,6 +22,8 @@
 	/* Interval at which an unacknowledged INTENT is sent again. */
 	INTENT_RETRY_US = 50000,
 	ATTEMPTS_MAX = 3,
+	/* Generation of a flow that lost its owner and keeps its upstream. */
+	KEPT_UPSTREAM = 1,
 };
 
 /* A caller's datagram, parsed and matched to its service. */
@@ -43,11 +45,9 @@
 
 typedef enum request_state {
 	REQUEST_NEW = 0,
+	REQUEST_WAIT_ACK,   /* needs the backup's INTENT_ACK first */
 	REQUEST_QUEUED,	    /* in the admission queue */
-	REQUEST_WAIT_ACK,   /* has a slot, needs the backup's INTENT_ACK */
 	REQUEST_DISPATCHED, /* sent to the upstream */
-	REQUEST_MOVING,	    /* needs the INTENT_ACK to go to another owner */
-	REQUEST_REFUSING,   /* needs the INTENT_ACK to be refused */
 	REQUEST_ABANDONED,  /* ended for the caller; the slot is held */
 } request_state_t;
 
