--- a/tests/process/fail-rolling-restart.sh
+++ b/tests/process/fail-rolling-restart.sh
@@ -4,6 +4,8 @@
 build=$1
 . "$(dirname "$0")/fleet.sh"
 
+# Slow enough that a balancer always has requests in progress.
+fleet_service_us="100000 50000"
 fleet_start kowhai 4
 load_all 45
 for number in 1 2 3 4; do
