Do not refuse a copy of a moved read as not run

Cause: request_moved left no trace of an idempotent request at the VM that moves it. A copy that arrived there next started anew and was refused as not run, while the moved request ran at another VM. Seen in a flood of the least urgent work: dispatch, upstream_shed and move to another VM at 25.922 s, a copy refused (deadline) at 25.929 s, the moved request dispatched at 28.856 s.

Ruled out: copies without a token placed at several VMs (they share one hash and met one owner), an evicted entry of the recent outcomes (there was none to evict), the caller's count of attempts (one xid throughout).

Conclusion: the move is noted among the recent outcomes as one that may have run, so a copy ends as unknown at worst. The note lasts 2 s; copies further apart than that are not covered.

--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -221,6 +221,8 @@
 	}
 	request_record(
 	    t, req, KF_ANSWERED, KF_REASON_NONE, stored, sizeof(stored));
+	if (!req->recorded)
+		recent_note(t, req->id.flow, req->id.xid, KF_REASON_NONE);
 	request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, vm->name);
 	peer_forward_request(t, req, token, vm, false);
 	request_delete(t, req);
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -939,6 +939,35 @@
 	ExpectAnswered(r);
 }
 
+/*
+ * Guards against "not run" for a copy of an idempotent request that its first
+ * owner has moved and that runs at another VM.
+ */
+TEST_F(Traffic, CopyOfAMovedReadIsNotRefused)
+{
+	std::vector<int> reads;
+	std::vector<size_t> owners;
+
+	for (int caller : Flows(30)) {
+		std::string name = w->UpstreamOf(caller);
+
+		SetModes(HOLD);
+		w->upstreams[name].mode = SHED;
+		owners.push_back(w->OwnerOf(caller));
+		reads.push_back(w->Send(caller, READ, owners.back()));
+		w->Run(20);
+	}
+	SetModes(SHED);
+	for (size_t i = 0; i < reads.size(); i++)
+		w->Deliver(reads[i], owners[i]);
+	w->Run(50);
+	for (const char *name : { "a", "b", "c" })
+		w->Release(name);
+	w->Run(2200);
+	for (int r : reads)
+		EXPECT_FALSE(Req(r).executed > 0 && Req(r).denied > 0);
+}
+
 /* Guards against a copy of a moved request sent to a dead VM for ever. */
 TEST_F(Traffic, CopyOfAMovedRequestFindsTheBackupOfItsNewOwner)
 {
