Correct only this VM's part of the load that a digest reports

Cause: each of 8 balancers corrected the whole excess of an upstream until the next digest, so that together they moved 8 times too much. Ruled out: smoothing the digest, which delays the correction itself.

--- a/bench/imbalance/placer.c
+++ b/bench/imbalance/placer.c
@@ -91,7 +91,7 @@
 			    p->slots[i] * slow_start(p->placing, now_us, i),
 		};
 		if (p->placing->phase == PHASE_LAGGING && excess > 0)
-			candidates[i].excess = excess / p->slots[i];
+			candidates[i].excess = excess / p->slots[i] / BALANCERS;
 	}
 	chosen = kf_balance_choose(
 	    p->balancers[kf_random_below(&p->random, BALANCERS)], 0, candidates,
--- a/lib/traffic/place.c
+++ b/lib/traffic/place.c
@@ -77,7 +77,8 @@
 			.upstream = index,
 			.id = u->id,
 			.weight = u->slots * factor,
-			.excess = excess,
+			/* Each VM corrects its part of what all have seen. */
+			.excess = excess / t->fleet,
 		};
 	}
 	return count;
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -153,6 +153,19 @@
 	return false;
 }
 
+static uint32_t
+view_fleet(const kf_view_t *view)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < view->vm_count; i++) {
+		if (view->vms[i].liveness == KF_VM_ALIVE ||
+		    view->vms[i].liveness == KF_VM_SUSPECT)
+			count++;
+	}
+	return count > 0 ? count : 1;
+}
+
 /* Makes what depends on the view's documents; false keeps the old view. */
 static bool
 traffic_adopt(kf_traffic_t *t, const kf_view_t *view)
@@ -190,6 +203,7 @@
 		traffic_unstable(t);
 	if (t->view == NULL || !t->view->settled)
 		t->settled_us = now.mono_us;
+	t->fleet = view_fleet(view);
 	kf_view_retain(view);
 	kf_view_release(t->view);
 	t->view = view;
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -158,6 +158,7 @@
 	request_t *deleted; /* unlinked during a sweep */
 	request_t *requeue; /* taken out of their queues by a view */
 	bool sweeping;
+	uint32_t fleet;	  /* VMs that place flows, this one included */
 	uint32_t pumping; /* upstream whose queue is being emptied, or 0 */
 	uint32_t request_count;
 	kf_candidate_t *candidates; /* scratch, one per upstream */
