Count the ejected upstreams of a service once a view

Cause: serving_may_eject walked all upstreams for each upstream served at each tick of 10 ms: 24% of a core at 80,000 upstreams with 5 of them owned (docs/CAPACITY.md). Ruled out: counting at each digest in the traffic core, which sees only views. Change: kf_view_t holds the counts for each service. A caller's datagram too large to be forwarded is logged as dropped.

--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -58,6 +58,10 @@
 	kf_peer_forward *f = &msg.body.kf_peer_body_u.forward;
 	uint8_t token[KF_TOKEN_BYTES];
 
+	if (pkt->len > KF_PEER_MAX_PAYLOAD) {
+		packet_drop(t, pkt, KF_REASON_MALFORMED);
+		return;
+	}
 	memcpy(token, pkt->token_bytes, sizeof(token));
 	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
 	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
--- a/lib/traffic/serving.c
+++ b/lib/traffic/serving.c
@@ -95,21 +95,17 @@
 static bool
 serving_may_eject(kf_traffic_t *t, const serving_t *s)
 {
-	const kf_declaration_t *decl = t->view->decl;
-	uint32_t i, total = 0, ejected = 0;
+	const kf_view_service_t *service;
+	uint32_t others;
 
 	if (s->index == KF_VIEW_NONE)
 		return true;
-	for (i = 0; i < decl->upstream_count; i++) {
-		if (decl->upstreams[i].service !=
-		    decl->upstreams[s->index].service)
-			continue;
-		total++;
-		if (i != s->index &&
-		    (t->view->upstreams[i].digest.flags & KF_DIGEST_EJECTED))
-			ejected++;
-	}
-	return (ejected + 1) * 2 <= total;
+	service =
+	    &t->view->services[t->view->decl->upstreams[s->index].service];
+	others = service->ejected;
+	if (t->view->upstreams[s->index].digest.flags & KF_DIGEST_EJECTED)
+		others--;
+	return (others + 1) * 2 <= service->upstreams;
 }
 
 static void
--- a/lib/view/include/kf/view.h
+++ b/lib/view/include/kf/view.h
@@ -65,6 +65,12 @@
 	kf_view_digest_t digest;
 } kf_view_upstream_t;
 
+/* Counts over the upstreams of a service. */
+typedef struct kf_view_service {
+	uint32_t upstreams;
+	uint32_t ejected; /* by their last digests */
+} kf_view_service_t;
+
 typedef struct kf_view_input {
 	kf_vm_id_t self;
 	bool settled; /* the fleet has been heard once */
@@ -93,6 +99,7 @@
 	uint32_t vm_count;
 	kf_view_vm_t *vms;	       /* ordered by VM id and incarnation */
 	kf_view_upstream_t *upstreams; /* parallel to decl->upstreams */
+	kf_view_service_t *services;   /* parallel to decl->services */
 } kf_view_t;
 
 /* Returns NULL when out of memory. */
--- a/lib/view/view.c
+++ b/lib/view/view.c
@@ -328,6 +328,21 @@
 	}
 }
 
+static void
+view_services(kf_view_t *view)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->decl->upstream_count; i++) {
+		kf_view_service_t *service =
+		    &view->services[view->decl->upstreams[i].service];
+
+		service->upstreams++;
+		if (view->upstreams[i].digest.flags & KF_DIGEST_EJECTED)
+			service->ejected++;
+	}
+}
+
 static kf_status_t
 view_fill(kf_view_t *view, const kf_view_input_t *input)
 {
@@ -339,7 +354,10 @@
 	view->vms = calloc(input->vm_count + 1, sizeof(*view->vms));
 	view->upstreams =
 	    calloc(view->decl->upstream_count + 1, sizeof(*view->upstreams));
-	if (view->keys == NULL || view->vms == NULL || view->upstreams == NULL)
+	view->services =
+	    calloc(view->decl->service_count + 1, sizeof(*view->services));
+	if (view->keys == NULL || view->vms == NULL ||
+	    view->upstreams == NULL || view->services == NULL)
 		return KF_ERR_NO_MEMORY;
 	memcpy(view->vms, input->vms, input->vm_count * sizeof(*view->vms));
 	view->vm_count = input->vm_count;
@@ -357,6 +375,7 @@
 	if (view_owners(view, input->previous) != KF_OK)
 		return KF_ERR_NO_MEMORY;
 	view_digests(view, input);
+	view_services(view);
 	return KF_OK;
 }
 
@@ -396,6 +415,7 @@
 	kf_keyring_delete(view->keys);
 	free(view->vms);
 	free(view->upstreams);
+	free(view->services);
 	free(view);
 }
 
