--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -210,7 +210,7 @@
 		return;
 	}
 	place_renew(t, &token);
-	owner_move(t, req, &token);
+	request_move(t, req, &token);
 }
 
 /* Gives the request and its flow to another upstream. */
@@ -236,19 +236,7 @@
 		request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, NULL);
 		owner_admit(t, req);
 	} else
-		owner_move(t, req, &token);
-}
-
-/*
- * Hands the request to the VM that owns its upstream, under a new flow.  A
- * recorded request counts as dispatched from here, so the backup has to know
- * of it first.
- */
-void
-owner_move(kf_traffic_t *t, request_t *req, const kf_token_t *token)
-{
-	req->reply_token = *token;
-	request_moved(t, req, token);
+		request_move(t, req, &token);
 }
 
 void
@@ -298,8 +286,7 @@
 
 /*
  * Refuses a request as not run, or drops an idempotent one of which a copy may
- * have run: the caller then sends it again.  The backup has to know first:
- * without a record it would run a late copy after it has fenced this VM.
+ * have run: the caller then sends it again.
  */
 void
 owner_refuse(kf_traffic_t *t, request_t *req, kf_reason_t reason)
@@ -320,10 +307,7 @@
 		owner_go(t, req);
 }
 
-/*
- * The backup has fenced this VM, so it decides about the request.  A request
- * in the admission queue gets here when its INTENT is sent again.
- */
+/* The backup has fenced this VM, so it decides about the request. */
 void
 owner_fenced(kf_traffic_t *t, request_t *req)
 {
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -204,9 +204,12 @@
 	request_delete(t, req);
 }
 
-/* Sends the request to the owner that token names and ends it here. */
+/*
+ * Sends the request to the owner that token names and ends it here.  A recorded
+ * request counts as dispatched from here on; its copies follow the token.
+ */
 void
-request_moved(kf_traffic_t *t, request_t *req, const kf_token_t *token)
+request_move(kf_traffic_t *t, request_t *req, const kf_token_t *token)
 {
 	uint8_t stored[1 + KF_TOKEN_BYTES];
 	const kf_view_vm_t *vm;
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -219,7 +219,6 @@
 /* owner.c */
 void owner_handle(kf_traffic_t *t, packet_t *pkt);
 void owner_admit(kf_traffic_t *t, request_t *req);
-void owner_move(kf_traffic_t *t, request_t *req, const kf_token_t *token);
 void owner_replace(kf_traffic_t *t, request_t *req, uint32_t exclude);
 void owner_start(kf_traffic_t *t, request_t *req);
 void owner_acked(kf_traffic_t *t, request_t *req);
@@ -303,7 +302,7 @@
 void request_sweep_end(kf_traffic_t *t);
 void request_answer(
     kf_traffic_t *t, request_t *req, const kf_rpc_reply_t *reply);
-void request_moved(kf_traffic_t *t, request_t *req, const kf_token_t *token);
+void request_move(kf_traffic_t *t, request_t *req, const kf_token_t *token);
 void request_refuse_now(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void request_unknown(kf_traffic_t *t, request_t *req, kf_reason_t reason);
 void request_forget(kf_traffic_t *t, request_t *req);
