--- a/lib/standin/command.c
+++ b/lib/standin/command.c
@@ -203,3 +203,13 @@
 	*high = b;
 	return KF_OK;
 }
+
+error_t
+kf_sim_option_result(struct argp_state *state, kf_status_t status)
+{
+	if (status == KF_ERR_UNSUPPORTED)
+		return ARGP_ERR_UNKNOWN;
+	if (status != KF_OK)
+		argp_error(state, "%s", kf_status_message());
+	return 0;
+}
--- a/lib/standin/include/kf/standin.h
+++ b/lib/standin/include/kf/standin.h
@@ -1,6 +1,7 @@
 #ifndef KF_STANDIN_H
 #define KF_STANDIN_H
 
+#include <argp.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -92,6 +93,12 @@
 void kf_sim_command_run(const kf_sim_command_t *table, void *ctx,
     const char *line, char *answer, size_t cap);
 
+/*
+ * Result of an argp parser for an option that was set with status: reports an
+ * error, or passes on an option that is not known (KF_ERR_UNSUPPORTED).
+ */
+error_t kf_sim_option_result(struct argp_state *state, kf_status_t status);
+
 kf_status_t kf_sim_parse_unit(const char *text, double *value);
 kf_status_t kf_sim_parse_u64(const char *text, uint64_t max, uint64_t *value);
 /* Parses "MIN-MAX" or "N". */
--- a/standin/caller/main.c
+++ b/standin/caller/main.c
@@ -289,11 +289,7 @@
 		return ARGP_ERR_UNKNOWN;
 	else
 		status = set_option(s, key, arg);
-	if (status == KF_ERR_UNSUPPORTED)
-		return ARGP_ERR_UNKNOWN;
-	if (status != KF_OK)
-		argp_error(state, "%s", kf_status_message());
-	return 0;
+	return kf_sim_option_result(state, status);
 }
 
 static int
--- a/standin/fabric/main.c
+++ b/standin/fabric/main.c
@@ -79,11 +79,7 @@
 	if (arg == NULL)
 		return ARGP_ERR_UNKNOWN;
 	status = set_option(o, key, arg);
-	if (status == KF_ERR_UNSUPPORTED)
-		return ARGP_ERR_UNKNOWN;
-	if (status != KF_OK)
-		argp_error(state, "%s", kf_status_message());
-	return 0;
+	return kf_sim_option_result(state, status);
 }
 
 static int
