--- a/lib/traffic/handover.c
+++ b/lib/traffic/handover.c
@@ -47,7 +47,7 @@
 	u_int ended_count;
 } adoption_t;
 
-typedef struct candidate {
+typedef struct successor {
 	const kf_view_vm_t *vm;
 	uint64_t score;
 } successor_t;
