--- a/lib/net/include/kf/clock.h
+++ b/lib/net/include/kf/clock.h
@@ -7,6 +7,11 @@
 extern "C" {
 #endif
 
+/*
+ * NAME
+ *	kf_clock - the clocks of this process
+ */
+
 /* Reads the monotonic and the wall clock. */
 kf_time_t kf_clock_now(void);
 
