Expect only the slots that other classes leave

Cause: at the start of a flood the expected wait counted queued work only. Classes whose requests never wait have no queue, so the flooding class seemed to have every slot, filled its queue beyond what it could be served in time, and was refused at its deadline of 2 s. Ruled out: a shorter queue, which would refuse work that can be served, and refusing the tail later, which is late as well. Change: an average of the slots each class has kept busy in the last second lowers what is left to the others, down to their fair share. Seen failing: Admission.ExpectsOnlyTheSlotsThatOthersLeave queues 24 requests without the change.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -30,6 +30,9 @@
 	GROW_INTERVAL_US = 1000000,
 	GROW_FRACTION = 16, /* of the slots in one step, at least one slot */
 
+	/* Slot time used longer ago counts for less and less. */
+	USED_WINDOW_US = 1000000,
+
 	/* Retries saved up at most, in hundredths. */
 	RETRY_COST = 100,
 	RETRY_MAX = 100 * RETRY_COST,
@@ -44,6 +47,8 @@
 	int64_t service_us;
 	int64_t dispatched_us; /* last, since the queue filled; -1: none */
 	int64_t interval_us;   /* between dispatches; 0: not known */
+	double used_us;	       /* slot time of late, see class_used_slots */
+	int64_t used_at_us;    /* when used_us was true */
 } class_state_t;
 
 typedef struct upstream {
@@ -369,6 +374,23 @@
 	return known > 0 ? sum / known : DEFAULT_SERVICE_US;
 }
 
+/* Slots a class has kept busy of late, on average. */
+static double
+class_used_slots(const class_state_t *state, int64_t now_us)
+{
+	double age = (double)(now_us - state->used_at_us) / USED_WINDOW_US;
+
+	return age >= 1 ? 0 : state->used_us * (1 - age) / USED_WINDOW_US;
+}
+
+static void
+class_use(class_state_t *state, int64_t now_us, int64_t service_us)
+{
+	state->used_us = class_used_slots(state, now_us) * USED_WINDOW_US +
+	    (double)service_us;
+	state->used_at_us = now_us;
+}
+
 static uint32_t
 upstream_limit(const upstream_t *upstream)
 {
@@ -436,6 +458,28 @@
 	return work_us;
 }
 
+/*
+ * Slots left to a class by what the others use without waiting, but at least
+ * its fair share.
+ */
+static double
+class_available_slots(
+    const kf_admission_t *adm, const upstream_t *upstream, int cls)
+{
+	double limit = upstream_limit(upstream);
+	double weights = 0, available = limit, share;
+	int i;
+
+	for (i = 0; i < KF_CLASS_COUNT; i++) {
+		weights += class_weight(adm, i);
+		if (i != cls)
+			available -= class_used_slots(
+			    &upstream->classes[i], adm->now_us);
+	}
+	share = limit * class_weight(adm, cls) / weights;
+	return available > share ? available : share;
+}
+
 /*
  * Expected time until the answer of a request with `ahead` of its class.
  * The queues alone promise too much to a class that shares the upstream with
@@ -451,7 +495,7 @@
 	double limit = upstream_limit(upstream);
 	double seen_us =
 	    (double)upstream->classes[cls].interval_us * (ahead + 1);
-	double wait_us;
+	double wait_us, left_us;
 	double work_us = ahead * service_us +
 	    other_work_us(adm, upstream, cls, (ahead + 1) * service_us);
 	double first_us = service_us / limit;
@@ -462,6 +506,11 @@
 	wait_us = first_us + work_us / limit;
 	if (wait_us < seen_us)
 		wait_us = seen_us;
+	/* Known from the start of a flood, before any pace is seen. */
+	left_us = first_us +
+	    ahead * service_us / class_available_slots(adm, upstream, cls);
+	if (wait_us < left_us)
+		wait_us = left_us;
 	return (int64_t)(wait_us + service_us);
 }
 
@@ -679,6 +728,7 @@
 	upstream->progress_us = adm->now_us;
 	if (service_us >= 0) {
 		service_sample(&upstream->classes[cls], service_us);
+		class_use(&upstream->classes[cls], adm->now_us, service_us);
 		limit_grow(upstream, adm->now_us);
 	}
 	if (upstream->removed && upstream->in_flight == 0)
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -338,6 +338,31 @@
 	    KF_ADMIT_DEADLINE, ledger.Offer(1, KF_CLASS_URGENT, ledger.now_us));
 }
 
+/*
+ * Guards against a flood that fills a queue at its start and is refused only at
+ * the deadline: urgent requests that never wait use 70% of the one slot.
+ */
+TEST(Admission, ExpectsOnlyTheSlotsThatOthersLeave)
+{
+	Ledger ledger(1 << 20);
+	int queued = 0;
+
+	ledger.Set(1, 1);
+	for (int i = 0; i < 50; i++) {
+		ledger.Offer(1, KF_CLASS_URGENT, ledger.now_us + 2000000);
+		ledger.now_us += 70000;
+		ledger.Release(1, 70000);
+		ledger.now_us += 30000;
+	}
+	ledger.Offer(1, KF_CLASS_BULK, ledger.now_us + 2000000);
+	while (ledger.Offer(1, KF_CLASS_BULK, ledger.now_us + 2000000) ==
+	    KF_ADMIT_QUEUED)
+		queued++;
+	/* 70 ms each at 30% of a slot; the whole slot would take 23. */
+	EXPECT_GE(queued, 5);
+	EXPECT_LE(queued, 10);
+}
+
 /* Guards against requests dispatched after a process pause. */
 TEST(Admission, NothingExpiredIsDispatchedAfterAPause)
 {
