--- a/lib/traffic/dispatch.c
+++ b/lib/traffic/dispatch.c
@@ -7,10 +7,10 @@
 	ABANDONED_SLOT_US = 1000000,
 };
 
-static uint32_t
-next_xid(kf_traffic_t *t)
+/* The xid of the next call to an upstream; never 0, see serving_t. */
+uint32_t
+dispatch_next_xid(kf_traffic_t *t)
 {
-	/* 0 means "no xid" in serving_t. */
 	if (++t->next_xid == 0)
 		t->next_xid = 1;
 	return t->next_xid;
@@ -79,7 +79,7 @@
 		owner_replace(t, req, KF_VIEW_NONE);
 		return;
 	}
-	req->upstream_xid = next_xid(t);
+	req->upstream_xid = dispatch_next_xid(t);
 	len = dispatch_write(t, req, s);
 	if (len == 0) {
 		dispatch_release(t, req, -1);
@@ -147,7 +147,7 @@
 	serving_t *s = serving_find(t, req->upstream);
 	uint8_t args[8];
 	kf_rpc_call_t call = {
-		.xid = next_xid(t),
+		.xid = dispatch_next_xid(t),
 		.prog = KF_UPSTREAM_PROG,
 		.vers = KF_UPSTREAM_VERS,
 		.proc = KF_UPSTREAM_PROC_CANCEL,
--- a/lib/traffic/serving.c
+++ b/lib/traffic/serving.c
@@ -165,9 +165,7 @@
 	if (path == KF_UPSTREAM_FRESH_PATH)
 		t->config.ops.reset_path(
 		    t->config.ops.ctx, s->id, (uint32_t)path);
-	if (++t->next_xid == 0)
-		t->next_xid = 1;
-	s->probe_xid = t->next_xid;
+	s->probe_xid = dispatch_next_xid(t);
 	s->probe_path = path;
 	call.xid = s->probe_xid;
 	len = kf_rpc_call_write(&call, t->buf, DATAGRAM_MAX_BYTES);
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -270,6 +270,7 @@
 void lease_delete_all(kf_traffic_t *t);
 
 /* dispatch.c */
+uint32_t dispatch_next_xid(kf_traffic_t *t);
 void dispatch_start(kf_traffic_t *t, request_t *req);
 void dispatch_send(kf_traffic_t *t, request_t *req);
 void dispatch_pump(kf_traffic_t *t, uint32_t upstream);
