Count the decision lines that the log suppresses

Cause: the counter log_suppressed was exported but never incremented; the traffic thread summed the lines in a field that nothing read. Ruled out: counting in the core, which does not know the log's limit. Change: the thread has counters of its own, summed with those of the core; the comment of kf_logger_decision says what it returns. The full suite was not run again.

--- a/lib/net/include/kf/logger.h
+++ b/lib/net/include/kf/logger.h
@@ -29,7 +29,7 @@
     const char *event, const char *fmt, ...)
     __attribute__((format(printf, 4, 5)));
 
-/* Returns the number of lines suppressed before this one. */
+/* Returns 1 if the line was suppressed, else 0. */
 uint64_t kf_logger_decision(
     kf_logger_t *logger, kf_time_t now, const kf_decision_t *decision);
 
--- a/lib/net/status_report.c
+++ b/lib/net/status_report.c
@@ -171,8 +171,7 @@
 
 	kf_counters_sum(&sum->counters, kf_control_counters(control));
 	for (i = 0; i < traffic_count; i++) {
-		kf_counters_sum(
-		    &sum->counters, traffic_thread_counters(traffic[i]));
+		traffic_thread_sum(traffic[i], &sum->counters);
 		if (traffic_thread_snapshot(traffic[i], &snapshot) != KF_OK)
 			continue;
 		sum->requests_in_progress += snapshot.in_progress;
--- a/lib/net/traffic_thread.c
+++ b/lib/net/traffic_thread.c
@@ -65,7 +65,7 @@
 	int epoll_fd;
 	int64_t snapshot_us;
 	kf_time_t now;
-	uint64_t log_suppressed;
+	kf_counters_t counters; /* what the core does not see */
 	uint8_t buf[KF_UDP_MAX_BYTES];
 	uint8_t out[KF_UDP_MAX_BYTES];
 };
@@ -171,7 +171,8 @@
 {
 	traffic_thread_t *t = ctx;
 
-	t->log_suppressed += kf_logger_decision(t->logger, t->now, decision);
+	kf_counters_add(&t->counters, KF_COUNT_LOG_SUPPRESSED,
+	    kf_logger_decision(t->logger, t->now, decision));
 }
 
 static void
@@ -583,8 +584,9 @@
 	return status;
 }
 
-const kf_counters_t *
-traffic_thread_counters(const traffic_thread_t *t)
+void
+traffic_thread_sum(const traffic_thread_t *t, kf_counters_t *sum)
 {
-	return kf_traffic_counters(t->core);
+	kf_counters_sum(sum, kf_traffic_counters(t->core));
+	kf_counters_sum(sum, &t->counters);
 }
--- a/lib/net/traffic_thread.h
+++ b/lib/net/traffic_thread.h
@@ -39,6 +39,7 @@
 void traffic_thread_set_view(traffic_thread_t *thread, kf_view_t *view);
 kf_status_t traffic_thread_snapshot(
     traffic_thread_t *thread, traffic_snapshot_t *out);
-const kf_counters_t *traffic_thread_counters(const traffic_thread_t *thread);
+/* Adds the counters of the core and of the thread itself to sum. */
+void traffic_thread_sum(const traffic_thread_t *thread, kf_counters_t *sum);
 
 #endif
