Judge a new balancer's part by what it owns

Cause: owners are chosen within the zone of the upstream by rendezvous hashing over incarnations, which are start times. With two balancers and six upstreams in a zone the new one owns no upstream in 1 run of 64, and then it forwards everything to the owners.

Before: the test asked for an answer from balancer-6 in every run. After: it waits until all six balancers name the same owners, asks for a request that balancer-6 forwarded or answered, and for an answer if it owns an upstream. That all balancers agree on the owners was not checked before.

--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -365,6 +365,35 @@
 	    "wrong_answer=$(total wrong_answer "$@")"
 }
 
+# owners BALANCER: who owns each upstream, as this balancer sees it.
+owners() {
+	"$bin/knapctl" show upstreams --format kv --timeout-ms 5000 --server \
+	    "$(ini_value "$conf/balancer-$1.ini" vm rpc_address)" |
+	    tr ' ' '\n' | grep -E '^(upstream|owner)='
+}
+
+owners_agree() { # BALANCER...
+	kf_want=$(owners "$1")
+	[ -n "$kf_want" ] || return 1
+	for kf_balancer in "$@"; do
+		[ "$(owners "$kf_balancer")" = "$kf_want" ] || return 1
+	done
+}
+
+# Guards against a new balancer that takes no part, or that its peers do not
+# choose.  Incarnations are start times, so in one run of 64 a balancer of two
+# in a zone with six upstreams owns none: then it only forwards.
+check_takes_part() { # BALANCER
+	kf_vm=$(ini_value "$conf/balancer-$1.ini" vm name)
+	expect_some "requests that balancer-$1 forwarded or answered" \
+	    "$(grep -cE ' event=(forward|answer) ' "$work/balancer-$1.log")"
+	[ "$(owners "$1" | grep -cx "owner=$kf_vm")" -gt 0 ] || return 0
+	fabric balancers
+	tr ' ' '\n' <"$work/fabric-control.log" |
+	    grep "^$(ingress_of "$1")=" | grep -q 'received:[1-9]' ||
+	    fail "balancer-$1 owns upstreams and answered nothing"
+}
+
 # fleet_check MODE: ends everything and checks the invariants.
 #   planned	no flow breaks and every request is answered
 #   death	only flows with a non-idempotent request in doubt break
