Make the start window of the platform's first reads a setting

Cause: all VMs of a fleet that starts at once read the platform within 1 s, a constant, and each of them reads even if its peers have given it every document meanwhile. At 15,994 VMs the capacity simulation counts 15,509 reads in the worst second; the platform allows 2,000.

Ruled out: a longer constant, because a small fleet would wait for it for nothing, and skipping the read whenever peers are in contact: a peer may claim a document that it cannot deliver, so a VM that lacks one reads.

Now [platform] start_window_ms (0 to 60000, default 1000) sets the window, and a VM that is no watcher, has every document and hears recent contact leaves out its first read.

The new test of skipped reads fails when every VM reads, and when a VM that lacks a document does not.

--- a/bench/config/world.c
+++ b/bench/config/world.c
@@ -237,6 +237,7 @@
 		},
 		.seeds = seeds,
 		.seed_count = WORLD_SEEDS,
+		.start_window_ms = KF_START_WINDOW_US / 1000,
 		.seed = kf_random_next(&w->random),
 		.ops = {
 			.ctx = i,
--- a/capacity/measure/distribution.c
+++ b/capacity/measure/distribution.c
@@ -24,6 +24,8 @@
 	HEARTBEAT_US = 500000,
 	OBSERVERS = 3,
 	SEEDS = 2,
+	/* For fleets whose start would exceed the platform's reads. */
+	LONG_WINDOW_US = 20000000,
 	PUBLICATIONS = 5,
 	TEXT_BYTES = 32,
 	CUT_ZONES = 4, /* a region */
@@ -74,6 +76,7 @@
 	node_t *nodes;
 	uint32_t **members; /* VM ids of each zone */
 	kf_random_t random;
+	int64_t window_us; /* start window of the VMs */
 	int64_t now_us;
 	uint64_t versions[KF_DOC_KINDS];
 	uint32_t cut_zones; /* the first zones do not reach the platform */
@@ -159,6 +162,7 @@
 		.zone = node->zone + 1,
 		.seed = kf_random_next(&sim->random),
 		.seed_count = SEEDS,
+		.start_window_us = sim->window_us,
 		.ops = { .parse = on_parse,
 		    .free = on_free,
 		    .revision_of = on_revision },
@@ -176,13 +180,14 @@
 }
 
 static sim_t *
-sim_new(uint32_t zones, uint32_t per_zone, uint64_t seed)
+sim_new(uint32_t zones, uint32_t per_zone, int64_t window_us, uint64_t seed)
 {
 	sim_t *sim = corpus_need(calloc(1, sizeof(*sim)), "simulation");
 	uint32_t i;
 
 	sim->zones = zones;
 	sim->per_zone = per_zone;
+	sim->window_us = window_us;
 	sim->count = zones * per_zone;
 	sim->random.state = seed;
 	sim->now_us = SECOND_US;
@@ -424,8 +429,8 @@
 }
 
 typedef struct results {
-	series_t start, steady, slowest, outage, back, zone, zone_s, cut, cut_s,
-	    rack_s, held;
+	series_t start, start_s, spread, spread_s, steady, slowest, outage,
+	    back, zone, zone_s, cut, cut_s, rack_s, held;
 } results_t;
 
 static void
@@ -504,16 +509,37 @@
 	    (double)(sim->now_us - start_us) / SECOND_US);
 }
 
+/* All VMs start at once, without documents. */
+static void
+measure_start(sim_t *sim, series_t *reads, series_t *seconds)
+{
+	int64_t end_us = sim->now_us + LONG_WINDOW_US + SECOND_US;
+
+	series_add(seconds, sim->count, sim_converge(sim));
+	while (sim->now_us < end_us)
+		sim_step(sim);
+	series_add(reads, sim->count, (double)sim->read_peak);
+}
+
+static void
+measure_spread_start(
+    const plan_t *plan, uint32_t zones, uint32_t per_zone, results_t *r)
+{
+	sim_t *sim = sim_new(zones, per_zone, LONG_WINDOW_US, plan->seed);
+
+	measure_start(sim, &r->spread, &r->spread_s);
+	sim_delete(sim);
+}
+
 static void
 measure_fleet(
     const plan_t *plan, uint32_t zones, uint32_t per_zone, results_t *r)
 {
 	double before = meter_heap_bytes();
-	sim_t *sim = sim_new(zones, per_zone, plan->seed);
+	sim_t *sim = sim_new(zones, per_zone, KF_START_WINDOW_US, plan->seed);
 	int outage_s = plan->smoke ? 10 : OUTAGE_S;
 
-	sim_run(sim, SETTLE_S);
-	series_add(&r->start, sim->count, (double)sim->read_peak);
+	measure_start(sim, &r->start, &r->start_s);
 	series_add(
 	    &r->held, sim->count, (meter_heap_bytes() - before) / sim->count);
 	sim_reset_reads(sim);
@@ -536,6 +562,15 @@
 		.start = { .name = "distribution.start_reads",
 		    .x = "vms",
 		    .y = "peak_per_s" },
+		.start_s = { .name = "distribution.start",
+		    .x = "vms",
+		    .y = "s" },
+		.spread = { .name = "distribution.spread_start_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
+		.spread_s = { .name = "distribution.spread_start",
+		    .x = "vms",
+		    .y = "s" },
 		.steady = { .name = "distribution.steady_reads",
 		    .x = "vms",
 		    .y = "per_s" },
@@ -567,12 +602,15 @@
 		    .x = "vms",
 		    .y = "bytes" },
 	};
-	series_t *all[] = { &r.start, &r.steady, &r.slowest, &r.zone, &r.zone_s,
-		&r.cut, &r.cut_s, &r.outage, &r.back, &r.rack_s, &r.held };
+	series_t *all[] = { &r.start, &r.start_s, &r.spread, &r.spread_s,
+		&r.steady, &r.slowest, &r.zone, &r.zone_s, &r.cut, &r.cut_s,
+		&r.outage, &r.back, &r.rack_s, &r.held };
 	size_t i;
 
-	for (i = 0; i < MEASURE_SIZES && size[i] != 0; i++)
+	for (i = 0; i < MEASURE_SIZES && size[i] != 0; i++) {
+		measure_spread_start(plan, zones, size[i], &r);
 		measure_fleet(plan, zones, size[i], &r);
+	}
 	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++)
 		series_print(all[i]);
 }
--- a/lib/confdist/fetch.c
+++ b/lib/confdist/fetch.c
@@ -1,8 +1,6 @@
 #include "internal.h"
 
 enum {
-	/* Spreads the first reads of a zone that starts at once. */
-	START_WINDOW_US = 1000000,
 	/*
 	 * Probes of a zone without contact: 10 a second.  With 100 a second,
 	 * the platform's return 10 s after contact ended brings 5945 reads a
@@ -294,6 +292,29 @@
 	return fetch->next_us;
 }
 
+static bool
+has_documents(const kf_confdist_t *c)
+{
+	size_t kind;
+
+	for (kind = 0; kind < KF_DOC_KINDS; kind++) {
+		if (c->kinds[kind].doc.parsed == NULL)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A VM whose peers answer within the start window leaves the platform alone.
+ * While one document is missing it reads, because a peer may claim a version
+ * that it cannot deliver.
+ */
+static bool
+is_first_probe_due(const kf_confdist_t *c, int64_t now_us)
+{
+	return c->watcher || !has_documents(c) || !is_confirmed(c, now_us);
+}
+
 static bool
 is_platform_due(kf_confdist_t *c, int64_t now_us, kf_doc_kind_t kind)
 {
@@ -303,12 +324,8 @@
 	if (fetch->outstanding || now_us < next_fetch_us(c, fetch))
 		return false;
 	/* Until the first probe ends, the size of the zone is not known. */
-	if (kind != probe_kind && probe->answered_us < 0 &&
-	    probe->backoff_us == 0)
-		return false;
-	if (kind == probe_kind && probe->answered_us < 0 &&
-	    probe->backoff_us == 0)
-		return true;
+	if (probe->answered_us < 0 && probe->backoff_us == 0)
+		return kind == probe_kind && is_first_probe_due(c, now_us);
 	return c->watcher || is_probe_due(c, now_us, kind);
 }
 
@@ -410,8 +427,8 @@
 	if (c->config.seed_count == 0)
 		return;
 	for (kind = 0; kind < KF_DOC_KINDS; kind++)
-		c->kinds[kind].platform.next_us =
-		    now_us + confdist_random(c, START_WINDOW_US);
+		c->kinds[kind].platform.next_us = now_us +
+		    confdist_random(c, (uint32_t)c->config.start_window_us);
 }
 
 void
--- a/lib/confdist/include/kf/confdist.h
+++ b/lib/confdist/include/kf/confdist.h
@@ -48,6 +48,8 @@
 	KF_PLATFORM_TIMEOUT_US = 3000000,
 	KF_PEER_TIMEOUT_US = 1000000,
 	KF_CONFIRMED_NEVER_MS = -1,
+	KF_START_WINDOW_US = 1000000,
+	KF_START_WINDOW_MAX_US = 60000000,
 };
 
 typedef struct kf_doc_version {
@@ -93,6 +95,12 @@
 	uint32_t zone;
 	uint64_t seed;
 	uint32_t seed_count; /* addresses in the settings */
+	/*
+	 * With seeds, the first reads of the platform are spread over this
+	 * time, at most KF_START_WINDOW_MAX_US.  A VM that gets every document
+	 * and recent contact from peers before that does not read.
+	 */
+	int64_t start_window_us;
 	kf_doc_ops_t ops;
 } kf_confdist_config_t;
 
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -25,6 +25,7 @@
 		.zone = c->config.membership.zone,
 		.seed = c->config.seed,
 		.seed_count = c->config.seed_count,
+		.start_window_us = c->config.start_window_ms * 1000,
 		.ops = documents_ops(c),
 	};
 	uint32_t i;
--- a/lib/control/include/kf/control.h
+++ b/lib/control/include/kf/control.h
@@ -60,6 +60,7 @@
 	kf_membership_config_t membership;
 	const kf_addr_t *seeds;
 	uint32_t seed_count;
+	int64_t start_window_ms;
 	uint64_t seed; /* of random choices */
 	kf_control_ops_t ops;
 } kf_control_config_t;
--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -189,6 +189,7 @@
 		},
 		.seeds = s->seeds,
 		.seed_count = s->seed_count,
+		.start_window_ms = s->start_window_ms,
 		.seed = self.incarnation * 17 + self.vm,
 		.ops = {
 			.ctx = t,
--- a/lib/settings/include/kf/settings.h
+++ b/lib/settings/include/kf/settings.h
@@ -54,6 +54,7 @@
 	/* [platform] */
 	char platform_url[KF_SETTINGS_TEXT_BYTES];
 	int64_t poll_wait_ms;
+	int64_t start_window_ms;
 	uint32_t seed_count;
 	kf_addr_t seeds[KF_SETTINGS_MAX_SEEDS]; /* control addresses */
 
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -9,6 +9,7 @@
 	MIB = 1024 * 1024,
 	/* A longer wait keeps a watch on a platform that went silent. */
 	POLL_WAIT_MAX_MS = 60000,
+	START_WINDOW_MAX_MS = 60000,
 	TOKEN_LIFETIME_MIN_S = 60,
 	TOKEN_LIFETIME_MAX_S = 7 * 86400,
 	MAX_SECTIONS = 8,
@@ -48,6 +49,10 @@
 	{ "platform", "poll_wait_ms", KF_FIELD_I64, PLACE(poll_wait_ms),
 	    .unit = "ms", .min = 0, .max = POLL_WAIT_MAX_MS,
 	    .fallback = "10000", .text = "longest wait of a watch" },
+	{ "platform", "start_window_ms", KF_FIELD_I64, PLACE(start_window_ms),
+	    .unit = "ms", .min = 0, .max = START_WINDOW_MAX_MS,
+	    .fallback = "1000",
+	    .text = "with seeds, spreads the first reads of the platform" },
 	{ "platform", "seeds", KF_FIELD_CUSTOM, .set = set_seeds,
 	    .unit = "ip:port ...", .fallback = "",
 	    .text = "control addresses of peers asked at the start" },
--- a/tests/unit/confdist_test.cc
+++ b/tests/unit/confdist_test.cc
@@ -68,6 +68,7 @@
 	Parser parser;
 	std::unique_ptr<kf_confdist_t, Deleter> c;
 	std::vector<Fetch> fetches; /* of the last tick */
+	int64_t start_window_us = KF_START_WINDOW_US;
 
 	void Start(uint32_t vm, uint32_t zone, uint32_t seeds, uint64_t seed)
 	{
@@ -77,6 +78,7 @@
 		config.zone = zone;
 		config.seed = seed;
 		config.seed_count = seeds;
+		config.start_window_us = start_window_us;
 		config.ops = { &parser, Parser::Parse, Parser::Free,
 			Parser::RevisionOf };
 		c.reset(kf_confdist_new(&config));
@@ -302,6 +304,72 @@
 	EXPECT_GE(probes, 1);
 }
 
+/*
+ * Guards against a fleet that reads the platform at the same moment when all
+ * its VMs start: the first reads use the whole window.
+ */
+TEST_F(Confdist, FirstReadsUseTheStartWindow)
+{
+	const int64_t window = 10 * kSecond;
+	int in_half = 0, total = 0;
+
+	for (uint32_t vm = 1; vm <= 400; vm++) {
+		Node each;
+
+		each.start_window_us = window;
+		each.Start(vm, 1, 2, vm);
+		for (int64_t now = 0; now <= window; now += kStep) {
+			each.Tick(now);
+			auto read = std::find_if(each.fetches.begin(),
+			    each.fetches.end(),
+			    [](const Fetch &f) { return f.platform; });
+
+			if (read == each.fetches.end())
+				continue;
+			EXPECT_EQ(KF_DOC_VMS, read->kind);
+			in_half += now < window / 2;
+			total++;
+			break;
+		}
+	}
+	EXPECT_EQ(400, total);
+	EXPECT_GT(in_half, 150);
+	EXPECT_LT(in_half, 250);
+}
+
+/*
+ * Guards against reads that peers have made superfluous, and against a VM
+ * that trusts peers which lack a document: it must read the platform.
+ */
+TEST_F(Confdist, PeersWithinTheStartWindowReplaceTheFirstRead)
+{
+	for (bool complete : { true, false }) {
+		std::vector<uint32_t> vms;
+		bool read = false;
+		Node each;
+
+		each.start_window_us = 10 * kSecond;
+		each.Start(1, 1, 2, 1);
+		each.Tick(0);
+		for (uint32_t vm = 2; kf_confdist_is_watcher(each.c.get());
+		     vm++) {
+			vms.push_back(vm);
+			kf_confdist_set_zone_members(
+			    each.c.get(), vms.data(), vms.size());
+		}
+		each.Document(0, "1", 1, { 2, 0 }, KF_DOC_VMS);
+		each.Document(0, "1", 1, { 2, 0 }, KF_DOC_KEYS);
+		if (complete)
+			each.Document(0, "1", 1, { 2, 0 });
+		for (int64_t now = kStep; now < 15 * kSecond; now += kStep) {
+			each.Hear(now, 2, { 1, 1 }, 0);
+			for (const Fetch &fetch : each.Tick(now))
+				read = read || fetch.platform;
+		}
+		EXPECT_EQ(!complete, read);
+	}
+}
+
 TEST_F(Confdist, ZoneHasTwoWatchers)
 {
 	for (uint32_t zone = 1; zone < 20; zone++) {
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -44,6 +44,7 @@
 	EXPECT_EQ(1u, s->traffic_threads);
 	EXPECT_EQ(KF_ENCAPSULATION_PROXY_V2, s->encapsulation);
 	EXPECT_EQ(10000, s->poll_wait_ms);
+	EXPECT_EQ(1000, s->start_window_ms);
 	EXPECT_EQ(0u, s->seed_count);
 	EXPECT_EQ(3600, s->token_lifetime_s);
 	EXPECT_EQ(0u, s->ingress_packets_per_s);
