Remove the forward flag that no receiver reads

Cause: three callers passed to_backup as true, so that KF_FORWARD_TO_BACKUP was sent, but on_forward reads only KF_FORWARD_MAY_HAVE_RUN; the receiver routes by its own view. Ruled out: removing the flags field, which the other flag still needs; changing that flag's value, which is on the wire. Bit 0 of the field is reserved: zero when sent, ignored when received. Golden files: unchanged, the flag is not visible in them. The generated header loses one line, its codec is unchanged.

--- a/lib/traffic/handover.c
+++ b/lib/traffic/handover.c
@@ -432,7 +432,7 @@
 			continue;
 		if (skip-- > 0)
 			continue;
-		peer_forward(t, pkt, best[i].vm, false);
+		peer_forward(t, pkt, best[i].vm);
 		return true;
 	}
 	return false;
--- a/lib/traffic/ingress.c
+++ b/lib/traffic/ingress.c
@@ -224,14 +224,13 @@
 
 /* Sends the packet to a VM, or to the right shard of this one. */
 static void
-ingress_send(
-    kf_traffic_t *t, packet_t *pkt, const kf_view_vm_t *vm, bool to_backup)
+ingress_send(kf_traffic_t *t, packet_t *pkt, const kf_view_vm_t *vm)
 {
 	if (pkt->hops >= COPY_HOPS_MAX) {
 		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
 		return;
 	}
-	peer_forward(t, pkt, vm, to_backup);
+	peer_forward(t, pkt, vm);
 }
 
 static void
@@ -256,7 +255,7 @@
 	else if (vm == NULL || vm->peer_addr.port == 0)
 		packet_drop(t, pkt, KF_REASON_OWNER_LOST);
 	else
-		ingress_send(t, pkt, vm, true);
+		ingress_send(t, pkt, vm);
 }
 
 /* Routes a packet with a token to the VM that may decide about it. */
@@ -279,7 +278,7 @@
 	}
 	liveness = lease_liveness(t, pkt->token.owner, pkt->token.upstream);
 	if (liveness < KF_VM_DEAD && vm != NULL && vm->peer_addr.port != 0) {
-		ingress_send(t, pkt, vm, false);
+		ingress_send(t, pkt, vm);
 		return;
 	}
 	/*
--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -49,7 +49,7 @@
 	if (kf_flow_reason(t->flows, id) == KF_REASON_FENCED && vm != NULL &&
 	    vm->liveness < KF_VM_DEAD && vm->peer_addr.port != 0 &&
 	    pkt->hops < FORWARD_HOPS_MAX)
-		peer_forward(t, pkt, vm, true);
+		peer_forward(t, pkt, vm);
 	else
 		packet_unknown(t, pkt, KF_REASON_IN_DOUBT);
 }
@@ -315,6 +315,6 @@
 
 	t->fenced = true;
 	if (vm != NULL && vm->peer_addr.port != 0)
-		peer_forward_request(t, req, &req->token, vm, true);
+		peer_forward_request(t, req, &req->token, vm);
 	request_silent(t, req, KF_REASON_FENCED);
 }
--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -51,8 +51,7 @@
 
 /* Sends a caller's datagram with its token to the VM that decides. */
 void
-peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm,
-    bool to_backup)
+peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm)
 {
 	kf_peer_msg msg = { .body.type = KF_PEER_FORWARD };
 	kf_peer_forward *f = &msg.body.kf_peer_body_u.forward;
@@ -64,7 +63,7 @@
 	}
 	memcpy(token, pkt->token_bytes, sizeof(token));
 	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
-	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
+	f->flags = 0;
 	f->hops = pkt->hops + 1;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	forward_decision(t, pkt, vm);
@@ -74,7 +73,7 @@
 /* Sends a request this VM holds to the owner that token names. */
 void
 peer_forward_request(kf_traffic_t *t, const request_t *req,
-    const kf_token_t *token, const kf_view_vm_t *vm, bool to_backup)
+    const kf_token_t *token, const kf_view_vm_t *vm)
 {
 	kf_peer_msg msg = { .body.type = KF_PEER_FORWARD };
 	kf_peer_forward *f = &msg.body.kf_peer_body_u.forward;
@@ -102,9 +101,7 @@
 		return;
 	forward_fill(f, &req->route, sealed, t->buf, len);
 	f->hops = req->hops + 1;
-	f->flags = to_backup ? KF_FORWARD_TO_BACKUP : 0;
-	if (req->may_have_run)
-		f->flags |= KF_FORWARD_MAY_HAVE_RUN;
+	f->flags = req->may_have_run ? KF_FORWARD_MAY_HAVE_RUN : 0;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	peer_send(t, kf_view_shard_addr(vm, token->upstream), &msg);
 }
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -227,7 +227,7 @@
 	if (!req->recorded)
 		recent_note(t, req->id.flow, req->id.xid, KF_REASON_NONE);
 	request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, vm->name);
-	peer_forward_request(t, req, token, vm, false);
+	peer_forward_request(t, req, token, vm);
 	request_delete(t, req);
 }
 
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -314,10 +314,9 @@
     kf_reason_t reason, const char *vm);
 
 /* peer_link.c */
-void peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm,
-    bool to_backup);
+void peer_forward(kf_traffic_t *t, const packet_t *pkt, const kf_view_vm_t *vm);
 void peer_forward_request(kf_traffic_t *t, const request_t *req,
-    const kf_token_t *token, const kf_view_vm_t *vm, bool to_backup);
+    const kf_token_t *token, const kf_view_vm_t *vm);
 void peer_intent(kf_traffic_t *t, request_t *req);
 void peer_intent_answer(
     kf_traffic_t *t, kf_vm_id_t to, const kf_peer_intent *intent, bool ack);
--- a/lib/wire/peer_msg.x
+++ b/lib/wire/peer_msg.x
@@ -76,8 +76,10 @@
 	kf_peer_digest digests<KF_PEER_MAX_DIGESTS>;
 };
 
-/* Flags of a forwarded request. */
-const KF_FORWARD_TO_BACKUP = 1; /* the sender holds the owner for dead */
+/*
+ * Flags of a forwarded request.  Bit 0 is reserved: zero when sent, ignored
+ * when received.
+ */
 const KF_FORWARD_MAY_HAVE_RUN = 2; /* an attempt got no reply */
 
 /* A caller's datagram handed to the VM that owns its flow. */
