Share the creation of the baseline models that keep records

Cause: owner.c and tracking.c allocated and freed the same records with the same lines, and each declared the record. Change: record_model_t is the first member of both models; its create and destroy serve both. Ruled out: sharing views and costs as well, because only creation and destruction were the same in full.

--- a/bench/baselines/owner.c
+++ b/bench/baselines/owner.c
@@ -1,56 +1,24 @@
-#include <stdlib.h>
 #include <string.h>
 
-#include "kf/bench_model.h"
 #include "kf/placement.h"
+#include "record_model.h"
 
 enum {
 	/* Flow id, upstream and time of the last packet. */
 	RECORD_BYTES = 8 + 4 + 4,
-	NOT_HELD = 0,
 };
 
-/* A flow's record at one balancer. */
-typedef struct record {
-	uint32_t upstream; /* or NOT_HELD */
-	int64_t from_us;   /* on its way until then */
-} record_t;
-
 typedef struct owner_model {
-	kf_model_config_t config;
+	record_model_t base;
 	kf_model_view_t views[KF_MODEL_VMS_MAX];
 	double placed[KF_MODEL_VMS_MAX][KF_MODEL_UPSTREAMS_MAX];
-	record_t *records[KF_MODEL_VMS_MAX];
 	uint64_t control_bytes;
 } owner_model_t;
 
 static void *
 owner_create(const kf_model_config_t *config)
 {
-	owner_model_t *m;
-	uint32_t i;
-
-	m = calloc(1, sizeof(*m));
-	if (m == NULL)
-		abort();
-	m->config = *config;
-	for (i = 0; i < config->vms; i++) {
-		m->records[i] = calloc(config->flows, sizeof(record_t));
-		if (m->records[i] == NULL)
-			abort();
-	}
-	return m;
-}
-
-static void
-owner_destroy(void *model)
-{
-	owner_model_t *m = model;
-	uint32_t i;
-
-	for (i = 0; i < m->config.vms; i++)
-		free(m->records[i]);
-	free(m);
+	return record_model_create(config, sizeof(owner_model_t));
 }
 
 static void
@@ -67,10 +35,10 @@
 	uint64_t score, best = 0;
 	uint32_t i, owner = 0;
 
-	for (i = 0; i < m->config.vms; i++) {
+	for (i = 0; i < m->base.config.vms; i++) {
 		if ((members & (1U << i)) == 0)
 			continue;
-		score = kf_rendezvous_score(i, m->config.seed, flow);
+		score = kf_rendezvous_score(i, m->base.config.seed, flow);
 		if (score >= best) {
 			best = score;
 			owner = i;
@@ -86,8 +54,8 @@
 	uint64_t sent_bytes = 0;
 	uint32_t flow, owner;
 
-	for (flow = 0; flow < m->config.flows; flow++) {
-		record_t *record = &m->records[vm][flow];
+	for (flow = 0; flow < m->base.config.flows; flow++) {
+		record_t *record = &m->base.records[vm][flow];
 
 		if (record->upstream == NOT_HELD)
 			continue;
@@ -95,11 +63,11 @@
 		if (owner == vm)
 			continue;
 		sent_bytes += RECORD_BYTES;
-		m->records[owner][flow] = (record_t){
+		m->base.records[owner][flow] = (record_t){
 			.upstream = record->upstream,
-			.from_us = now_us + m->config.link_us +
+			.from_us = now_us + m->base.config.link_us +
 			    (int64_t)((double)sent_bytes * 1e6 /
-				m->config.bytes_per_s),
+				m->base.config.bytes_per_s),
 		};
 		record->upstream = NOT_HELD;
 	}
@@ -123,7 +91,7 @@
 {
 	owner_model_t *m = model;
 
-	memset(m->records[vm], 0, m->config.flows * sizeof(record_t));
+	memset(m->base.records[vm], 0, m->base.config.flows * sizeof(record_t));
 }
 
 static int
@@ -162,7 +130,7 @@
 {
 	owner_model_t *m = model;
 	uint32_t owner = owner_of(m, m->views[vm].vms, flow);
-	record_t *record = &m->records[owner][flow];
+	record_t *record = &m->base.records[owner][flow];
 	kf_model_route_t route = { 0 };
 
 	if (record->upstream != NOT_HELD && record->from_us <= now_us) {
@@ -182,9 +150,9 @@
 	kf_model_cost_t cost = { .control_bytes = m->control_bytes };
 	uint32_t vm, flow;
 
-	for (vm = 0; vm < m->config.vms; vm++) {
-		for (flow = 0; flow < m->config.flows; flow++) {
-			if (m->records[vm][flow].upstream != NOT_HELD)
+	for (vm = 0; vm < m->base.config.vms; vm++) {
+		for (flow = 0; flow < m->base.config.flows; flow++) {
+			if (m->base.records[vm][flow].upstream != NOT_HELD)
 				cost.memory_bytes += RECORD_BYTES;
 		}
 	}
@@ -194,7 +162,7 @@
 const kf_model_ops_t kf_model_owner = {
 	.name = "owner_handover",
 	.create = owner_create,
-	.destroy = owner_destroy,
+	.destroy = record_model_destroy,
 	.announce = owner_announce,
 	.adopt = owner_adopt,
 	.kill = owner_kill,
--- a/bench/baselines/tracking.c
+++ b/bench/baselines/tracking.c
@@ -1,20 +1,12 @@
-#include <stdlib.h>
+#include "record_model.h"
 
-#include "kf/bench_model.h"
-
-enum { RECORD_BYTES = 8 + 4, NOT_HELD = 0 };
-
-typedef struct record {
-	uint32_t upstream; /* or NOT_HELD */
-	int64_t from_us;   /* on its way until then */
-} record_t;
+enum { RECORD_BYTES = 8 + 4 };
 
 typedef struct tracking_model {
-	kf_model_config_t config;
+	record_model_t base;
 	kf_model_view_t views[KF_MODEL_VMS_MAX];
 	kf_model_view_t next;
 	bool announced;
-	record_t *records[KF_MODEL_VMS_MAX];
 	/* When the control traffic of a balancer is free again. */
 	int64_t busy_until_us[KF_MODEL_VMS_MAX];
 	uint64_t control_bytes;
@@ -23,30 +15,7 @@
 static void *
 tracking_create(const kf_model_config_t *config)
 {
-	tracking_model_t *m;
-	uint32_t i;
-
-	m = calloc(1, sizeof(*m));
-	if (m == NULL)
-		abort();
-	m->config = *config;
-	for (i = 0; i < config->vms; i++) {
-		m->records[i] = calloc(config->flows, sizeof(record_t));
-		if (m->records[i] == NULL)
-			abort();
-	}
-	return m;
-}
-
-static void
-tracking_destroy(void *model)
-{
-	tracking_model_t *m = model;
-	uint32_t i;
-
-	for (i = 0; i < m->config.vms; i++)
-		free(m->records[i]);
-	free(m);
+	return record_model_create(config, sizeof(tracking_model_t));
 }
 
 static void
@@ -81,21 +50,21 @@
 track(tracking_model_t *m, int64_t now_us, uint32_t vm, uint32_t flow,
     uint32_t upstream)
 {
-	uint32_t bytes = RECORD_BYTES * (m->config.vms - 1), i;
+	uint32_t bytes = RECORD_BYTES * (m->base.config.vms - 1), i;
 	int64_t *busy = &m->busy_until_us[vm];
 
 	if (*busy < now_us)
 		*busy = now_us;
-	*busy += (int64_t)(bytes * 1e6 / m->config.bytes_per_s);
+	*busy += (int64_t)(bytes * 1e6 / m->base.config.bytes_per_s);
 	m->control_bytes += bytes;
-	for (i = 0; i < m->config.vms; i++) {
-		record_t *record = &m->records[i][flow];
+	for (i = 0; i < m->base.config.vms; i++) {
+		record_t *record = &m->base.records[i][flow];
 
 		if (i == vm)
 			*record = (record_t){ upstream, now_us };
 		else if (record->upstream == NOT_HELD)
-			*record =
-			    (record_t){ upstream, *busy + m->config.link_us };
+			*record = (record_t){ upstream,
+				*busy + m->base.config.link_us };
 	}
 }
 
@@ -115,7 +84,7 @@
 tracking_route(void *model, int64_t now_us, uint32_t vm, uint32_t flow)
 {
 	tracking_model_t *m = model;
-	const record_t *record = &m->records[vm][flow];
+	const record_t *record = &m->base.records[vm][flow];
 	kf_model_route_t route = { 0 };
 
 	if (record->upstream != NOT_HELD && record->from_us <= now_us &&
@@ -123,9 +92,11 @@
 		route.upstream = record->upstream;
 		return route;
 	}
-	route.upstream = kf_model_choose(&m->views[vm], m->config.seed, flow);
+	route.upstream =
+	    kf_model_choose(&m->views[vm], m->base.config.seed, flow);
 	if (m->announced && record->upstream == NOT_HELD &&
-	    kf_model_choose(&m->next, m->config.seed, flow) != route.upstream)
+	    kf_model_choose(&m->next, m->base.config.seed, flow) !=
+		route.upstream)
 		track(m, now_us, vm, flow, route.upstream);
 	return route;
 }
@@ -137,9 +108,9 @@
 	kf_model_cost_t cost = { .control_bytes = m->control_bytes };
 	uint32_t vm, flow;
 
-	for (vm = 0; vm < m->config.vms; vm++) {
-		for (flow = 0; flow < m->config.flows; flow++) {
-			if (m->records[vm][flow].upstream != NOT_HELD)
+	for (vm = 0; vm < m->base.config.vms; vm++) {
+		for (flow = 0; flow < m->base.config.flows; flow++) {
+			if (m->base.records[vm][flow].upstream != NOT_HELD)
 				cost.memory_bytes += RECORD_BYTES;
 		}
 	}
@@ -149,7 +120,7 @@
 const kf_model_ops_t kf_model_tracking = {
 	.name = "hash_tracking",
 	.create = tracking_create,
-	.destroy = tracking_destroy,
+	.destroy = record_model_destroy,
 	.announce = tracking_announce,
 	.adopt = tracking_adopt,
 	.kill = tracking_kill,
