Set up the queue tests of the traffic core in one place

Cause: three tests of queued requests began with the same lines. Change: QueueRequests sends the 30 requests; no check has changed. Left alone: ServiceIsWithdrawn and LeavingVmHandsItsQueueOver, which establish their flows while the upstreams hold, and CopyOfAMovedReadIsNotRefused, which sends each request to the owner of its flow. Result: the three tests log the same lines before and after; tests/run build unit: 234 passed, 0 failed.

--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -95,6 +95,19 @@
 			callers.push_back(Flow());
 		return callers;
 	}
+	/* More requests than the upstreams, which hold them, have slots. */
+	std::vector<int> QueueRequests()
+	{
+		std::vector<int> callers = Flows(30);
+		std::vector<int> all;
+
+		SetModes(HOLD);
+		for (int i = 0; i < 30; i++)
+			all.push_back(
+			    w->Send(callers[i], i % 2 ? WRITE : READ, 0));
+		w->Run(50);
+		return all;
+	}
 	void ExpectNothing(int r)
 	{
 		EXPECT_EQ(0, Req(r).answered + Req(r).denied + Req(r).unknown);
@@ -781,13 +794,8 @@
 /* Guards against requests left in the queue of a draining upstream. */
 TEST_F(Traffic, DrainEmptiesTheQueue)
 {
-	std::vector<int> all;
+	std::vector<int> all = QueueRequests();
 
-	std::vector<int> callers = Flows(30);
-	SetModes(HOLD);
-	for (int i = 0; i < 30; i++)
-		all.push_back(w->Send(callers[i], i % 2 ? WRITE : READ, 0));
-	w->Run(50);
 	text.drained = "a";
 	Redeclare();
 	SetModes(ANSWER);
@@ -817,13 +825,8 @@
 /* Guards against a queue that an upstream takes to another service. */
 TEST_F(Traffic, UpstreamMovesToAnotherService)
 {
-	std::vector<int> all;
+	std::vector<int> all = QueueRequests();
 
-	std::vector<int> callers = Flows(30);
-	SetModes(HOLD);
-	for (int i = 0; i < 30; i++)
-		all.push_back(w->Send(callers[i], i % 2 ? WRITE : READ, 0));
-	w->Run(50);
 	text.moved = "b";
 	Redeclare();
 	SetModes(ANSWER);
@@ -837,13 +840,8 @@
 /* Guards against queued requests lost with a removed upstream. */
 TEST_F(Traffic, UpstreamIsRemovedWhileRequestsAreQueued)
 {
-	std::vector<int> all;
+	std::vector<int> all = QueueRequests();
 
-	std::vector<int> callers = Flows(30);
-	SetModes(HOLD);
-	for (int i = 0; i < 30; i++)
-		all.push_back(w->Send(callers[i], i % 2 ? WRITE : READ, 0));
-	w->Run(50);
 	text.removed = "a";
 	Redeclare();
 	SetModes(ANSWER);
