Name the factor of a remote upstream in slow start

Cause: place.c weighed an upstream whose digest says cold by a bare 0.5. The owner weighs it by kf_upstream_state_weight, which rises linearly from 0.1 to 1 in 30 s; the digest has one bit for this, so others use a constant near the mean of 0.55. Ruled out: 0.55, which would change the behaviour. Result: the machine code of place.c is the same before and after; tests/run build unit: 234 passed, 0 failed.

--- a/lib/traffic/place.c
+++ b/lib/traffic/place.c
@@ -9,6 +9,12 @@
 	SPILL_EXCESS_SLOTS = 4,
 };
 
+/*
+ * A digest tells that slow start is in progress, not how far it is, so this is
+ * near the mean (0.55) of the owner's slow-start factor, a line from 0.1 to 1.
+ */
+static const double remote_cold_factor = 0.5;
+
 uint32_t
 place_index(const kf_traffic_t *t, uint32_t upstream_id)
 {
@@ -36,7 +42,7 @@
 		return serving_usable(t, s);
 	}
 	if (vu->digest.flags & KF_DIGEST_COLD)
-		*factor = 0.5;
+		*factor = remote_cold_factor;
 	return !(vu->digest.flags & (KF_DIGEST_EJECTED | KF_DIGEST_DRAINING));
 }
 
