Keep the mark of an earlier attempt when a request is forwarded again

Cause: FORWARD tells with KF_FORWARD_MAY_HAVE_RUN that an attempt at the idempotent request got no reply. A VM that receives it but is not its owner (another shard, or a view that differs) forwards it once more, and that message always had flags 0. The owner could then refuse a request as not run that had run.

Ruled out: requests whose token names a VM that has gone; a forwarded one is dropped there. Found by reading; no run has shown a false refusal from it.

Before: the new test sees flags 0 in the second FORWARD. After: the mark is there. Conclusion: the packet carries the mark, so each message repeats it.

--- a/lib/traffic/peer_link.c
+++ b/lib/traffic/peer_link.c
@@ -63,7 +63,7 @@
 	}
 	memcpy(token, pkt->token_bytes, sizeof(token));
 	forward_fill(f, &pkt->route, token, (uint8_t *)pkt->data, pkt->len);
-	f->flags = 0;
+	f->flags = pkt->may_have_run ? KF_FORWARD_MAY_HAVE_RUN : 0;
 	f->hops = pkt->hops + 1;
 	kf_counters_add(&t->counters, KF_COUNT_FORWARDED, 1);
 	forward_decision(t, pkt, vm);
--- a/tests/unit/support/traffic_world.h
+++ b/tests/unit/support/traffic_world.h
@@ -466,6 +466,27 @@
 		}
 		return -1;
 	}
+	/* Flags of a queued FORWARD, or'ed with more before it is delivered. */
+	uint32_t ForwardFlags(size_t event, uint32_t more = 0)
+	{
+		Bytes &data = events[event].data;
+		int64_t now_s = Now().wall_ms / 1000;
+		Bytes out(data.size());
+		kf_peer_msg msg;
+		uint32_t flags;
+		size_t len = 0;
+
+		if (kf_peer_open(
+			data.data(), data.size(), keys_, now_s, &msg) != KF_OK)
+			return UINT32_MAX;
+		msg.body.kf_peer_body_u.forward.flags |= more;
+		flags = msg.body.kf_peer_body_u.forward.flags;
+		kf_peer_seal(&msg, keys_, now_s, out.data(), out.size(), &len);
+		kf_peer_free(&msg);
+		out.resize(len);
+		data = out;
+		return flags;
+	}
 	static kf_peer_type PeerType(const Bytes &data)
 	{
 		/* Key, VM and incarnation come first. */
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -966,6 +966,30 @@
 		EXPECT_FALSE(Req(r).executed > 0 && Req(r).denied > 0);
 }
 
+/*
+ * Guards against a request that has run elsewhere and is refused as not run
+ * because a second forward does not pass the mark on.
+ */
+TEST_F(Traffic, SecondForwardKeepsTheMarkOfAnEarlierAttempt)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+	size_t first = (owner + 1) % 3, second = (owner + 2) % 3;
+	int r = w->NewRequest(caller, READ);
+
+	w->Deliver(r, first);
+	int sent = w->FindPeer(KF_PEER_FORWARD);
+	ASSERT_GE(sent, 0);
+	ASSERT_EQ(0u, w->ForwardFlags((size_t)sent));
+	w->ForwardFlags((size_t)sent, KF_FORWARD_MAY_HAVE_RUN);
+	w->events[(size_t)sent].core = second;
+	w->Step((size_t)sent);
+	sent = w->FindPeer(KF_PEER_FORWARD);
+	ASSERT_GE(sent, 0);
+	EXPECT_EQ(
+	    (uint32_t)KF_FORWARD_MAY_HAVE_RUN, w->ForwardFlags((size_t)sent));
+}
+
 /* Guards against a copy of a moved request sent to a dead VM for ever. */
 TEST_F(Traffic, CopyOfAMovedRequestFindsTheBackupOfItsNewOwner)
 {
