Cut balancers from each other and lose their datagrams in process tests

Cause: a partition between balancers while both sides serve callers, and lost datagrams between balancers and to and from upstreams, were shown for the cores only, because the daemon has no fault to switch on.

--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -15,6 +15,9 @@
 # A revision is in force everywhere in 3 s.
 settle_s=3
 load_pids=
+# Program names; tests that cause network faults use those with -faulty.
+fleet_balancer=knapweedd
+fleet_upstream=standin-upstream
 
 # ini_value FILE SECTION KEY
 ini_value() {
@@ -108,7 +111,7 @@
 start_solo() {
 	service=$(ini_value "$declaration" "upstream $fleet_solo" service)
 	# shellcheck disable=SC2046 # two words
-	start upstreams-solo "$bin/standin-upstream" --seed 9 \
+	start upstreams-solo "$bin/$fleet_upstream" --seed 9 \
 	    --service-time-us "$(service_us "$service")" \
 	    --ledger "$work/ledger-solo" --control "$net.10:8100" \
 	    $(upstream_option "$fleet_solo")
@@ -126,7 +129,7 @@
 			set -- "$@" $(upstream_option "$upstream")
 		done
 		tag=$(service_tag "$service")
-		start "upstreams-$service" "$bin/standin-upstream" \
+		start "upstreams-$service" "$bin/$fleet_upstream" \
 		    --seed "$tag" --service-time-us "$(service_us "$service")" \
 		    --ledger "$work/ledger-$tag" \
 		    --control "$net.10:$((8100 + tag))" "$@"
@@ -159,7 +162,7 @@
 	kf_log=$work/balancer-$1.log
 	[ ! -f "$kf_log" ] ||
 	    mv "$kf_log" "$work/balancer-$1.$(date +%s%N).log"
-	start "balancer-$1" "$bin/knapweedd" \
+	start "balancer-$1" "$bin/$fleet_balancer" \
 	    --config "$conf/balancer-$1.ini"
 }
 
@@ -365,6 +368,34 @@
 	    "wrong_answer=$(total wrong_answer "$@")"
 }
 
+# netfault_rules [LINE...]: puts these rules in force in the programs with
+# -faulty; none end all faults.  See standin/netfault/README.md.
+netfault_rules() {
+	KF_NETFAULT_RULES=$work/netfault
+	export KF_NETFAULT_RULES
+	printf '%s\n' '# rules' "$@" >"$work/netfault.new"
+	mv "$work/netfault.new" "$work/netfault"
+}
+
+# netfault_sum KEY RULE: over all processes, as reported so far.  RULE counts
+# from 1 as the arguments of netfault_rules do.
+netfault_sum() {
+	cat "$work"/balancer-*.log "$work"/upstreams-*.log |
+	    grep "event=netfault rule=$(($2 + 1)) " | tr ' ' '\n' |
+	    sed -n "s/^$1=//p" | awk '{ n += $1 } END { print n + 0 }'
+}
+
+# Guards against rules without effect, with which a test would show nothing.
+check_netfault() { # RULES
+	for kf_each in $(seq 1 "$1"); do
+		kf_dropped=$(netfault_sum dropped "$kf_each")
+		kf_matched=$(netfault_sum matched "$kf_each")
+		echo "netfault rule $kf_each: dropped=$kf_dropped" \
+		    "of $kf_matched"
+		expect_some "datagrams dropped by rule $kf_each" "$kf_dropped"
+	done
+}
+
 # owners BALANCER: who owns each upstream, as this balancer sees it.
 owners() {
 	"$bin/knapctl" show upstreams --format kv --timeout-ms 5000 --server \
