--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -380,8 +380,8 @@
 # netfault_sum KEY RULE: over all processes, as reported so far.  RULE counts
 # from 1 as the arguments of netfault_rules do.
 netfault_sum() {
-	cat "$work"/balancer-*.log "$work"/upstreams-*.log |
-	    grep "event=netfault rule=$(($2 + 1)) " | tr ' ' '\n' |
+	cat "$work"/*.log | grep "event=netfault rule=$(($2 + 1)) " |
+	    tr ' ' '\n' |
 	    sed -n "s/^$1=//p" | awk '{ n += $1 } END { print n + 0 }'
 }
 
--- a/tests/process/netfault.sh
+++ b/tests/process/netfault.sh
@@ -34,14 +34,21 @@
 fi
 grep -q KF_NETFAULT "$bin/knapweedd-faulty" || fail "no netfault"
 
+# Guards against a cut that TCP passes: a new balancer asks its peers for
+# documents.
+netfault_rules '' '' "cut $net.31 $net.32"
+start_platform
+start_balancer 2
+start_balancer 1
+sleep 2
+
 # Guards against a count that does not tell rules with effect from others:
 # nothing has the address $net.99.
-netfault_rules
-fleet_start kowhai 2
 netfault_rules "loss 50 $net.31 $net.32" "cut $net.99 $net.32"
 sleep 2
 netfault_rules
 sleep 1
+expect_some "refused connects" "$(netfault_sum refused 3)"
 expect_some "dropped of a used pair" "$(netfault_sum dropped 1)"
 (
 	trap - EXIT
