Check the share of the flooded class with real processes

The flood tests printed the answers of the flooding class but passed when it got one. The bound is derived: slots of the service / service time * 8 s, times the class's reservation over the sum of the reservations of the classes that the declaration gives to the service. That is 960 requests for certs (bulk is its only class) and 746 for urgent orders (60 of 90).

--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -426,6 +426,44 @@
 	esac
 }
 
+# Classes of a service's procedures, as the declaration states them.
+service_classes() { # SERVICE
+	awk -v section="[service $1]" '
+	    /^\[/ { inside = $0 == section }
+	    inside && $1 == "class" { class = $3 }
+	    inside && $1 ~ /^procedure\./ { own[++n] = $4 }
+	    END { for (i = 1; i <= n; i++) print own[i] ? own[i] : class }' \
+	    "$declaration" | sort -u
+}
+
+reservation_percent() { # CLASS
+	case $1 in
+	urgent) echo 60 ;;
+	normal) echo 30 ;;
+	bulk) echo 10 ;;
+	*) fail "class $1" ;;
+	esac
+}
+
+# reserved_answers SERVICE CLASS SECONDS: requests that the slots reserved for
+# a class serve while it has work.  The classes of a service share its slots
+# in the ratio of their reservations.
+reserved_answers() {
+	kf_slots=0
+	for kf_each in $(ini_sections "$declaration" upstream); do
+		[ "$(ini_value "$declaration" "upstream $kf_each" \
+		    service)" = "$1" ] || continue
+		kf_slots=$((kf_slots + $(ini_value "$declaration" \
+		    "upstream $kf_each" slots)))
+	done
+	kf_reserved=0
+	for kf_each in $(service_classes "$1"); do
+		kf_reserved=$((kf_reserved + $(reservation_percent "$kf_each")))
+	done
+	echo $((kf_slots * 1000000 * $3 / $(service_us "$1") * \
+	    $(reservation_percent "$2") / kf_reserved))
+}
+
 # recovered CALLER: after the failure new load of both services must be
 # answered whole.
 recovered() {
