Remember how idempotent requests ended

Causes: - A call without a token was placed among the upstreams that digests show as healthy. Digests reach the VMs at different times, so copies went to different owners; one refused what the other ran. - A copy of a request that had moved to another owner was placed anew and started a second one there. - Refusals and answers were remembered for 2 s, but callers send copies for longer; a caller that was stopped sends them before it reads the refusal.

Each of the four new unit tests fails before this change.

Not covered: an entry that another overwrites, copies more than 5 s after a change of the VMs, calls without a token during a ramp (docs/PROOFS.md).

--- a/lib/traffic/owner.c
+++ b/lib/traffic/owner.c
@@ -123,13 +123,52 @@
 		owner_start(t, req);
 }
 
+/*
+ * Sends a copy of an idempotent request after the request, if it moved.  A copy
+ * follows once: if the new owner has ended, the copy may come back here.
+ */
+static bool
+owner_follow_move(kf_traffic_t *t, const packet_t *pkt)
+{
+	const uint8_t *token;
+	packet_t moved;
+
+	token = recent_moved(t, pkt->token.flow, pkt->call.xid);
+	if (token == NULL || pkt->followed)
+		return false;
+	moved = *pkt;
+	moved.new_flow = false;
+	moved.followed = true;
+	if (packet_set_token(t, &moved, token, KF_TOKEN_BYTES) !=
+	    KF_REASON_NONE)
+		return false;
+	ingress_route(t, &moved);
+	return true;
+}
+
+/*
+ * Returns true if an idempotent request may go on: this VM remembers neither
+ * that it refused the request nor where it went.
+ */
+static bool
+owner_check_recent(kf_traffic_t *t, const packet_t *pkt)
+{
+	kf_reason_t reason;
+
+	if (owner_follow_move(t, pkt))
+		return false;
+	reason = recent_refusal(t, pkt->token.flow, pkt->call.xid);
+	if (reason == KF_REASON_NONE)
+		return true;
+	packet_refuse(t, pkt, reason);
+	return false;
+}
+
 /* Handles a request whose token names this VM as the owner of its flow. */
 void
 owner_handle(kf_traffic_t *t, packet_t *pkt)
 {
-	kf_reason_t reason;
 	request_t *req;
-	bool recent;
 
 	req = request_find(t, pkt->token.flow, pkt->call.xid);
 	if (req != NULL &&
@@ -137,13 +176,8 @@
 		packet_drop(t, pkt, KF_REASON_DUPLICATE);
 		return;
 	}
-	recent = pkt->proc.idempotent &&
-	    recent_find(t, pkt->token.flow, pkt->call.xid, &reason);
-	if (recent && reason != KF_REASON_NONE) {
-		packet_refuse(t, pkt, reason);
-		return;
-	}
-	if (!pkt->proc.idempotent && !owner_check_record(t, pkt))
+	if (!(pkt->proc.idempotent ? owner_check_recent(t, pkt)
+				   : owner_check_record(t, pkt)))
 		return;
 	req = request_new(t, pkt);
 	if (req == NULL) {
@@ -151,8 +185,9 @@
 		packet_drop(t, pkt, KF_REASON_OVERLOAD);
 		return;
 	}
-	req->may_have_run = req->may_have_run || recent;
 	req->recorded = !pkt->proc.idempotent;
+	if (!req->recorded && recent_ran(t, req->id.flow, req->id.xid))
+		req->may_have_run = true;
 	req->alone = pkt->proc.idempotent || owner_alone(t, &pkt->token);
 	if (pkt->expired && req->recorded)
 		req->refuse_reason = KF_REASON_TOKEN_EXPIRED;
--- a/lib/traffic/request.c
+++ b/lib/traffic/request.c
@@ -199,7 +199,7 @@
 		    t, req, KF_ANSWERED, KF_REASON_NONE, t->buf, len + 1);
 	}
 	if (!req->recorded)
-		recent_note(t, req->id.flow, req->id.xid, KF_REASON_NONE);
+		recent_note_ran(t, req->id.flow, req->id.xid);
 	request_decision(t, req, KF_EVENT_ANSWER, KF_REASON_NONE, NULL);
 	request_delete(t, req);
 }
@@ -224,8 +224,10 @@
 	}
 	request_record(
 	    t, req, KF_ANSWERED, KF_REASON_NONE, stored, sizeof(stored));
-	if (!req->recorded)
-		recent_note(t, req->id.flow, req->id.xid, KF_REASON_NONE);
+	if (!req->recorded) {
+		recent_note_moved(t, req->id.flow, req->id.xid, stored + 1);
+		recent_note_ran(t, req->id.flow, req->id.xid);
+	}
 	request_decision(t, req, KF_EVENT_MOVE, KF_REASON_NONE, vm->name);
 	peer_forward_request(t, req, token, vm);
 	request_delete(t, req);
@@ -244,7 +246,7 @@
 	}
 	request_record(t, req, KF_NOT_RUN, reason, NULL, 0);
 	if (!req->recorded)
-		recent_note(t, req->id.flow, req->id.xid, reason);
+		recent_note_refused(t, req->id.flow, req->id.xid, reason);
 	kf_counters_add(&t->counters, KF_COUNT_REFUSED, 1);
 	reply_denied(t, &req->route, req->id.xid, reason);
 	request_decision(t, req, KF_EVENT_REFUSE, reason, NULL);
@@ -257,6 +259,8 @@
 {
 	dispatch_release(t, req, -1);
 	request_record(t, req, KF_MAY_HAVE_RUN, reason, NULL, 0);
+	if (!req->recorded)
+		recent_note_ran(t, req->id.flow, req->id.xid);
 	kf_counters_add(&t->counters, KF_COUNT_MAY_HAVE_RUN, 1);
 	reply_unknown(t, &req->route, req->id.xid);
 	request_decision(t, req, KF_EVENT_UNKNOWN, reason, NULL);
--- a/lib/traffic/traffic.c
+++ b/lib/traffic/traffic.c
@@ -218,6 +218,7 @@
 	kf_admission_tick(t->admission, now.mono_us);
 	dispatch_timeouts(t);
 	kf_flow_expire(t->flows, now.mono_us);
+	recent_tick(t);
 	if (t->view != NULL) {
 		lease_tick(t);
 		handover_tick(t);
--- a/lib/traffic/traffic_internal.h
+++ b/lib/traffic/traffic_internal.h
@@ -41,6 +41,7 @@
 	bool new_flow;	   /* the call came without a token */
 	uint32_t hops;	   /* times forwarded */
 	bool may_have_run; /* an attempt at another VM got no reply */
+	bool followed;	   /* has got the token of a request that moved */
 } packet_t;
 
 typedef enum request_state {
@@ -245,10 +246,15 @@
 
 /* recent.c */
 recent_t *recent_new(void);
-void recent_note(
+void recent_tick(kf_traffic_t *t);
+void recent_note_ran(kf_traffic_t *t, uint64_t flow, uint32_t xid);
+bool recent_ran(const kf_traffic_t *t, uint64_t flow, uint32_t xid);
+void recent_note_moved(
+    kf_traffic_t *t, uint64_t flow, uint32_t xid, const uint8_t *token);
+const uint8_t *recent_moved(const kf_traffic_t *t, uint64_t flow, uint32_t xid);
+void recent_note_refused(
     kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t reason);
-bool recent_find(
-    const kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t *reason);
+kf_reason_t recent_refusal(const kf_traffic_t *t, uint64_t flow, uint32_t xid);
 
 /* lease.c */
 void lease_update(kf_traffic_t *t);
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -966,6 +966,86 @@
 		EXPECT_FALSE(Req(r).executed > 0 && Req(r).denied > 0);
 }
 
+/*
+ * Guards against copies of a call without a token that VMs with different
+ * digests place at different owners: one may refuse what the other runs.
+ */
+TEST_F(Traffic, CopiesWithoutATokenMeetAtOneOwner)
+{
+	SetModes(HOLD);
+	w->digests[kf_name_id("a")].flags |= KF_DIGEST_EJECTED;
+	w->View(1);
+	for (int i = 0; i < 20; i++) {
+		int r = w->NewRequest(w->AddCaller("orders"), READ);
+
+		w->Deliver(r, 0);
+		w->Run(20);
+		w->Deliver(r, 1);
+		w->Run(20);
+		EXPECT_EQ(1, Req(r).executed);
+		for (const char *name : { "a", "b", "c" })
+			w->Release(name);
+		w->Run(20);
+	}
+}
+
+/*
+ * Guards against a copy that runs after its request was refused as not run:
+ * the caller may have sent it before it read the refusal.
+ */
+TEST_F(Traffic, LateCopyOfARefusedReadIsRefusedAgain)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+
+	SetModes(SHED);
+	int r = w->Send(caller, READ, owner);
+
+	w->Run(2200);
+	ASSERT_GE(Req(r).denied, 1);
+	SetModes(ANSWER);
+	w->Run(10000);
+	w->Deliver(r, owner);
+	w->Run(50);
+	EXPECT_EQ(0, Req(r).executed);
+	EXPECT_GE(Req(r).denied, 2);
+}
+
+/* Guards against a refusal of a request that ran and whose answer was lost. */
+TEST_F(Traffic, LateCopyOfAnAnsweredReadIsNotRefused)
+{
+	int caller = Flow();
+	size_t owner = w->OwnerOf(caller);
+	int r = w->Send(caller, READ, owner);
+
+	w->Run(50);
+	ExpectAnswered(r);
+	SetModes(SHED);
+	/* The second generation of what ran has begun by then. */
+	w->Run(130000);
+	w->Deliver(r, owner);
+	w->Run(2200);
+	EXPECT_EQ(0, Req(r).denied);
+}
+
+/* Guards against a copy of a moved request that starts a second one. */
+TEST_F(Traffic, CopyOfAMovedReadFollowsIt)
+{
+	int caller = Flow();
+	size_t old_owner = w->OwnerOf(caller);
+	int r = w->NewRequest(caller, READ);
+
+	w->leaving[old_owner] = true;
+	w->ViewAll();
+	SetModes(HOLD);
+	w->Deliver(r, old_owner);
+	w->Run(50);
+	ASSERT_TRUE(w->Logged("move"));
+	w->Deliver(r, old_owner);
+	w->Run(50);
+	EXPECT_EQ(1, Req(r).executed);
+}
+
 /*
  * Guards against a request that has run elsewhere and is refused as not run
  * because a second forward does not pass the mark on.
