Keep programs with network faults out of bin

process/manual failed under ASan: it wants a manual page for every program in bin, and the two programs with network faults have none.

--- a/tests/process/fail-peers-cut.sh
+++ b/tests/process/fail-peers-cut.sh
@@ -5,7 +5,7 @@
 build=$1
 . "$(dirname "$0")/fleet.sh"
 
-fleet_balancer=knapweedd-faulty
+fleet_balancer=$build/netfault/knapweedd-faulty
 
 # owned_by BALANCER REGEX: whether it sees no owners but these.
 owned_by() {
--- a/tests/process/fail-peers-lossy.sh
+++ b/tests/process/fail-peers-lossy.sh
@@ -4,8 +4,8 @@
 build=$1
 . "$(dirname "$0")/fleet.sh"
 
-fleet_balancer=knapweedd-faulty
-fleet_upstream=standin-upstream-faulty
+fleet_balancer=$build/netfault/knapweedd-faulty
+fleet_upstream=$build/netfault/standin-upstream-faulty
 
 netfault_rules
 fleet_start kowhai 6
--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -15,9 +15,9 @@
 # A revision is in force everywhere in 3 s.
 settle_s=3
 load_pids=
-# Program names; tests that cause network faults use those with -faulty.
-fleet_balancer=knapweedd
-fleet_upstream=standin-upstream
+# Tests that cause network faults set programs that are built with them.
+fleet_balancer=$bin/knapweedd
+fleet_upstream=$bin/standin-upstream
 
 # ini_value FILE SECTION KEY
 ini_value() {
@@ -111,7 +111,7 @@
 start_solo() {
 	service=$(ini_value "$declaration" "upstream $fleet_solo" service)
 	# shellcheck disable=SC2046 # two words
-	start upstreams-solo "$bin/$fleet_upstream" --seed 9 \
+	start upstreams-solo "$fleet_upstream" --seed 9 \
 	    --service-time-us "$(service_us "$service")" \
 	    --ledger "$work/ledger-solo" --control "$net.10:8100" \
 	    $(upstream_option "$fleet_solo")
@@ -129,7 +129,7 @@
 			set -- "$@" $(upstream_option "$upstream")
 		done
 		tag=$(service_tag "$service")
-		start "upstreams-$service" "$bin/$fleet_upstream" \
+		start "upstreams-$service" "$fleet_upstream" \
 		    --seed "$tag" --service-time-us "$(service_us "$service")" \
 		    --ledger "$work/ledger-$tag" \
 		    --control "$net.10:$((8100 + tag))" "$@"
@@ -162,7 +162,7 @@
 	kf_log=$work/balancer-$1.log
 	[ ! -f "$kf_log" ] ||
 	    mv "$kf_log" "$work/balancer-$1.$(date +%s%N).log"
-	start "balancer-$1" "$bin/$fleet_balancer" \
+	start "balancer-$1" "$fleet_balancer" \
 	    --config "$conf/balancer-$1.ini"
 }
 
--- a/tests/process/netfault.sh
+++ b/tests/process/netfault.sh
@@ -3,17 +3,17 @@
 build=$1
 . "$(dirname "$0")/fleet.sh"
 
-fleet_balancer=knapweedd-faulty
+fleet_balancer=$build/netfault/knapweedd-faulty
 bad_rules() { # LINE
 	netfault_rules "$1"
-	refused "$bin/knapweedd-faulty" --config "$conf/balancer-1.ini" --check
+	refused "$fleet_balancer" --config "$conf/balancer-1.ini" --check
 	grep -q "netfault: $KF_NETFAULT_RULES:2: " "$work/refused.log" ||
 	    fail "not reported: $1: $(cat "$work/refused.log")"
 }
 
 # Guards against rules that are silently ignored.
 fleet_conf kowhai 2
-refused "$bin/knapweedd-faulty" --config "$conf/balancer-1.ini" --check
+refused "$fleet_balancer" --config "$conf/balancer-1.ini" --check
 grep -q 'KF_NETFAULT_RULES:0: not set' "$work/refused.log" ||
     fail "missing variable: $(cat "$work/refused.log")"
 bad_rules 'drop 127.0.0.1 127.0.0.2'
@@ -26,13 +26,13 @@
 bad_rules 'loss 5 127.0.0.1 127.0.0.2 127.0.0.3'
 bad_rules 'seed -1'
 rm "$KF_NETFAULT_RULES"
-refused "$bin/knapweedd-faulty" --config "$conf/balancer-1.ini" --check
+refused "$fleet_balancer" --config "$conf/balancer-1.ini" --check
 
 # Guards against a product binary that can be told to lose datagrams.
 if grep -q KF_NETFAULT "$bin/knapweedd"; then
 	fail "knapweedd reads KF_NETFAULT_RULES"
 fi
-grep -q KF_NETFAULT "$bin/knapweedd-faulty" || fail "no netfault"
+grep -q KF_NETFAULT "$fleet_balancer" || fail "no netfault"
 
 # Guards against a cut that TCP passes: a new balancer asks its peers for
 # documents.
