--- a/lib/traffic/recent.c
+++ b/lib/traffic/recent.c
@@ -132,9 +132,8 @@
 void
 recent_note_ran(kf_traffic_t *t, uint64_t flow, uint32_t xid)
 {
-	recent_t *r = t->recent;
-
 	uint64_t hash = recent_hash(flow, xid);
+	recent_t *r = t->recent;
 
 	filter_add(filter_block(r, r->present, hash), hash);
 }
