Spread the first reads of VMs that started without the platform

Cause: a VM that left out its first read in the start window, because peers had given it every document, still counted as one that has never read. When contact with the platform ended, all such VMs read in the same tick. Found by reading; the capacity simulation measured outages only with a window of 1 s, in which few VMs leave the read out.

Now such a VM schedules its read like one that has read before. The new test counts 98 of 98 VMs in one tick before, at most 10 after.

--- a/capacity/measure/distribution.c
+++ b/capacity/measure/distribution.c
@@ -429,8 +429,8 @@
 }
 
 typedef struct results {
-	series_t start, start_s, spread, spread_s, steady, slowest, outage,
-	    back, zone, zone_s, cut, cut_s, rack_s, held;
+	series_t start, start_s, spread, spread_s, spread_out, steady, slowest,
+	    outage, back, zone, zone_s, cut, cut_s, rack_s, held;
 } results_t;
 
 static void
@@ -528,6 +528,10 @@
 	sim_t *sim = sim_new(zones, per_zone, LONG_WINDOW_US, plan->seed);
 
 	measure_start(sim, &r->spread, &r->spread_s);
+	sim->cut_zones = zones;
+	sim_reset_reads(sim);
+	sim_run(sim, plan->smoke ? SETTLE_S / 2 : SETTLE_S);
+	series_add(&r->spread_out, sim->count, (double)sim->read_peak);
 	sim_delete(sim);
 }
 
@@ -571,6 +575,9 @@
 		.spread_s = { .name = "distribution.spread_start",
 		    .x = "vms",
 		    .y = "s" },
+		.spread_out = { .name = "distribution.spread_outage_reads",
+		    .x = "vms",
+		    .y = "peak_per_s" },
 		.steady = { .name = "distribution.steady_reads",
 		    .x = "vms",
 		    .y = "per_s" },
@@ -603,8 +610,8 @@
 		    .y = "bytes" },
 	};
 	series_t *all[] = { &r.start, &r.start_s, &r.spread, &r.spread_s,
-		&r.steady, &r.slowest, &r.zone, &r.zone_s, &r.cut, &r.cut_s,
-		&r.outage, &r.back, &r.rack_s, &r.held };
+		&r.spread_out, &r.steady, &r.slowest, &r.zone, &r.zone_s,
+		&r.cut, &r.cut_s, &r.outage, &r.back, &r.rack_s, &r.held };
 	size_t i;
 
 	for (i = 0; i < MEASURE_SIZES && size[i] != 0; i++) {
--- a/lib/confdist/fetch.c
+++ b/lib/confdist/fetch.c
@@ -305,14 +305,16 @@
 }
 
 /*
- * A VM whose peers answer within the start window leaves the platform alone.
- * While one document is missing it reads, because a peer may claim a version
- * that it cannot deliver.
+ * A VM whose peers answer within the start window leaves the platform alone
+ * until contact ends, and is then spread like the others.  While one document
+ * is missing it reads, because a peer may claim a version that it cannot
+ * deliver.
  */
 static bool
-is_first_probe_due(const kf_confdist_t *c, int64_t now_us)
+is_first_probe_due(kf_confdist_t *c, int64_t now_us)
 {
-	return c->watcher || !has_documents(c) || !is_confirmed(c, now_us);
+	return c->watcher || !has_documents(c) ||
+	    is_probe_due(c, now_us, probe_kind);
 }
 
 static bool
--- a/tests/unit/confdist_test.cc
+++ b/tests/unit/confdist_test.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -370,6 +371,51 @@
 	}
 }
 
+/*
+ * Guards against reads of a whole zone at the moment when contact ends: its VMs
+ * got their documents from peers and have never read the platform.
+ */
+TEST_F(Confdist, FirstReadsAfterContactEndedAreSpread)
+{
+	const int total = 100;
+	std::map<int64_t, int> reads;
+	int most = 0, sum = 0;
+
+	for (uint32_t self = 1; self <= total; self++) {
+		std::vector<uint32_t> vms;
+		Node each;
+
+		for (uint32_t vm = 1; vm <= total; vm++) {
+			if (vm != self)
+				vms.push_back(vm);
+		}
+		each.start_window_us = 10 * kSecond;
+		each.Start(self, 1, 2, self);
+		kf_confdist_set_zone_members(
+		    each.c.get(), vms.data(), vms.size());
+		if (kf_confdist_is_watcher(each.c.get()))
+			continue;
+		for (int kind = 0; kind < KF_DOC_KINDS; kind++)
+			each.Document(0, "1", 1, { 2, 0 }, (kf_doc_kind_t)kind);
+		for (int64_t now = 0; now < 60 * kSecond; now += kStep) {
+			if (now < 20 * kSecond)
+				each.Hear(now, 2, { 1, 1 }, 0);
+			each.Tick(now);
+			if (each.fetches.empty())
+				continue;
+			EXPECT_GT(now, 20 * kSecond);
+			reads[now]++;
+			break;
+		}
+	}
+	for (const auto &step : reads) {
+		most = std::max(most, step.second);
+		sum += step.second;
+	}
+	EXPECT_EQ(total - 2, sum);
+	EXPECT_LE(most, 10);
+}
+
 TEST_F(Confdist, ZoneHasTwoWatchers)
 {
 	for (uint32_t zone = 1; zone < 20; zone++) {
