Collect the candidates of a hash with the existing function

collect_agreed repeated a case of collect_candidates: the last resort without an exclusion takes every upstream that does not drain and has an owner, whatever its digest says. place_hash reads only the identifiers, so weight and excess do not matter to it.

--- a/lib/traffic/place.c
+++ b/lib/traffic/place.c
@@ -151,27 +151,6 @@
 	    t, service, kf_share_sequence_next(&t->shares), exclude, out);
 }
 
-/* Upstreams that all VMs with one declaration and one list of VMs agree on. */
-static size_t
-collect_agreed(kf_traffic_t *t, const kf_selector_t *selector)
-{
-	size_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < selector->upstream_count; i++) {
-		uint32_t index = selector->upstreams[i];
-		const kf_upstream_t *u = &t->view->decl->upstreams[index];
-
-		if (!u->draining &&
-		    t->view->upstreams[index].owner != KF_VIEW_NONE)
-			t->candidates[count++] = (kf_candidate_t){
-				.upstream = index,
-				.id = u->id,
-			};
-	}
-	return count;
-}
-
 /*
  * Places by a hash that is equal on all VMs with one view, so that copies of a
  * call that has no token yet meet at one owner.  Health is left to that owner:
@@ -191,7 +170,8 @@
 	    t->view->decl, service, out->point, t->now.wall_ms);
 	if (selector == NULL)
 		return KF_ERR_NOT_FOUND;
-	count = collect_agreed(t, selector);
+	count =
+	    collect_candidates(t, selector, ZONE_ANY_LAST_RESORT, KF_VIEW_NONE);
 	if (count == 0)
 		return KF_ERR_NOT_FOUND;
 	for (i = 0; i < count; i++) {
