Keep refusals and moves of reads with the same two functions

The sets of refusals and of moves had a search and a replacement each, equal but for the names. Both now hold the same entries; the tokens of moves stand beside them.

--- a/lib/traffic/recent.c
+++ b/lib/traffic/recent.c
@@ -34,25 +34,19 @@
 
 static const int64_t horizon_us = (int64_t)KF_RETRANSMIT_HORIZON_S * 1000000;
 
-typedef struct refusal {
+/* A request that ended. */
+typedef struct ended {
 	uint64_t flow;
 	int64_t ended_us;
 	uint32_t xid;
-	kf_reason_t reason; /* KF_REASON_NONE: free */
-} refusal_t;
-
-/* A request that went to another owner, and the token it got. */
-typedef struct move {
-	uint64_t flow;
-	int64_t ended_us;
-	uint32_t xid;
-	bool used;
-	uint8_t token[KF_TOKEN_BYTES];
-} move_t;
+	kf_reason_t reason; /* of a refusal; KF_REASON_NONE: free */
+} ended_t;
 
 struct recent {
-	refusal_t refusals[REFUSAL_SETS][WAYS];
-	move_t moves[MOVE_SETS][WAYS];
+	ended_t refusals[REFUSAL_SETS][WAYS];
+	ended_t moves[MOVE_SETS][WAYS];
+	/* What each move got from here. */
+	uint8_t tokens[MOVE_SETS][WAYS][KF_TOKEN_BYTES];
 	int64_t started_us; /* of the present generation */
 	uint32_t present;
 	int64_t refused_us; /* the last refusal and the last move; -1: none */
@@ -160,91 +154,94 @@
 	return time_us >= 0 && t->now.mono_us - time_us <= horizon_us;
 }
 
-static move_t *
-move_set(const kf_traffic_t *t, uint64_t flow, uint32_t xid)
+/* Replaces the oldest entry of a set; returns its index. */
+static uint32_t
+set_put(ended_t *set, ended_t ended)
+{
+	uint32_t oldest = 0, i;
+
+	for (i = 1; i < WAYS; i++) {
+		if (set[i].ended_us < set[oldest].ended_us)
+			oldest = i;
+	}
+	set[oldest] = ended;
+	return oldest;
+}
+
+/* Index of a request in a set, or WAYS. */
+static uint32_t
+set_find(const kf_traffic_t *t, const ended_t *set, uint64_t flow, uint32_t xid)
 {
-	return t->recent->moves[recent_hash(flow, xid) & (MOVE_SETS - 1)];
+	uint32_t i;
+
+	for (i = 0; i < WAYS; i++) {
+		if (set[i].reason != KF_REASON_NONE && set[i].flow == flow &&
+		    set[i].xid == xid && recently(t, set[i].ended_us))
+			break;
+	}
+	return i;
 }
 
 void
 recent_note_moved(
     kf_traffic_t *t, uint64_t flow, uint32_t xid, const uint8_t *token)
 {
-	move_t *set = move_set(t, flow, xid), *entry = &set[0];
+	recent_t *r = t->recent;
+	uint64_t set = recent_hash(flow, xid) & (MOVE_SETS - 1);
 	uint32_t i;
 
-	for (i = 1; i < WAYS; i++) {
-		if (set[i].ended_us < entry->ended_us)
-			entry = &set[i];
-	}
-	*entry = (move_t){
+	i = set_put(r->moves[set],
+	    (ended_t){
 		.flow = flow,
 		.xid = xid,
 		.ended_us = t->now.mono_us,
-		.used = true,
-	};
-	memcpy(entry->token, token, sizeof(entry->token));
-	t->recent->moved_us = t->now.mono_us;
+		.reason = KF_REASON_DUPLICATE,
+	    });
+	memcpy(r->tokens[set][i], token, KF_TOKEN_BYTES);
+	r->moved_us = t->now.mono_us;
 }
 
 /* The token of KF_TOKEN_BYTES that copies follow, or NULL. */
 const uint8_t *
 recent_moved(const kf_traffic_t *t, uint64_t flow, uint32_t xid)
 {
-	const move_t *set;
+	const recent_t *r = t->recent;
+	uint64_t set;
 	uint32_t i;
 
-	if (!recently(t, t->recent->moved_us))
+	if (!recently(t, r->moved_us))
 		return NULL;
-	set = move_set(t, flow, xid);
-	for (i = 0; i < WAYS; i++) {
-		if (set[i].used && set[i].flow == flow && set[i].xid == xid &&
-		    recently(t, set[i].ended_us))
-			return set[i].token;
-	}
-	return NULL;
-}
-
-static refusal_t *
-refusal_set(const kf_traffic_t *t, uint64_t flow, uint32_t xid)
-{
-	return t->recent->refusals[recent_hash(flow, xid) & (REFUSAL_SETS - 1)];
+	set = recent_hash(flow, xid) & (MOVE_SETS - 1);
+	i = set_find(t, r->moves[set], flow, xid);
+	return i == WAYS ? NULL : r->tokens[set][i];
 }
 
 void
 recent_note_refused(
     kf_traffic_t *t, uint64_t flow, uint32_t xid, kf_reason_t reason)
 {
-	refusal_t *set = refusal_set(t, flow, xid), *entry = &set[0];
-	uint32_t i;
+	recent_t *r = t->recent;
 
-	for (i = 1; i < WAYS; i++) {
-		if (set[i].ended_us < entry->ended_us)
-			entry = &set[i];
-	}
-	*entry = (refusal_t){
+	set_put(r->refusals[recent_hash(flow, xid) & (REFUSAL_SETS - 1)],
+	    (ended_t){
 		.flow = flow,
 		.xid = xid,
-		.reason = reason,
 		.ended_us = t->now.mono_us,
-	};
-	t->recent->refused_us = t->now.mono_us;
+		.reason = reason,
+	    });
+	r->refused_us = t->now.mono_us;
 }
 
 /* The reason of a refusal, or KF_REASON_NONE. */
 kf_reason_t
 recent_refusal(const kf_traffic_t *t, uint64_t flow, uint32_t xid)
 {
-	const refusal_t *set;
+	const ended_t *set;
 	uint32_t i;
 
 	if (!recently(t, t->recent->refused_us))
 		return KF_REASON_NONE;
-	set = refusal_set(t, flow, xid);
-	for (i = 0; i < WAYS; i++) {
-		if (set[i].flow == flow && set[i].xid == xid &&
-		    recently(t, set[i].ended_us))
-			return set[i].reason;
-	}
-	return KF_REASON_NONE;
+	set = t->recent->refusals[recent_hash(flow, xid) & (REFUSAL_SETS - 1)];
+	i = set_find(t, set, flow, xid);
+	return i == WAYS ? KF_REASON_NONE : set[i].reason;
 }
