--- a/lib/confdist/include/kf/confdist.h
+++ b/lib/confdist/include/kf/confdist.h
@@ -49,7 +49,6 @@
 	KF_PEER_TIMEOUT_US = 1000000,
 	KF_CONFIRMED_NEVER_MS = -1,
 	KF_START_WINDOW_US = 1000000,
-	KF_START_WINDOW_MAX_US = 60000000,
 };
 
 typedef struct kf_doc_version {
@@ -97,7 +96,7 @@
 	uint32_t seed_count; /* addresses in the settings */
 	/*
 	 * With seeds, the first reads of the platform are spread over this
-	 * time, at most KF_START_WINDOW_MAX_US.  A VM that gets every document
+	 * time, at most UINT32_MAX.  A VM that gets every document
 	 * and recent contact from peers before that does not read.
 	 */
 	int64_t start_window_us;
