--- a/bench/baselines/record_model.c
+++ b/bench/baselines/record_model.c
@@ -30,3 +30,16 @@
 		free(m->records[i]);
 	free(m);
 }
+
+uint64_t
+record_model_held(const record_model_t *m)
+{
+	uint64_t held = 0;
+	uint32_t vm, flow;
+
+	for (vm = 0; vm < m->config.vms; vm++) {
+		for (flow = 0; flow < m->config.flows; flow++)
+			held += m->records[vm][flow].upstream != NOT_HELD;
+	}
+	return held;
+}
--- a/bench/baselines/record_model.h
+++ b/bench/baselines/record_model.h
@@ -23,4 +23,7 @@
 void *record_model_create(const kf_model_config_t *config, size_t size);
 void record_model_destroy(void *model);
 
+/* Records held at all balancers. */
+uint64_t record_model_held(const record_model_t *m);
+
 #endif
--- a/bench/baselines/tracking.c
+++ b/bench/baselines/tracking.c
@@ -105,16 +105,11 @@
 tracking_cost(void *model)
 {
 	tracking_model_t *m = model;
-	kf_model_cost_t cost = { .control_bytes = m->control_bytes };
-	uint32_t vm, flow;
-
-	for (vm = 0; vm < m->base.config.vms; vm++) {
-		for (flow = 0; flow < m->base.config.flows; flow++) {
-			if (m->base.records[vm][flow].upstream != NOT_HELD)
-				cost.memory_bytes += RECORD_BYTES;
-		}
-	}
-	return cost;
+
+	return (kf_model_cost_t){
+		.control_bytes = m->control_bytes,
+		.memory_bytes = record_model_held(&m->base) * RECORD_BYTES,
+	};
 }
 
 const kf_model_ops_t kf_model_tracking = {
