--- /dev/null
+++ b/lib/forwarder/directory.c
@@ -0,0 +1,371 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/directory.h"
+
+enum { MIN_BUCKETS = 64 };
+
+struct kf_directory {
+	uint64_t zone;
+	kf_target_t **targets; /* by id */
+	size_t count;
+	size_t cap;
+	kf_target_t **buckets; /* by token, linear probing */
+	size_t bucket_count;
+	kf_pool_t *pools;
+	size_t pool_count;
+	kf_target_t **members; /* memory of the pools' arrays */
+};
+
+static const char *const change_names[] = {
+	[KF_CHANGE_NONE] = "none",
+	[KF_CHANGE_ADDED] = "added",
+	[KF_CHANGE_RESTARTED] = "restarted",
+	[KF_CHANGE_DRAINING] = "draining",
+	[KF_CHANGE_UPDATED] = "updated",
+	[KF_CHANGE_MISSING] = "missing",
+	[KF_CHANGE_GONE] = "gone",
+};
+
+const char *
+kf_change_name(kf_change_t change)
+{
+	return change_names[change];
+}
+
+kf_directory_t *
+kf_directory_new(uint64_t zone)
+{
+	kf_directory_t *d;
+
+	d = calloc(1, sizeof(*d));
+	if (d != NULL)
+		d->zone = zone;
+	return d;
+}
+
+void
+kf_directory_delete(kf_directory_t *d)
+{
+	size_t i;
+
+	if (d == NULL)
+		return;
+	for (i = 0; i < d->count; i++)
+		free(d->targets[i]);
+	free(d->targets);
+	free(d->buckets);
+	free(d->pools);
+	free(d->members);
+	free(d);
+}
+
+/* Place of the first target whose id is not lower. */
+static size_t
+position_of(const kf_directory_t *d, uint64_t id)
+{
+	size_t low = 0, high = d->count, middle;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		if (d->targets[middle]->info.id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static kf_target_t **
+bucket_of(const kf_directory_t *d, uint32_t token)
+{
+	size_t i = token % d->bucket_count;
+
+	while (d->buckets[i] != NULL && d->buckets[i]->token != token)
+		i = (i + 1) % d->bucket_count;
+	return &d->buckets[i];
+}
+
+/*
+ * Two ids with one token: packets that carry it go to the upstream that is
+ * still listed, else to the lower id, and the other gets no new flows.
+ */
+static void
+index_tokens(kf_directory_t *d)
+{
+	kf_target_t **bucket, *target;
+	size_t i;
+
+	memset(d->buckets, 0, d->bucket_count * sizeof(kf_target_t *));
+	for (i = 0; i < d->count; i++) {
+		target = d->targets[i];
+		bucket = bucket_of(d, target->token);
+		target->shadowed = *bucket != NULL;
+		if (*bucket == NULL)
+			*bucket = target;
+		else if ((*bucket)->listing > target->listing) {
+			(*bucket)->shadowed = true;
+			target->shadowed = false;
+			*bucket = target;
+		}
+	}
+}
+
+static int
+member_compare(const void *a, const void *b)
+{
+	const kf_target_t *x = *(kf_target_t *const *)a;
+	const kf_target_t *y = *(kf_target_t *const *)b;
+
+	if (x->info.service != y->info.service)
+		return x->info.service < y->info.service ? -1 : 1;
+	return (x->info.id > y->info.id) - (x->info.id < y->info.id);
+}
+
+/* Splits members of one service into near and far, both by id. */
+static void
+pool_fill(kf_pool_t *pool, kf_target_t **members, size_t count, uint64_t zone)
+{
+	kf_target_t **far = malloc(count * sizeof(kf_target_t *));
+	size_t i;
+
+	pool->near = members;
+	for (i = 0; i < count; i++) {
+		if (far != NULL && members[i]->info.zone != zone)
+			far[pool->far_count++] = members[i];
+		else
+			members[pool->near_count++] = members[i];
+	}
+	pool->far = members + pool->near_count;
+	if (pool->far_count > 0)
+		memcpy(pool->far, far, pool->far_count * sizeof(kf_target_t *));
+	free(far);
+}
+
+static uint32_t
+cursor_of(const kf_pool_t *pools, size_t count, uint64_t service)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (pools[i].service == service)
+			return pools[i].cursor;
+	return 0;
+}
+
+static kf_status_t
+index_services(kf_directory_t *d)
+{
+	kf_target_t **members;
+	kf_pool_t *pools;
+	size_t i, start, listed = 0, pool_count = 0;
+
+	members = calloc(d->count + 1, sizeof(kf_target_t *));
+	pools = calloc(d->count + 1, sizeof(*pools));
+	if (members == NULL || pools == NULL) {
+		free(members);
+		free(pools);
+		/* The old pools may hold targets that no longer exist. */
+		d->pool_count = 0;
+		return kf_status_set(KF_ERR_NO_MEMORY, "no memory for pools");
+	}
+	for (i = 0; i < d->count; i++)
+		if (d->targets[i]->listing != KF_LISTING_GONE)
+			members[listed++] = d->targets[i];
+	qsort(members, listed, sizeof(kf_target_t *), member_compare);
+	for (start = 0; start < listed; start = i) {
+		kf_pool_t *pool = &pools[pool_count++];
+
+		pool->service = members[start]->info.service;
+		pool->cursor =
+		    cursor_of(d->pools, d->pool_count, pool->service);
+		for (i = start;
+		     i < listed && members[i]->info.service == pool->service;
+		     i++)
+			;
+		pool_fill(pool, members + start, i - start, d->zone);
+	}
+	free(d->members);
+	free(d->pools);
+	d->members = members;
+	d->pools = pools;
+	d->pool_count = pool_count;
+	return KF_OK;
+}
+
+static kf_status_t
+reindex(kf_directory_t *d)
+{
+	kf_target_t **buckets;
+	size_t wanted = MIN_BUCKETS;
+
+	while (wanted < d->count * 2)
+		wanted *= 2;
+	if (wanted > d->bucket_count) {
+		buckets = calloc(wanted, sizeof(kf_target_t *));
+		if (buckets == NULL)
+			return kf_status_set(
+			    KF_ERR_NO_MEMORY, "no memory for tokens");
+		free(d->buckets);
+		d->buckets = buckets;
+		d->bucket_count = wanted;
+	}
+	index_tokens(d);
+	return index_services(d);
+}
+
+static kf_target_t *
+directory_insert(kf_directory_t *d, uint64_t id)
+{
+	kf_target_t **grown, *target;
+	size_t at = position_of(d, id);
+
+	if (at < d->count && d->targets[at]->info.id == id)
+		return d->targets[at];
+	if (d->count == d->cap) {
+		size_t cap = d->cap == 0 ? MIN_BUCKETS : d->cap * 2;
+
+		grown = realloc(d->targets, cap * sizeof(kf_target_t *));
+		if (grown == NULL)
+			return NULL;
+		d->targets = grown;
+		d->cap = cap;
+	}
+	target = calloc(1, sizeof(*target));
+	if (target == NULL)
+		return NULL;
+	target->token = kf_token_of(id);
+	target->listing = KF_LISTING_GONE;
+	memmove(d->targets + at + 1, d->targets + at,
+	    (d->count - at) * sizeof(kf_target_t *));
+	d->targets[at] = target;
+	d->count++;
+	return target;
+}
+
+static kf_change_t
+change_of(const kf_target_t *target, const kf_upstream_info_t *info)
+{
+	if (target->listing != KF_LISTED)
+		return KF_CHANGE_ADDED;
+	if (target->info.born_ms != info->born_ms)
+		return KF_CHANGE_RESTARTED;
+	if (info->draining && !target->info.draining)
+		return KF_CHANGE_DRAINING;
+	/* Entries that differ only in what is left of the cold start do not
+	 * change placement groups. */
+	return target->info.service == info->service &&
+		target->info.zone == info->zone &&
+		target->info.draining == info->draining &&
+		target->info.slots == info->slots &&
+		kf_addr_equal(target->info.address, info->address)
+	    ? KF_CHANGE_NONE
+	    : KF_CHANGE_UPDATED;
+}
+
+kf_status_t
+kf_directory_put(kf_directory_t *d, const kf_upstream_info_t *info,
+    int64_t now_us, kf_change_t *change)
+{
+	kf_target_t *target;
+
+	target = directory_insert(d, info->id);
+	if (target == NULL)
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "no memory for upstream %s", info->name);
+	*change = change_of(target, info);
+	if (*change == KF_CHANGE_RESTARTED || target->info.id == 0 ||
+	    (*change == KF_CHANGE_ADDED &&
+		target->info.born_ms != info->born_ms))
+		kf_target_opened(target);
+	target->info = *info;
+	target->listing = KF_LISTED;
+	target->warm_us = now_us + info->cold_left_us;
+	return *change == KF_CHANGE_NONE ? KF_OK : reindex(d);
+}
+
+kf_change_t
+kf_directory_remove(kf_directory_t *d, uint64_t id, bool lapsed, int64_t now_us)
+{
+	size_t at = position_of(d, id);
+	kf_target_t *target;
+
+	if (at == d->count || d->targets[at]->info.id != id ||
+	    d->targets[at]->listing == KF_LISTING_GONE)
+		return KF_CHANGE_NONE;
+	target = d->targets[at];
+	if (target->listing == KF_LISTING_MISSING && lapsed)
+		return KF_CHANGE_NONE;
+	target->listing = lapsed && !target->info.draining ? KF_LISTING_MISSING
+							   : KF_LISTING_GONE;
+	target->unlisted_us = now_us;
+	/* An index that cannot be rebuilt still holds the target, and
+	 * kf_target_eligible refuses it. */
+	(void)reindex(d);
+	return target->listing == KF_LISTING_GONE ? KF_CHANGE_GONE
+						  : KF_CHANGE_MISSING;
+}
+
+void
+kf_directory_expire(kf_directory_t *d, int64_t now_us)
+{
+	size_t i, kept = 0;
+	kf_target_t *target;
+	bool changed = false;
+
+	for (i = 0; i < d->count; i++) {
+		target = d->targets[i];
+		if (target->listing == KF_LISTING_MISSING &&
+		    now_us - target->unlisted_us >= KF_TARGET_MISSING_US) {
+			target->listing = KF_LISTING_GONE;
+			changed = true;
+		}
+	}
+	for (i = 0; i < d->count; i++) {
+		target = d->targets[i];
+		if (target->listing == KF_LISTING_GONE &&
+		    now_us - target->unlisted_us >= KF_DIRECTORY_KEEP_US)
+			changed = true;
+	}
+	if (!changed)
+		return;
+	for (i = 0; i < d->count; i++) {
+		target = d->targets[i];
+		if (target->listing == KF_LISTING_GONE &&
+		    now_us - target->unlisted_us >= KF_DIRECTORY_KEEP_US)
+			free(target);
+		else
+			d->targets[kept++] = target;
+	}
+	d->count = kept;
+	(void)reindex(d);
+}
+
+kf_target_t *
+kf_directory_find(const kf_directory_t *d, uint32_t token)
+{
+	return d->bucket_count == 0 ? NULL : *bucket_of(d, token);
+}
+
+kf_pool_t *
+kf_directory_pool(kf_directory_t *d, uint64_t service)
+{
+	size_t i;
+
+	for (i = 0; i < d->pool_count; i++)
+		if (d->pools[i].service == service)
+			return &d->pools[i];
+	return NULL;
+}
+
+size_t
+kf_directory_count(const kf_directory_t *d)
+{
+	return d->count;
+}
+
+const kf_target_t *
+kf_directory_at(const kf_directory_t *d, size_t i)
+{
+	return d->targets[i];
+}
--- /dev/null
+++ b/lib/forwarder/expiry.c
@@ -0,0 +1,32 @@
+#include "forwarder_internal.h"
+
+void
+flow_close(kf_forwarder_t *f, kf_flow_t *flow)
+{
+	kf_target_t *target;
+	uint8_t i;
+
+	if (flow->state == KF_FLOW_OPEN) {
+		target = kf_directory_find(f->directory, flow->token);
+		if (target != NULL && target->open > 0)
+			target->open--;
+	}
+	for (i = 0; flow->state == KF_FLOW_OPENING && i < flow->tries; i++) {
+		target =
+		    kf_directory_find(f->directory, flow->attempt[i].token);
+		if (target != NULL && target->opening > 0)
+			target->opening--;
+	}
+	kf_conntrack_remove(f->flows, flow);
+}
+
+void
+expire_idle(kf_forwarder_t *f, int64_t now_us)
+{
+	kf_flow_t *flow;
+
+	while ((flow = kf_conntrack_first(f->flows, KF_FLOW_OPEN)) != NULL &&
+	    now_us - flow->last_us >= LOAD_IDLE_US)
+		flow_close(f, flow);
+	kf_directory_expire(f->directory, now_us);
+}
--- /dev/null
+++ b/lib/forwarder/forwarder.c
@@ -0,0 +1,225 @@
+#include <stdlib.h>
+
+#include "forwarder_internal.h"
+
+static const char *const event_names[KF_FORWARD_EVENT_COUNT] = {
+	[KF_FORWARD_PLACED] = "flow_placed",
+	[KF_FORWARD_HEDGED] = "flow_hedged",
+	[KF_FORWARD_OPENED] = "flow_opened",
+	[KF_FORWARD_NOT_OPENED] = "flow_not_opened",
+	[KF_FORWARD_REFUSED] = "flow_refused",
+	[KF_FORWARD_DROPPED] = "packet_dropped",
+	[KF_FORWARD_EJECTED] = "upstream_ejected",
+	[KF_FORWARD_RETURNED] = "upstream_returned",
+};
+
+const char *
+kf_forward_event_name(kf_forward_event_t event)
+{
+	return event_names[event];
+}
+
+kf_forwarder_t *
+kf_forwarder_new(uint64_t zone, const kf_forwarder_callbacks_t *callbacks)
+{
+	kf_forwarder_t *f;
+
+	f = calloc(1, sizeof(*f));
+	if (f == NULL)
+		return NULL;
+	f->callbacks = *callbacks;
+	f->position = (kf_position_t){ .rank = 0, .vm_count = 1 };
+	f->due_us = INT64_MAX;
+	f->directory = kf_directory_new(zone);
+	f->flows = kf_conntrack_new();
+	if (f->directory == NULL || f->flows == NULL) {
+		kf_status_set(KF_ERR_NO_MEMORY, "no memory for the forwarder");
+		kf_forwarder_delete(f);
+		return NULL;
+	}
+	return f;
+}
+
+void
+kf_forwarder_delete(kf_forwarder_t *f)
+{
+	if (f == NULL)
+		return;
+	kf_route_table_delete(f->routes);
+	kf_directory_delete(f->directory);
+	kf_conntrack_delete(f->flows);
+	free(f);
+}
+
+kf_status_t
+kf_forwarder_set_routes(kf_forwarder_t *f, kf_route_table_t *table)
+{
+	if (f->routes != NULL && table->version < f->routes->version) {
+		kf_status_set(KF_ERR_STALE,
+		    "version %llu is older than version %llu in force",
+		    (unsigned long long)table->version,
+		    (unsigned long long)f->routes->version);
+		kf_route_table_delete(table);
+		return KF_ERR_STALE;
+	}
+	kf_route_table_delete(f->routes);
+	f->routes = table;
+	return KF_OK;
+}
+
+const kf_route_table_t *
+kf_forwarder_routes(const kf_forwarder_t *f)
+{
+	return f->routes;
+}
+
+kf_directory_t *
+kf_forwarder_directory(kf_forwarder_t *f)
+{
+	return f->directory;
+}
+
+void
+kf_forwarder_set_position(
+    kf_forwarder_t *f, kf_position_t position, int64_t now_us)
+{
+	if (position.vm_count != f->position.vm_count)
+		f->moved_us = now_us;
+	f->position = position;
+}
+
+void
+forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record)
+{
+	f->stats.events[record->event]++;
+	if (record->reason != KF_REASON_NONE)
+		f->stats.by_reason[record->reason]++;
+	f->callbacks.record(f->callbacks.record_ctx, record);
+}
+
+static void
+record_packet(kf_forwarder_t *f, const kf_packet_t *packet,
+    kf_forward_event_t event, kf_reason_t reason)
+{
+	kf_forward_record_t record = {
+		.event = event,
+		.client = packet->client,
+		.address = packet->address,
+		.route = kf_route_table_find(f->routes, packet->address),
+		.flow_hash = kf_flow_hash(packet->client, packet->address),
+		.copies = packet->syn ? packet->acknowledged : 0,
+		.verdict = packet->syn ? KF_NOT_RUN : KF_MAY_HAVE_RUN,
+		.reason = reason,
+	};
+
+	forwarder_record(f, &record);
+}
+
+void
+forwarder_drop(kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason)
+{
+	record_packet(f, packet, KF_FORWARD_DROPPED, reason);
+}
+
+void
+forwarder_refuse(
+    kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason)
+{
+	f->callbacks.reset(f->callbacks.ctx, packet);
+	record_packet(f, packet, KF_FORWARD_REFUSED, reason);
+}
+
+/* Keeps the record of a flow in step with its packets. */
+static void
+track(kf_forwarder_t *f, const kf_packet_t *packet, int64_t now_us)
+{
+	kf_flow_t *flow;
+
+	flow = kf_conntrack_find(f->flows, packet->client, packet->address);
+	if (flow == NULL)
+		return;
+	if (flow->state == KF_FLOW_OPENING && packet->rst)
+		connect_reset(f, flow, packet->token, now_us);
+	else if (flow->state == KF_FLOW_OPENING)
+		connect_opened(f, flow, packet->token, now_us);
+	if (packet->fin || packet->rst) {
+		flow_close(f, flow);
+		return;
+	}
+	flow->last_us = now_us;
+	kf_conntrack_touch(f->flows, flow);
+}
+
+/* A packet after the opening one. */
+static void
+forward_open(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
+    const uint8_t *datagram, size_t len)
+{
+	const kf_route_t *route =
+	    kf_route_table_find(f->routes, packet->address);
+	const kf_target_t *target =
+	    kf_directory_find(f->directory, packet->token);
+
+	if (route != NULL && route->removed && !packet->rst) {
+		forwarder_refuse(f, packet, KF_REASON_NO_SERVICE);
+		return;
+	}
+	if (packet->token == KF_TOKEN_NONE || target == NULL) {
+		forwarder_drop(f, packet,
+		    packet->token == KF_TOKEN_NONE ? KF_REASON_NO_FLOW
+						   : KF_REASON_TOKEN_BAD);
+		return;
+	}
+	track(f, packet, now_us);
+	f->callbacks.send(
+	    f->callbacks.ctx, &target->info, packet->token, datagram, len);
+}
+
+void
+kf_forwarder_packet(kf_forwarder_t *f, int64_t now_us,
+    const kf_packet_t *packet, const uint8_t *datagram, size_t len)
+{
+	f->stats.packets++;
+	if (f->routes == NULL)
+		forwarder_drop(f, packet, KF_REASON_NO_CONFIG);
+	else if (packet->syn)
+		connect_syn(f, now_us, packet, datagram, len);
+	else
+		forward_open(f, now_us, packet, datagram, len);
+}
+
+static void
+run_openings(kf_forwarder_t *f, int64_t now_us)
+{
+	kf_flow_t *flow, *next;
+
+	f->due_us = INT64_MAX;
+	for (flow = kf_conntrack_first(f->flows, KF_FLOW_OPENING); flow != NULL;
+	     flow = next) {
+		next = kf_conntrack_next(f->flows, flow);
+		if (flow->due_us <= now_us)
+			connect_step(f, flow, now_us);
+		else if (flow->due_us < f->due_us)
+			f->due_us = flow->due_us;
+	}
+}
+
+int64_t
+kf_forwarder_tick(kf_forwarder_t *f, int64_t now_us)
+{
+	if (f->due_us <= now_us)
+		run_openings(f, now_us);
+	if (f->expiry_us <= now_us) {
+		expire_idle(f, now_us);
+		f->expiry_us = now_us + EXPIRY_INTERVAL_US;
+	}
+	return f->due_us;
+}
+
+void
+kf_forwarder_stats(const kf_forwarder_t *f, kf_forwarder_stats_t *stats)
+{
+	*stats = f->stats;
+	stats->opening = kf_conntrack_count(f->flows, KF_FLOW_OPENING);
+	stats->open = kf_conntrack_count(f->flows, KF_FLOW_OPEN);
+}
--- /dev/null
+++ b/lib/forwarder/forwarder_internal.h
@@ -0,0 +1,68 @@
+#ifndef KF_FORWARDER_INTERNAL_H
+#define KF_FORWARDER_INTERNAL_H
+
+#include "kf/forwarder.h"
+
+enum {
+	/* Bounds of the time until a second upstream is tried: an opening takes
+	 * 4 to 5 ms on an idle path, and the client's first copy comes after
+	 * 200 ms. */
+	PATIENCE_MIN_US = 25000,
+	PATIENCE_MAX_US = 120000,
+	/* A third upstream is tried after this many times the patience. */
+	THIRD_TRY_FACTOR = 3,
+	/* The client gives up an opening after 1.4 s. */
+	OPENING_LIFE_US = 1500000,
+	/* An attempt is silent if the client sends a copy this long after it:
+	 * copies come after 200 ms. */
+	SILENCE_US = 150000,
+	/* The first copy comes after 200 ms; without one by then, the client
+	 * has given up or reaches another VM. */
+	REFUSAL_US = 350000,
+	/* Routers need up to about 1 s to move flows of a VM that left. */
+	MOVE_GUARD_US = 1200000,
+	/* A flow without a packet for this time no longer counts as load. */
+	LOAD_IDLE_US = 3000000,
+	EXPIRY_INTERVAL_US = 250000,
+};
+
+struct kf_forwarder {
+	kf_forwarder_callbacks_t callbacks;
+	kf_route_table_t *routes;
+	kf_directory_t *directory;
+	kf_conntrack_t *flows;
+	kf_position_t position;
+	int64_t moved_us; /* last change of the position's VMs */
+	double opening_mean_us;
+	double opening_deviation_us;
+	int64_t due_us; /* earliest step of an opening flow */
+	int64_t expiry_us;
+	kf_forwarder_stats_t stats;
+};
+
+/* Counts and reports. */
+void forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record);
+void forwarder_drop(
+    kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason);
+void forwarder_refuse(
+    kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason);
+
+/* Opening of flows. */
+void connect_syn(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
+    const uint8_t *datagram, size_t len);
+/* The client has taken the answer of the upstream with this token. */
+void connect_opened(
+    kf_forwarder_t *f, kf_flow_t *flow, uint32_t token, int64_t now_us);
+/* The client resets a flow that was not open: its attempt had ended when the
+ * upstream with this token answered, so an earlier one refused it. */
+void connect_reset(
+    kf_forwarder_t *f, kf_flow_t *flow, uint32_t token, int64_t now_us);
+/* Tries another upstream, or gives the flow up; returns false if it is gone. */
+bool connect_step(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us);
+
+/* Forgets a flow and takes it off the load of its upstreams. */
+void flow_close(kf_forwarder_t *f, kf_flow_t *flow);
+/* Forgets flows that have been idle, and upstreams that are gone. */
+void expire_idle(kf_forwarder_t *f, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/lib/forwarder/include/kf/directory.h
@@ -0,0 +1,79 @@
+#ifndef KF_DIRECTORY_H
+#define KF_DIRECTORY_H
+
+#include <stddef.h>
+
+#include "kf/target.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_directory - the upstreams of all services
+ *
+ * DESCRIPTION
+ *	Upstreams are found by token for packets of open flows, and by service
+ *	for new ones, those of the VM's own availability zone first.  One that
+ *	is no longer listed stays known to its open flows for
+ *	KF_DIRECTORY_KEEP_US.
+ */
+
+enum {
+	/* Longer than a flow may be open (60 s on the deployments served). */
+	KF_DIRECTORY_KEEP_US = 90000000,
+};
+
+typedef struct kf_pool {
+	uint64_t service;
+	kf_target_t **near; /* in this VM's zone, by id */
+	size_t near_count;
+	kf_target_t **far; /* by id */
+	size_t far_count;
+	uint32_t cursor;
+} kf_pool_t;
+
+typedef struct kf_directory kf_directory_t;
+
+kf_directory_t *kf_directory_new(uint64_t zone);
+void kf_directory_delete(kf_directory_t *directory);
+
+/* What changed with an update. */
+typedef enum kf_change {
+	KF_CHANGE_NONE = 0,
+	KF_CHANGE_ADDED,
+	KF_CHANGE_RESTARTED, /* a new incarnation under the id */
+	KF_CHANGE_DRAINING,
+	KF_CHANGE_UPDATED,
+	KF_CHANGE_MISSING,
+	KF_CHANGE_GONE,
+} kf_change_t;
+
+const char *kf_change_name(kf_change_t change);
+
+kf_status_t kf_directory_put(kf_directory_t *directory,
+    const kf_upstream_info_t *info, int64_t now_us, kf_change_t *change);
+
+/*
+ * The entry is no longer listed.  With lapsed an outage of the store may have
+ * removed it, and the upstream may be alive.
+ */
+kf_change_t kf_directory_remove(
+    kf_directory_t *directory, uint64_t id, bool lapsed, int64_t now_us);
+
+/* Forgets upstreams whose flows have ended; no pointer to them remains. */
+void kf_directory_expire(kf_directory_t *directory, int64_t now_us);
+
+kf_target_t *kf_directory_find(const kf_directory_t *directory, uint32_t token);
+kf_pool_t *kf_directory_pool(kf_directory_t *directory, uint64_t service);
+
+/* Targets in the order of their ids, for reports. */
+size_t kf_directory_count(const kf_directory_t *directory);
+const kf_target_t *kf_directory_at(const kf_directory_t *directory, size_t i);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/forwarder/route_table.c
@@ -0,0 +1,134 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "kf/route_table.h"
+
+uint64_t
+kf_name_key(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
+static int
+address_compare(kf_addr_t a, kf_addr_t b)
+{
+	if (a.ip != b.ip)
+		return a.ip < b.ip ? -1 : 1;
+	return (a.port > b.port) - (a.port < b.port);
+}
+
+static int
+route_compare(const void *a, const void *b)
+{
+	return address_compare(
+	    ((const kf_route_t *)a)->address, ((const kf_route_t *)b)->address);
+}
+
+const kf_route_t *
+kf_route_table_find(const kf_route_table_t *table, kf_addr_t address)
+{
+	kf_route_t key = { .address = address };
+
+	return table == NULL || table->count == 0
+	    ? NULL
+	    : bsearch(&key, table->routes, table->count, sizeof(key),
+		  route_compare);
+}
+
+/* Appends the routes that only previous has. */
+static void
+keep_removed(kf_route_table_t *table, const kf_route_table_t *previous)
+{
+	kf_route_table_t current = *table;
+	size_t i, kept = 0;
+
+	for (i = 0; i < previous->count && kept < KF_ROUTE_MAX_REMOVED; i++) {
+		const kf_route_t *route = &previous->routes[i];
+
+		if (kf_route_table_find(&current, route->address) != NULL)
+			continue;
+		table->routes[table->count] = *route;
+		table->routes[table->count].removed = true;
+		table->count++;
+		kept++;
+	}
+}
+
+static kf_status_t
+check_addresses(const kf_route_table_t *table)
+{
+	size_t i;
+
+	for (i = 1; i < table->count; i++) {
+		if (route_compare(&table->routes[i - 1], &table->routes[i]) ==
+		    0)
+			return kf_status_set(KF_ERR_CONFLICT,
+			    "routes %s and %s have the same address",
+			    table->routes[i - 1].name, table->routes[i].name);
+	}
+	return KF_OK;
+}
+
+kf_route_table_t *
+kf_route_table_new(uint64_t version, int64_t idle_timeout_us,
+    const kf_route_t *routes, size_t count, const kf_route_table_t *previous)
+{
+	size_t cap = count + (previous == NULL ? 0 : previous->count);
+	kf_route_table_t *table;
+
+	table = calloc(1, sizeof(*table));
+	if (table == NULL)
+		return NULL;
+	table->version = version;
+	table->idle_timeout_us = idle_timeout_us;
+	table->routes = calloc(cap == 0 ? 1 : cap, sizeof(*table->routes));
+	if (table->routes == NULL) {
+		kf_status_set(KF_ERR_NO_MEMORY, "no memory for routes");
+		free(table);
+		return NULL;
+	}
+	if (count > 0)
+		memcpy(table->routes, routes, count * sizeof(*routes));
+	table->count = count;
+	qsort(table->routes, count, sizeof(*table->routes), route_compare);
+	if (check_addresses(table) != KF_OK) {
+		kf_route_table_delete(table);
+		return NULL;
+	}
+	if (previous != NULL) {
+		keep_removed(table, previous);
+		qsort(table->routes, table->count, sizeof(*table->routes),
+		    route_compare);
+	}
+	return table;
+}
+
+void
+kf_route_table_delete(kf_route_table_t *table)
+{
+	if (table == NULL)
+		return;
+	free(table->routes);
+	free(table);
+}
+
+uint64_t
+kf_route_service(const kf_route_t *route, uint64_t flow_hash)
+{
+	uint64_t total = 0, point;
+	uint32_t i;
+
+	for (i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	if (total == 0)
+		return 0;
+	point = flow_hash % total;
+	for (i = 0; i + 1 < route->share_count; i++) {
+		if (point < route->shares[i].weight)
+			break;
+		point -= route->shares[i].weight;
+	}
+	return route->shares[i].service;
+}
--- /dev/null
+++ b/lib/forwarder/target.c
@@ -0,0 +1,67 @@
+#include "kf/packet.h"
+#include "kf/target.h"
+
+uint32_t
+kf_token_of(uint64_t upstream_id)
+{
+	uint32_t token = (uint32_t)(upstream_id ^ (upstream_id >> 32));
+
+	return token == KF_TOKEN_NONE ? 1 : token;
+}
+
+bool
+kf_target_eligible(const kf_target_t *target, int64_t now_us)
+{
+	if (target->info.draining || target->shadowed)
+		return false;
+	switch (target->listing) {
+	case KF_LISTED:
+		return true;
+	case KF_LISTING_MISSING:
+		return now_us - target->unlisted_us < KF_TARGET_MISSING_US;
+	default:
+		return false;
+	}
+}
+
+kf_health_t
+kf_target_health(const kf_target_t *target, int64_t now_us)
+{
+	if (now_us < target->ejected_until_us)
+		return KF_HEALTH_EJECTED;
+	if (target->failures >= KF_TARGET_EJECT_FAILURES)
+		return target->opening == 0 ? KF_HEALTH_PROBE
+					    : KF_HEALTH_EJECTED;
+	return now_us < target->doubted_until_us ? KF_HEALTH_DOUBTFUL
+						 : KF_HEALTH_GOOD;
+}
+
+void
+kf_target_opened(kf_target_t *target)
+{
+	target->failures = 0;
+	target->ejections = 0;
+	target->doubted_until_us = 0;
+	target->ejected_until_us = 0;
+}
+
+bool
+kf_target_unanswered(kf_target_t *target, int64_t now_us)
+{
+	int64_t time_us = KF_TARGET_EJECT_MIN_US;
+	uint32_t i;
+
+	/* Packets sent before the ejection say nothing new. */
+	if (now_us < target->ejected_until_us)
+		return false;
+	target->failures++;
+	target->doubted_until_us = now_us + KF_TARGET_DOUBT_US;
+	if (target->failures < KF_TARGET_EJECT_FAILURES)
+		return false;
+	for (i = 0; i < target->ejections && time_us < KF_TARGET_EJECT_MAX_US;
+	     i++)
+		time_us *= 2;
+	target->ejections++;
+	target->ejected_until_us = now_us + time_us;
+	return true;
+}
--- /dev/null
+++ b/lib/fwdnet/applier.c
@@ -0,0 +1,148 @@
+#include "kf/platform_published.h"
+
+#include "applier.h"
+
+enum {
+	/* A contact after a gap of this length ends an outage: two watches of a
+	 * second with their slack. */
+	OUTAGE_US = 2500000,
+	/* Removals that come within this time after an outage may be entries
+	 * that lapsed meanwhile. */
+	LAPSE_WINDOW_US = 2000000,
+};
+
+void
+applier_contact(applier_t *a, int64_t contact_us)
+{
+	if (contact_us <= a->contact_us)
+		return;
+	if (a->contact_us != INT64_MIN &&
+	    contact_us - a->contact_us > OUTAGE_US)
+		a->outage_us = contact_us;
+	a->contact_us = contact_us;
+}
+
+/* Whether the store was away when it may have dropped an entry. */
+static bool
+may_have_lapsed(const applier_t *a, int64_t now_us)
+{
+	bool away =
+	    a->contact_us != INT64_MIN && now_us - a->contact_us > OUTAGE_US;
+
+	return away ||
+	    (a->outage_us != INT64_MIN &&
+		now_us - a->outage_us < LAPSE_WINDOW_US);
+}
+
+static void
+log_upstream(const applier_t *a, const kf_item_t *item, kf_change_t change)
+{
+	if (change != KF_CHANGE_NONE)
+		kf_eventlog_write(a->log, KF_LOG_INFO, "upstream",
+		    "key=%s change=%s revision=%llu", item->key,
+		    kf_change_name(change), (unsigned long long)item->revision);
+}
+
+static void
+log_refused(applier_t *a, const kf_item_t *item)
+{
+	a->refused++;
+	kf_eventlog_write(a->log, KF_LOG_WARN, "item_refused",
+	    "key=%s revision=%llu reason=\"%s\"", item->key,
+	    (unsigned long long)item->revision, kf_status_message());
+}
+
+static void
+remove_upstream(
+    applier_t *a, const kf_item_t *item, bool lapsed, int64_t now_us)
+{
+	kf_forwarder_t *forwarder;
+	kf_change_t change;
+	uint64_t id;
+
+	if (kf_platform_upstream_id(item->key, &id) != KF_OK)
+		return; /* never was an upstream; reported when it came */
+	forwarder = packet_thread_lock(a->packets);
+	change = kf_directory_remove(
+	    kf_forwarder_directory(forwarder), id, lapsed, now_us);
+	packet_thread_unlock(a->packets);
+	log_upstream(a, item, change);
+}
+
+static void
+put_upstream(applier_t *a, const kf_item_t *item, int64_t now_us)
+{
+	kf_change_t change = KF_CHANGE_NONE;
+	kf_upstream_info_t info;
+	kf_forwarder_t *forwarder;
+	kf_status_t status;
+
+	if (kf_platform_upstream_decode(
+		item->key, item->value, item->len, &info) != KF_OK) {
+		log_refused(a, item);
+		remove_upstream(a, item, false, now_us);
+		return;
+	}
+	forwarder = packet_thread_lock(a->packets);
+	status = kf_directory_put(
+	    kf_forwarder_directory(forwarder), &info, now_us, &change);
+	packet_thread_unlock(a->packets);
+	if (status != KF_OK)
+		log_refused(a, item);
+	log_upstream(a, item, change);
+}
+
+static void
+put_routes(applier_t *a, const kf_item_t *item)
+{
+	kf_route_table_t *table;
+	kf_forwarder_t *forwarder;
+	size_t count = 0;
+	uint64_t version = 0;
+	kf_status_t status = KF_ERR_INVALID;
+
+	/* Only this thread replaces the table, so it may be read unlocked. */
+	forwarder = packet_thread_lock(a->packets);
+	packet_thread_unlock(a->packets);
+	table = kf_platform_routes_decode(
+	    item->value, item->len, kf_forwarder_routes(forwarder));
+	if (table != NULL) {
+		count = table->count;
+		version = table->version;
+		forwarder = packet_thread_lock(a->packets);
+		status = kf_forwarder_set_routes(forwarder, table);
+		packet_thread_unlock(a->packets);
+	}
+	if (status != KF_OK) {
+		log_refused(a, item);
+		return;
+	}
+	a->config_version = version;
+	kf_eventlog_write(a->log, KF_LOG_INFO, "config",
+	    "version=%llu routes=%zu revision=%llu",
+	    (unsigned long long)version, count,
+	    (unsigned long long)item->revision);
+}
+
+void
+applier_changed(void *ctx, const kf_item_t *item, int64_t now_us)
+{
+	applier_t *a = ctx;
+
+	switch (kf_platform_item_kind(item->key)) {
+	case KF_PUBLISHED_UPSTREAM:
+		if (item->removed)
+			remove_upstream(
+			    a, item, may_have_lapsed(a, now_us), now_us);
+		else
+			put_upstream(a, item, now_us);
+		break;
+	case KF_PUBLISHED_ROUTES:
+		/* Without a configuration the last one stays in force. */
+		if (!item->removed)
+			put_routes(a, item);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/lib/fwdnet/control_loop.c
@@ -0,0 +1,487 @@
+#include <sys/signalfd.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "kf/clock.h"
+#include "kf/file.h"
+#include "kf/route_table.h"
+#include "kf/udp.h"
+
+#include "control_loop.h"
+#include "forward_metrics.h"
+#include "http_server.h"
+#include "store_sync.h"
+
+enum {
+	MAX_WAIT_MS = 100,
+	/* A list of 500 items of the largest value takes several pages; one
+	 * page of the store is at most about 1 MB, in base64. */
+	MAX_BODY_BYTES = 64 << 20,
+	BEACON_BYTES = 2048,
+	SETTINGS_INTERVAL_US = 1000000,
+	/* Time between the end of forwarding and the kill, for the end of the
+	 * process on a slow VM. */
+	STOP_MARGIN_MS = 1000,
+	/* Routers need two failed checks, one each 500 ms, to move flows. */
+	STOP_MIN_US = 2500000,
+	/* A leaving VM ends early if no packet has come for this time. */
+	STOP_IDLE_US = 1000000,
+	/* A pause of this length may have cost open connections. */
+	PAUSE_US = 1000000,
+	HTTP_OK = 200,
+	HTTP_NOT_FOUND = 404,
+	HTTP_ERROR = 500,
+	HTTP_UNAVAILABLE = 503,
+};
+
+struct control_loop {
+	const char *settings_path;
+	kf_forwarder_settings_t settings;
+	char *settings_text;
+	int64_t settings_us;
+	packet_thread_t *packets;
+	forward_log_t *forward_log;
+	kf_eventlog_t *log;
+	applier_t applier;
+	http_client_t *client;
+	store_sync_t *sync;
+	kf_peering_t *peering;
+	kf_peering_view_t view;
+	uint64_t told_revision;
+	http_server_t *ready_server;
+	http_server_t *peer_server;
+	int signal_fd;
+	int beacon_fd;
+	bool ready;
+	bool leaving;
+	int64_t leaving_us;
+	uint64_t packets_seen;
+	int64_t packet_us;
+	int64_t now_us;
+};
+
+static kf_peering_self_t
+self_of(const control_loop_t *l)
+{
+	return (kf_peering_self_t){
+		.revision = store_sync_revision(l->sync),
+		.contact_us = store_sync_contact_us(l->sync),
+		.leaving = l->leaving,
+	};
+}
+
+static void
+serve_ready(void *ctx, const char *path, uint64_t after, http_response_t *r)
+{
+	const control_loop_t *l = ctx;
+
+	(void)after;
+	if (strcmp(path, l->settings.ready_path) == 0)
+		r->status =
+		    l->ready && !l->leaving ? HTTP_OK : HTTP_UNAVAILABLE;
+}
+
+static void
+serve_changes(control_loop_t *l, uint64_t after, http_response_t *r)
+{
+	if (store_sync_revision(l->sync) == 0) {
+		r->status = HTTP_UNAVAILABLE;
+		return;
+	}
+	r->body = store_sync_changes(l->sync, after, &r->len);
+	r->type = "application/octet-stream";
+	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+}
+
+static void
+serve_metrics(control_loop_t *l, http_response_t *r)
+{
+	forward_metrics_t metrics = {
+		.sync = *store_sync_stats(l->sync),
+		.opening = &l->forward_log->opening,
+		.revision = store_sync_revision(l->sync),
+		.config_version = l->applier.config_version,
+		.items_refused = l->applier.refused,
+		.log_dropped = kf_eventlog_dropped(l->log),
+		.contact_age_ms = l->view.contact_us == INT64_MIN
+		    ? -1
+		    : (l->now_us - l->view.contact_us) / 1000,
+		.vm_count = l->view.vm_count,
+		.ready = l->ready && !l->leaving,
+	};
+
+	packet_thread_stats(l->packets, &metrics.packets);
+	r->body = forward_metrics_render(&metrics, &r->len);
+	r->type = "text/plain; version=0.0.4; charset=utf-8";
+	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+}
+
+static void
+serve_peer(void *ctx, const char *path, uint64_t after, http_response_t *r)
+{
+	control_loop_t *l = ctx;
+
+	if (strcmp(path, "/changes") == 0)
+		serve_changes(l, after, r);
+	else if (strcmp(path, "/metrics") == 0)
+		serve_metrics(l, r);
+}
+
+static void
+set_seeds(control_loop_t *l)
+{
+	uint32_t ips[KF_FORWARDER_MAX_SEEDS], i;
+
+	for (i = 0; i < l->settings.seed_count; i++)
+		ips[i] = l->settings.seeds[i].ip;
+	kf_peering_set_seeds(l->peering, ips, l->settings.seed_count);
+}
+
+static int
+open_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+static kf_status_t
+loop_open(control_loop_t *l)
+{
+	const kf_forwarder_settings_t *s = &l->settings;
+	kf_peering_config_t peering = {
+		.ip = s->peer_address.ip,
+		.zone = kf_name_key(s->zone),
+		.random_seed = (uint64_t)l->now_us ^ s->peer_address.ip,
+	};
+
+	l->signal_fd = open_signals();
+	if (l->signal_fd < 0)
+		return kf_status_set(KF_ERR_IO, "cannot watch signals");
+	if (kf_udp_open(s->peer_address, 0, &l->beacon_fd) != KF_OK)
+		return KF_ERR_IO;
+	l->client = http_client_new(MAX_BODY_BYTES);
+	if (l->client == NULL)
+		return KF_ERR_NO_MEMORY;
+	l->sync = store_sync_new(l->client, &l->applier, l->log,
+	    s->store_address, s->peer_address.port);
+	l->peering = kf_peering_new(&peering);
+	if (l->sync == NULL || l->peering == NULL)
+		return kf_status_set(KF_ERR_NO_MEMORY, "out of memory");
+	set_seeds(l);
+	l->ready_server = http_server_new(s->ready_address, serve_ready, l);
+	l->peer_server = http_server_new(s->peer_address, serve_peer, l);
+	return l->ready_server == NULL || l->peer_server == NULL ? KF_ERR_IO
+								 : KF_OK;
+}
+
+control_loop_t *
+control_loop_new(const char *settings_path,
+    const kf_forwarder_settings_t *settings, packet_thread_t *packets,
+    forward_log_t *forward_log, kf_eventlog_t *log)
+{
+	control_loop_t *l;
+
+	l = calloc(1, sizeof(*l));
+	if (l == NULL)
+		return NULL;
+	l->settings_path = settings_path;
+	l->settings = *settings;
+	l->packets = packets;
+	l->forward_log = forward_log;
+	l->log = log;
+	l->applier = (applier_t){
+		.packets = packets,
+		.log = log,
+		.contact_us = INT64_MIN,
+		.outage_us = INT64_MIN,
+	};
+	l->signal_fd = -1;
+	l->beacon_fd = -1;
+	l->now_us = kf_clock_now().mono_us;
+	l->view.contact_us = INT64_MIN;
+	if (loop_open(l) != KF_OK) {
+		control_loop_delete(l);
+		return NULL;
+	}
+	return l;
+}
+
+void
+control_loop_delete(control_loop_t *l)
+{
+	if (l == NULL)
+		return;
+	http_server_delete(l->ready_server);
+	http_server_delete(l->peer_server);
+	store_sync_delete(l->sync);
+	http_client_delete(l->client);
+	kf_peering_delete(l->peering);
+	if (l->beacon_fd >= 0)
+		close(l->beacon_fd);
+	if (l->signal_fd >= 0)
+		close(l->signal_fd);
+	free(l->settings_text);
+	free(l);
+}
+
+static void
+send_beacons(control_loop_t *l, bool news)
+{
+	kf_addr_t to = { .port = l->settings.peer_address.port };
+	uint8_t beacon[KF_PEERING_BEACON_BYTES];
+	uint32_t ips[KF_PEERING_MAX_TARGETS];
+	kf_peering_self_t self = self_of(l);
+	size_t i, count, len;
+
+	count = kf_peering_due(l->peering, news, l->now_us, ips);
+	for (i = 0; i < count; i++) {
+		to.ip = ips[i];
+		len = kf_peering_beacon(l->peering, &self, l->now_us, beacon);
+		kf_udp_send(l->beacon_fd, to, beacon, len);
+	}
+}
+
+static void
+receive_beacons(control_loop_t *l)
+{
+	uint8_t data[BEACON_BYTES];
+	kf_addr_t from;
+	ssize_t len;
+
+	while (
+	    (len = kf_udp_recv(l->beacon_fd, data, sizeof(data), &from)) >= 0) {
+		if (kf_peering_receive(
+			l->peering, data, (size_t)len, l->now_us) != KF_OK)
+			kf_eventlog_write(l->log, KF_LOG_DEBUG,
+			    "beacon_refused", "from_ip=%08x reason=\"%s\"",
+			    from.ip, kf_status_message());
+	}
+}
+
+/* Tells the forwarder where this VM stands, and logs VMs coming and going. */
+static void
+update_view(control_loop_t *l)
+{
+	kf_peering_self_t self = self_of(l);
+	kf_peering_view_t view = kf_peering_view(l->peering, &self, l->now_us);
+	kf_forwarder_t *forwarder;
+
+	if (view.vm_count != l->view.vm_count ||
+	    view.zone_count != l->view.zone_count ||
+	    view.rank != l->view.rank) {
+		forwarder = packet_thread_lock(l->packets);
+		kf_forwarder_set_position(forwarder,
+		    (kf_position_t){
+			.rank = view.rank,
+			.vm_count = view.zone_count,
+		    },
+		    l->now_us);
+		packet_thread_unlock(l->packets);
+		kf_eventlog_write(l->log, KF_LOG_INFO, "vms",
+		    "known=%u zone=%u rank=%u", view.vm_count, view.zone_count,
+		    view.rank);
+	}
+	l->view = view;
+	forward_log_set_beliefs(l->forward_log, self.revision, view.contact_us);
+}
+
+static void
+update_ready(control_loop_t *l)
+{
+	bool ready = store_sync_ready(l->sync);
+
+	if (ready == l->ready)
+		return;
+	l->ready = ready;
+	kf_eventlog_write(l->log, KF_LOG_INFO, "ready",
+	    "revision=%llu config=%llu contact_age_ms=%lld",
+	    (unsigned long long)store_sync_revision(l->sync),
+	    (unsigned long long)l->applier.config_version,
+	    l->view.contact_us == INT64_MIN
+		? -1LL
+		: (long long)((l->now_us - l->view.contact_us) / 1000));
+}
+
+static void
+on_settings_error(void *ctx, const char *file, int line, const char *text)
+{
+	control_loop_t *l = ctx;
+
+	kf_eventlog_write(l->log, KF_LOG_ERROR, "settings_error",
+	    "file=%s line=%d reason=\"%s\"", file, line, text);
+}
+
+/* Addresses of this process are taken at the start only. */
+static bool
+needs_restart(
+    const kf_forwarder_settings_t *a, const kf_forwarder_settings_t *b)
+{
+	return !kf_addr_equal(a->packet_address, b->packet_address) ||
+	    !kf_addr_equal(a->ready_address, b->ready_address) ||
+	    !kf_addr_equal(a->peer_address, b->peer_address) ||
+	    strcmp(a->zone, b->zone) != 0 || a->log_level != b->log_level ||
+	    strcmp(a->log_file, b->log_file) != 0;
+}
+
+static void
+take_settings(control_loop_t *l, const char *text, size_t len)
+{
+	kf_forwarder_settings_t settings = { 0 };
+	bool restart;
+
+	if (kf_settings_table_parse(&kf_forwarder_settings_table,
+		l->settings_path, text, len, on_settings_error, l,
+		&settings) != KF_OK) {
+		kf_eventlog_write(l->log, KF_LOG_ERROR, "reload",
+		    "outcome=refused reason=\"%s\"", kf_status_message());
+		return;
+	}
+	restart = needs_restart(&l->settings, &settings);
+	l->settings.store_address = settings.store_address;
+	memcpy(l->settings.seeds, settings.seeds, sizeof(settings.seeds));
+	l->settings.seed_count = settings.seed_count;
+	l->settings.grace_ms = settings.grace_ms;
+	memcpy(l->settings.ready_path, settings.ready_path,
+	    sizeof(settings.ready_path));
+	store_sync_set_store(l->sync, settings.store_address);
+	set_seeds(l);
+	kf_eventlog_write(l->log, restart ? KF_LOG_WARN : KF_LOG_INFO, "reload",
+	    "outcome=%s seeds=%u grace_ms=%lld",
+	    restart ? "partial_needs_restart" : "taken", settings.seed_count,
+	    (long long)settings.grace_ms);
+}
+
+/* The file may change with and without a signal. */
+static void
+check_settings(control_loop_t *l)
+{
+	char *text;
+	size_t len;
+
+	l->settings_us = l->now_us;
+	if (kf_file_read(l->settings_path, KF_DOCUMENT_MAX_BYTES, &text,
+		&len) != KF_OK) {
+		kf_eventlog_write(l->log, KF_LOG_WARN, "reload",
+		    "outcome=unreadable reason=\"%s\"", kf_status_message());
+		return;
+	}
+	if (l->settings_text != NULL && strcmp(text, l->settings_text) != 0)
+		take_settings(l, text, len);
+	free(l->settings_text);
+	l->settings_text = text;
+}
+
+static void
+begin_stop(control_loop_t *l)
+{
+	if (l->leaving)
+		return;
+	l->leaving = true;
+	l->leaving_us = l->now_us;
+	l->packet_us = l->now_us;
+	kf_eventlog_write(l->log, KF_LOG_INFO, "stopping", "grace_ms=%lld",
+	    (long long)l->settings.grace_ms);
+	send_beacons(l, true);
+}
+
+static void
+receive_signals(control_loop_t *l)
+{
+	struct signalfd_siginfo info;
+
+	while (
+	    read(l->signal_fd, &info, sizeof(info)) == (ssize_t)sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			check_settings(l);
+		else
+			begin_stop(l);
+	}
+}
+
+/* Whether a leaving VM has done its work. */
+static bool
+is_stopped(control_loop_t *l)
+{
+	int64_t limit_us = (l->settings.grace_ms - STOP_MARGIN_MS) * 1000;
+	packet_thread_stats_t stats;
+
+	if (!l->leaving)
+		return false;
+	packet_thread_stats(l->packets, &stats);
+	if (stats.forwarder.packets != l->packets_seen) {
+		l->packets_seen = stats.forwarder.packets;
+		l->packet_us = l->now_us;
+	}
+	return l->now_us - l->leaving_us >= limit_us ||
+	    (l->now_us - l->leaving_us >= STOP_MIN_US &&
+		l->now_us - l->packet_us >= STOP_IDLE_US);
+}
+
+static void
+wait_for_work(control_loop_t *l)
+{
+	struct curl_waitfd fds[] = {
+		{ .fd = l->signal_fd, .events = CURL_WAIT_POLLIN },
+		{ .fd = l->beacon_fd, .events = CURL_WAIT_POLLIN },
+		{ .fd = http_server_fd(l->ready_server),
+		    .events = CURL_WAIT_POLLIN },
+		{ .fd = http_server_fd(l->peer_server),
+		    .events = CURL_WAIT_POLLIN },
+	};
+	int64_t before_us = l->now_us;
+
+	http_client_wait(
+	    l->client, fds, sizeof(fds) / sizeof(fds[0]), MAX_WAIT_MS);
+	l->now_us = kf_clock_now().mono_us;
+	if (l->now_us - before_us >= PAUSE_US) {
+		kf_eventlog_write(l->log, KF_LOG_WARN, "paused", "ms=%lld",
+		    (long long)((l->now_us - before_us) / 1000));
+		store_sync_restart(l->sync, l->now_us);
+	}
+	if (fds[0].revents != 0)
+		receive_signals(l);
+	if (fds[1].revents != 0)
+		receive_beacons(l);
+	if (fds[2].revents != 0)
+		http_server_run(l->ready_server);
+	if (fds[3].revents != 0)
+		http_server_run(l->peer_server);
+}
+
+static void
+do_work(control_loop_t *l)
+{
+	uint64_t revision;
+	bool news;
+
+	http_client_run(l->client);
+	update_view(l);
+	store_sync_run(l->sync, &l->view, l->now_us);
+	revision = store_sync_revision(l->sync);
+	news = revision != l->told_revision;
+	l->told_revision = revision;
+	send_beacons(l, news);
+	update_ready(l);
+	if (l->now_us - l->settings_us >= SETTINGS_INTERVAL_US)
+		check_settings(l);
+}
+
+void
+control_loop_run(control_loop_t *l)
+{
+	check_settings(l);
+	do {
+		do_work(l);
+		wait_for_work(l);
+	} while (!is_stopped(l));
+}
--- /dev/null
+++ b/lib/fwdnet/daemon.c
@@ -0,0 +1,81 @@
+#include <apr_general.h>
+
+#include <curl/curl.h>
+
+#include <signal.h>
+
+#include "kf/forwarder_daemon.h"
+
+#include "control_loop.h"
+
+/* Signals are read by the control loop only. */
+static void
+block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+static kf_status_t
+run_threads(const char *path, const kf_forwarder_settings_t *settings,
+    kf_eventlog_t *log, apr_pool_t *pool)
+{
+	kf_status_t status = KF_ERR_IO;
+	control_loop_t *loop = NULL;
+	packet_thread_t *packets;
+	forward_log_t forward_log;
+
+	forward_log_init(&forward_log, log, settings->decisions_per_s);
+	packets = packet_thread_new(settings->packet_address,
+	    kf_name_key(settings->zone), &forward_log, pool);
+	if (packets != NULL)
+		loop = control_loop_new(
+		    path, settings, packets, &forward_log, log);
+	if (loop != NULL)
+		status = packet_thread_start(packets);
+	if (status == KF_OK) {
+		kf_eventlog_write(
+		    log, KF_LOG_INFO, "started", "zone=%s", settings->zone);
+		control_loop_run(loop);
+		packet_thread_stop(packets);
+		kf_eventlog_write(log, KF_LOG_INFO, "stopped", "%s", "");
+	}
+	control_loop_delete(loop);
+	packet_thread_delete(packets);
+	return status;
+}
+
+kf_status_t
+kf_forwarder_daemon_run(
+    const char *path, const kf_forwarder_settings_t *settings)
+{
+	kf_eventlog_t *log;
+	apr_pool_t *pool;
+	kf_status_t status;
+
+	block_signals();
+	/* No TLS here: its set-up would take most of the start. */
+	if (apr_initialize() != APR_SUCCESS ||
+	    apr_pool_create(&pool, NULL) != APR_SUCCESS ||
+	    curl_global_init(CURL_GLOBAL_NOTHING) != CURLE_OK)
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "libraries do not start");
+	log = kf_eventlog_new(
+	    settings->name, settings->log_level, settings->log_file);
+	if (log == NULL)
+		return KF_ERR_IO;
+	status = run_threads(path, settings, log, pool);
+	if (status != KF_OK)
+		kf_eventlog_write(log, KF_LOG_ERROR, "start_failed",
+		    "reason=\"%s\"", kf_status_message());
+	kf_eventlog_delete(log);
+	curl_global_cleanup();
+	apr_terminate();
+	return status;
+}
--- /dev/null
+++ b/lib/fwdnet/forward_log.c
@@ -0,0 +1,121 @@
+#include <stdio.h>
+
+#include "kf/clock.h"
+
+#include "forward_log.h"
+
+enum {
+	/* One flow in this many is logged though nothing went wrong. */
+	SAMPLE = 128,
+	PAIRS_BYTES = 480,
+};
+
+void
+forward_log_init(forward_log_t *l, kf_eventlog_t *log, uint32_t limit_per_s)
+{
+	*l = (forward_log_t){
+		.log = log,
+		.limit_per_s = limit_per_s,
+		.contact_us = INT64_MIN,
+	};
+}
+
+void
+forward_log_set_beliefs(forward_log_t *l, uint64_t revision, int64_t contact_us)
+{
+	__atomic_store_n(&l->revision, revision, __ATOMIC_RELAXED);
+	__atomic_store_n(&l->contact_us, contact_us, __ATOMIC_RELAXED);
+}
+
+static bool
+is_ordinary(const kf_forward_record_t *r)
+{
+	return (r->event == KF_FORWARD_PLACED ||
+		   r->event == KF_FORWARD_OPENED) &&
+	    r->copies == 0 && r->tries <= 1;
+}
+
+/* Whether another line may be written in this second. */
+static bool
+is_allowed(forward_log_t *l, kf_time_t now)
+{
+	if (l->second != now.wall_ms / 1000) {
+		l->second = now.wall_ms / 1000;
+		l->written = 0;
+	}
+	if (l->written >= l->limit_per_s) {
+		l->suppressed++;
+		return false;
+	}
+	l->written++;
+	return true;
+}
+
+static void
+report_suppressed(forward_log_t *l)
+{
+	if (l->suppressed == 0)
+		return;
+	kf_eventlog_write(l->log, KF_LOG_INFO, "suppressed", "lines=%llu",
+	    (unsigned long long)l->suppressed);
+	l->suppressed = 0;
+}
+
+static void
+log_upstream(forward_log_t *l, const kf_forward_record_t *r)
+{
+	kf_eventlog_write(l->log, KF_LOG_WARN, kf_forward_event_name(r->event),
+	    "upstream=%s failures=%u ejections=%u open=%u",
+	    r->target->info.name, r->target->failures, r->target->ejections,
+	    r->target->open);
+}
+
+static void
+log_flow(forward_log_t *l, const kf_forward_record_t *r, kf_time_t now)
+{
+	int64_t contact_us = __atomic_load_n(&l->contact_us, __ATOMIC_RELAXED);
+	char client[KF_ADDR_TEXT_BYTES], address[KF_ADDR_TEXT_BYTES];
+	char choice[PAIRS_BYTES / 2] = "";
+
+	if (r->target != NULL)
+		snprintf(choice, sizeof(choice),
+		    " upstream=%s open=%u opening=%u eligible=%u load=%.2f",
+		    r->target->info.name, r->target->open, r->target->opening,
+		    r->eligible, r->load);
+	kf_eventlog_write(l->log, KF_LOG_INFO, kf_forward_event_name(r->event),
+	    "flow=%016llx client=%s address=%s route=%s priority=%u copies=%u "
+	    "tries=%u since_us=%lld%s verdict=%s reason=%s revision=%llu "
+	    "contact_age_ms=%lld",
+	    (unsigned long long)r->flow_hash, kf_addr_format(r->client, client),
+	    kf_addr_format(r->address, address),
+	    r->route == NULL ? "-" : r->route->name,
+	    r->route == NULL ? 0 : r->route->priority, r->copies, r->tries,
+	    (long long)r->since_us, choice, kf_verdict_name(r->verdict),
+	    kf_reason_name(r->reason),
+	    (unsigned long long)__atomic_load_n(&l->revision, __ATOMIC_RELAXED),
+	    contact_us == INT64_MIN
+		? -1LL
+		: (long long)((now.mono_us - contact_us) / 1000));
+}
+
+void
+forward_log_record(void *ctx, const kf_forward_record_t *r)
+{
+	forward_log_t *l = ctx;
+	kf_time_t now;
+
+	if (r->event == KF_FORWARD_OPENED)
+		histogram_add(&l->opening, r->since_us);
+	if (is_ordinary(r) && r->flow_hash % SAMPLE != 0)
+		return;
+	if (!kf_eventlog_enabled(l->log, KF_LOG_INFO))
+		return;
+	now = kf_clock_now();
+	if (!is_allowed(l, now))
+		return;
+	report_suppressed(l);
+	if (r->client.port == 0 && r->target != NULL)
+		log_upstream(l, r);
+	else
+		log_flow(l, r, now);
+}
--- /dev/null
+++ b/lib/fwdnet/forward_metrics.h
@@ -0,0 +1,28 @@
+#ifndef KF_FORWARD_METRICS_H
+#define KF_FORWARD_METRICS_H
+
+#include "packet_thread.h"
+#include "store_sync.h"
+
+/*
+ * NAME
+ *	forward_metrics - counters of the process in the Prometheus text format
+ */
+
+typedef struct forward_metrics {
+	packet_thread_stats_t packets;
+	store_sync_stats_t sync;
+	const histogram_t *opening;
+	uint64_t revision;
+	uint64_t config_version;
+	uint64_t items_refused;
+	uint64_t log_dropped;
+	int64_t contact_age_ms; /* -1: never */
+	uint32_t vm_count;
+	bool ready;
+} forward_metrics_t;
+
+/* Returns a text that the caller frees, or NULL. */
+char *forward_metrics_render(const forward_metrics_t *metrics, size_t *len);
+
+#endif
--- /dev/null
+++ b/lib/fwdnet/http_client.h
@@ -0,0 +1,54 @@
+#ifndef KF_HTTP_CLIENT_H
+#define KF_HTTP_CLIENT_H
+
+#include <curl/curl.h>
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "kf/addr.h"
+
+/*
+ * NAME
+ *	http_client - requests over HTTP on the control thread
+ *
+ * DESCRIPTION
+ *	Connections are kept open between requests; one whose request runs into
+ *	its timeout is closed, as it may have gone silent.
+ */
+
+enum { HTTP_PATH_BYTES = 768 };
+
+typedef struct http_answer {
+	long status; /* 0: none */
+	const char *body;
+	size_t len;
+	const char *error; /* why there is no status, else NULL */
+	int64_t took_us;
+} http_answer_t;
+
+/* The answer is valid during the call. */
+typedef void http_done_fn(void *ctx, uint32_t tag, const http_answer_t *answer);
+
+typedef struct http_client http_client_t;
+
+http_client_t *http_client_new(size_t max_body_bytes);
+void http_client_delete(http_client_t *client);
+
+/* Starts a request; done is called with tag from http_client_run. */
+kf_status_t http_client_get(http_client_t *client, kf_addr_t host,
+    const char *path, uint32_t timeout_ms, uint32_t tag, http_done_fn *done,
+    void *ctx);
+
+/* Waits for requests and descriptors; returns after wait_ms at the latest. */
+void http_client_wait(http_client_t *client, struct curl_waitfd *fds,
+    unsigned fd_count, int wait_ms);
+
+/* Goes on with all requests and calls back for those that have ended. */
+void http_client_run(http_client_t *client);
+
+/* Ends all requests without a call. */
+void http_client_abort(http_client_t *client);
+
+#endif
--- /dev/null
+++ b/lib/fwdnet/http_server.h
@@ -0,0 +1,35 @@
+#ifndef KF_HTTP_SERVER_H
+#define KF_HTTP_SERVER_H
+
+#include <stddef.h>
+
+#include "kf/addr.h"
+
+/*
+ * NAME
+ *	http_server - answers GET requests on the control thread
+ */
+
+typedef struct http_response {
+	unsigned status;
+	const char *type; /* of the body */
+	void *body;	  /* freed by the server; may be NULL */
+	size_t len;
+} http_response_t;
+
+/* after: the value of the query's "after", 0 if there is none. */
+typedef void http_handler_fn(
+    void *ctx, const char *path, uint64_t after, http_response_t *response);
+
+typedef struct http_server http_server_t;
+
+/* Returns NULL with a message in kf_status if it cannot listen. */
+http_server_t *http_server_new(
+    kf_addr_t address, http_handler_fn *handler, void *ctx);
+void http_server_delete(http_server_t *server);
+
+/* Readable when http_server_run has something to do. */
+int http_server_fd(const http_server_t *server);
+void http_server_run(http_server_t *server);
+
+#endif
--- /dev/null
+++ b/lib/fwdnet/include/kf/forwarder_daemon.h
@@ -0,0 +1,26 @@
+#ifndef KF_FORWARDER_DAEMON_H
+#define KF_FORWARDER_DAEMON_H
+
+#include "kf/forwarder_settings.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_forwarder_daemon - the process of the packet path
+ *
+ * DESCRIPTION
+ *	Opens the sockets, starts the packet thread and runs the control loop
+ *	on the calling thread until a signal has ended in a graceful stop.
+ */
+
+kf_status_t kf_forwarder_daemon_run(
+    const char *settings_path, const kf_forwarder_settings_t *settings);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/fwdnet/include/kf/forwarder_settings.h
@@ -0,0 +1,52 @@
+#ifndef KF_FORWARDER_SETTINGS_H
+#define KF_FORWARDER_SETTINGS_H
+
+#include "kf/addr.h"
+#include "kf/eventlog.h"
+#include "kf/settings_table.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_forwarder_settings - settings of knapweed-forwarder
+ */
+
+enum {
+	KF_FORWARDER_MAX_SEEDS = 8,
+	KF_FORWARDER_PATH_BYTES = 128,
+	KF_FORWARDER_LOG_BYTES = 256,
+};
+
+typedef struct kf_forwarder_settings {
+	/* [vm] */
+	char name[KF_NAME_BYTES];
+	char zone[KF_NAME_BYTES];
+	kf_addr_t packet_address;
+	kf_addr_t ready_address;
+	char ready_path[KF_FORWARDER_PATH_BYTES];
+	kf_addr_t peer_address;
+
+	/* [platform] */
+	kf_addr_t store_address;
+	kf_addr_t seeds[KF_FORWARDER_MAX_SEEDS];
+	uint32_t seed_count;
+
+	/* [stop] */
+	int64_t grace_ms;
+
+	/* [log] */
+	kf_log_level_t log_level;
+	uint32_t decisions_per_s;
+	char log_file[KF_FORWARDER_LOG_BYTES];
+} kf_forwarder_settings_t;
+
+extern const kf_settings_table_t kf_forwarder_settings_table;
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/fwdnet/packet_thread.c
@@ -0,0 +1,223 @@
+#include <apr_thread_proc.h>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "kf/clock.h"
+
+#include "exchange.h"
+#include "packet_thread.h"
+
+enum {
+	/* Longest sleep without packets; bounds the time until idle flows are
+	 * forgotten. */
+	MAX_WAIT_MS = 250,
+	/* Batches between two waits, so that ticks come in time in a flood. */
+	MAX_BATCHES = 8,
+};
+
+struct packet_thread {
+	apr_pool_t *pool;
+	apr_thread_mutex_t *mutex; /* of the forwarder */
+	apr_thread_t *thread;
+	kf_forwarder_t *forwarder;
+	exchange_t *exchange;
+	int64_t now_us;
+	int epoll_fd;
+	int stop_fd; /* wakes the thread */
+	bool stopping;
+};
+
+static void
+on_send(void *ctx, const kf_upstream_info_t *upstream, uint32_t token,
+    const uint8_t *datagram, size_t len)
+{
+	packet_thread_t *t = ctx;
+
+	exchange_send(t->exchange, upstream, token, datagram, len);
+}
+
+static void
+on_reset(void *ctx, const kf_packet_t *packet)
+{
+	packet_thread_t *t = ctx;
+
+	exchange_reset(t->exchange, packet);
+}
+
+static void
+on_packet(
+    void *ctx, const kf_packet_t *packet, const uint8_t *datagram, size_t len)
+{
+	packet_thread_t *t = ctx;
+
+	kf_forwarder_packet(t->forwarder, t->now_us, packet, datagram, len);
+}
+
+static kf_status_t
+watch_fd(int epoll_fd, int fd)
+{
+	struct epoll_event event = { .events = EPOLLIN, .data.fd = fd };
+
+	return epoll_ctl(epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0
+	    ? KF_OK
+	    : kf_status_set(KF_ERR_IO, "cannot watch a descriptor");
+}
+
+static kf_status_t
+thread_open(packet_thread_t *t, kf_addr_t address)
+{
+	t->exchange = exchange_new(address);
+	if (t->exchange == NULL)
+		return KF_ERR_IO;
+	t->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	t->stop_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (t->epoll_fd < 0 || t->stop_fd < 0)
+		return kf_status_set(
+		    KF_ERR_IO, "cannot open descriptors of the packet thread");
+	if (watch_fd(t->epoll_fd, exchange_fd(t->exchange)) != KF_OK ||
+	    watch_fd(t->epoll_fd, t->stop_fd) != KF_OK)
+		return KF_ERR_IO;
+	return apr_thread_mutex_create(
+		   &t->mutex, APR_THREAD_MUTEX_DEFAULT, t->pool) == APR_SUCCESS
+	    ? KF_OK
+	    : kf_status_set(KF_ERR_NO_MEMORY, "no memory for a mutex");
+}
+
+packet_thread_t *
+packet_thread_new(kf_addr_t address, uint64_t zone, forward_log_t *forward_log,
+    apr_pool_t *pool)
+{
+	packet_thread_t *t;
+
+	t = calloc(1, sizeof(*t));
+	if (t == NULL)
+		return NULL;
+	t->pool = pool;
+	t->epoll_fd = -1;
+	t->stop_fd = -1;
+	t->forwarder = kf_forwarder_new(zone,
+	    &(kf_forwarder_callbacks_t){
+		.ctx = t,
+		.send = on_send,
+		.reset = on_reset,
+		.record_ctx = forward_log,
+		.record = forward_log_record,
+	    });
+	if (t->forwarder == NULL || thread_open(t, address) != KF_OK) {
+		packet_thread_delete(t);
+		return NULL;
+	}
+	return t;
+}
+
+void
+packet_thread_delete(packet_thread_t *t)
+{
+	if (t == NULL)
+		return;
+	if (t->epoll_fd >= 0)
+		close(t->epoll_fd);
+	if (t->stop_fd >= 0)
+		close(t->stop_fd);
+	exchange_delete(t->exchange);
+	kf_forwarder_delete(t->forwarder);
+	free(t);
+}
+
+kf_forwarder_t *
+packet_thread_lock(packet_thread_t *t)
+{
+	apr_thread_mutex_lock(t->mutex);
+	return t->forwarder;
+}
+
+void
+packet_thread_unlock(packet_thread_t *t)
+{
+	apr_thread_mutex_unlock(t->mutex);
+}
+
+/* Handles what has arrived and what is due; returns the time of the next. */
+static int64_t
+run_once(packet_thread_t *t)
+{
+	kf_forwarder_t *forwarder = packet_thread_lock(t);
+	int64_t due_us;
+	int batches = 0;
+
+	do
+		t->now_us = kf_clock_now().mono_us;
+	while (exchange_receive(t->exchange, on_packet, t) == EXCHANGE_BATCH &&
+	    ++batches < MAX_BATCHES);
+	due_us = kf_forwarder_tick(forwarder, t->now_us);
+	packet_thread_unlock(t);
+	exchange_flush(t->exchange);
+	return due_us;
+}
+
+/* Rounds up, so that a step is not looked for before it is due. */
+static int
+wait_ms(int64_t due_us, int64_t now_us)
+{
+	int64_t ms;
+
+	if (due_us - now_us >= (int64_t)MAX_WAIT_MS * 1000)
+		return MAX_WAIT_MS;
+	ms = (due_us - now_us + 999) / 1000;
+	return ms < 0 ? 0 : (int)ms;
+}
+
+static void *APR_THREAD_FUNC
+thread_main(apr_thread_t *thread, void *ctx)
+{
+	packet_thread_t *t = ctx;
+	struct epoll_event event;
+	int64_t due_us;
+
+	(void)thread;
+	while (!__atomic_load_n(&t->stopping, __ATOMIC_ACQUIRE)) {
+		due_us = run_once(t);
+		epoll_wait(t->epoll_fd, &event, 1, wait_ms(due_us, t->now_us));
+	}
+	return NULL;
+}
+
+kf_status_t
+packet_thread_start(packet_thread_t *t)
+{
+	return apr_thread_create(&t->thread, NULL, thread_main, t, t->pool) ==
+		APR_SUCCESS
+	    ? KF_OK
+	    : kf_status_set(KF_ERR_IO, "cannot start the packet thread");
+}
+
+void
+packet_thread_stop(packet_thread_t *t)
+{
+	apr_status_t status;
+	uint64_t one = 1;
+
+	if (t->thread == NULL)
+		return;
+	__atomic_store_n(&t->stopping, true, __ATOMIC_RELEASE);
+	/* If it fails, the thread notices within MAX_WAIT_MS. */
+	(void)!write(t->stop_fd, &one, sizeof(one));
+	apr_thread_join(&status, t->thread);
+	t->thread = NULL;
+}
+
+void
+packet_thread_stats(packet_thread_t *t, packet_thread_stats_t *stats)
+{
+	kf_forwarder_t *forwarder = packet_thread_lock(t);
+
+	kf_forwarder_stats(forwarder, &stats->forwarder);
+	stats->patience_us = kf_forwarder_patience_us(forwarder);
+	packet_thread_unlock(t);
+	stats->malformed = exchange_malformed(t->exchange);
+	stats->unsent = exchange_unsent(t->exchange);
+}
--- /dev/null
+++ b/lib/fwdnet/packet_thread.h
@@ -0,0 +1,40 @@
+#ifndef KF_PACKET_THREAD_H
+#define KF_PACKET_THREAD_H
+
+#include <apr_thread_mutex.h>
+
+#include "kf/forwarder.h"
+
+#include "forward_log.h"
+
+/*
+ * NAME
+ *	packet_thread - the thread that forwards packets
+ *
+ * DESCRIPTION
+ *	Holds the forwarder.  Other threads change it between lock and unlock,
+ *	for a short time: packets wait meanwhile.
+ */
+
+typedef struct packet_thread packet_thread_t;
+
+packet_thread_t *packet_thread_new(kf_addr_t address, uint64_t zone,
+    forward_log_t *forward_log, apr_pool_t *pool);
+kf_status_t packet_thread_start(packet_thread_t *thread);
+/* Ends and joins the thread. */
+void packet_thread_stop(packet_thread_t *thread);
+void packet_thread_delete(packet_thread_t *thread);
+
+kf_forwarder_t *packet_thread_lock(packet_thread_t *thread);
+void packet_thread_unlock(packet_thread_t *thread);
+
+typedef struct packet_thread_stats {
+	kf_forwarder_stats_t forwarder;
+	uint64_t malformed;
+	uint64_t unsent;
+	int64_t patience_us;
+} packet_thread_stats_t;
+
+void packet_thread_stats(packet_thread_t *thread, packet_thread_stats_t *stats);
+
+#endif
--- /dev/null
+++ b/lib/fwdnet/settings.c
@@ -0,0 +1,86 @@
+#include <string.h>
+
+#include "kf/forwarder_settings.h"
+
+enum {
+	GRACE_MIN_MS = 1000,
+	GRACE_MAX_MS = 600000,
+	MAX_DECISIONS_PER_S = 1000000,
+};
+
+static kf_status_t
+set_seeds(void *object, const char *value)
+{
+	kf_forwarder_settings_t *s = object;
+
+	return kf_settings_addrs(
+	    value, s->seeds, KF_FORWARDER_MAX_SEEDS, &s->seed_count);
+}
+
+static kf_status_t
+set_ready_path(void *object, const char *value)
+{
+	kf_forwarder_settings_t *s = object;
+
+	if (*value != '/' || strlen(value) >= sizeof(s->ready_path))
+		return kf_status_set(KF_ERR_INVALID,
+		    "'%.40s' is not a path of up to %zu bytes", value,
+		    sizeof(s->ready_path) - 1);
+	memcpy(s->ready_path, value, strlen(value) + 1);
+	return KF_OK;
+}
+
+#define PLACE(member) .offset = offsetof(kf_forwarder_settings_t, member)
+
+static const kf_field_t fields[] = {
+	{ "vm", "name", KF_FIELD_NAME, PLACE(name), .text = "name of the VM" },
+	{ "vm", "zone", KF_FIELD_NAME, PLACE(zone),
+	    .text = "availability zone of the VM" },
+	{ "vm", "packet_address", KF_FIELD_ADDR, PLACE(packet_address),
+	    .text =
+		"packets of clients, UDP; clients take resets on its port" },
+	{ "vm", "ready_address", KF_FIELD_ADDR, PLACE(ready_address),
+	    .text = "readiness for the routers, HTTP" },
+	{ "vm", "ready_path", KF_FIELD_CUSTOM, .set = set_ready_path,
+	    .unit = "path", .fallback = "/ready",
+	    .text = "path of the readiness" },
+	{ "vm", "peer_address", KF_FIELD_ADDR, PLACE(peer_address),
+	    .text = "beacons, UDP, and changes and metrics, HTTP; the port is "
+		    "the same on all VMs" },
+	{ "platform", "store_address", KF_FIELD_ADDR, PLACE(store_address),
+	    .text = "metadata store, HTTP" },
+	{ "platform", "seeds", KF_FIELD_CUSTOM, .set = set_seeds,
+	    .unit = "ip:port ...", .fallback = "",
+	    .text = "VMs that may know others; the ports are not used" },
+	{ "stop", "grace_ms", KF_FIELD_I64, PLACE(grace_ms), .unit = "ms",
+	    .min = GRACE_MIN_MS, .max = GRACE_MAX_MS, .fallback = "6000",
+	    .text = "time from SIGTERM until the process is killed" },
+	{ "log", "level", KF_FIELD_CHOICE, PLACE(log_level),
+	    .choices = kf_log_levels, .fallback = "info",
+	    .text = "least severe level written" },
+	{ "log", "decisions_per_s", KF_FIELD_U32, PLACE(decisions_per_s),
+	    .unit = "lines/s", .min = 0, .max = MAX_DECISIONS_PER_S,
+	    .fallback = "50", .text = "limit of decision lines" },
+	{ "log", "file", KF_FIELD_TEXT, PLACE(log_file),
+	    .max = KF_FORWARDER_LOG_BYTES - 1, .fallback = "stdout",
+	    .text = "path of the log, stdout or stderr" },
+};
+
+static void
+check_settings(const void *object, kf_reader_t *reader)
+{
+	const kf_forwarder_settings_t *s = object;
+
+	if (kf_addr_equal(s->packet_address, s->peer_address))
+		kf_reader_error(reader, 0,
+		    "vm: packet_address and peer_address are the same");
+	if (kf_addr_equal(s->ready_address, s->peer_address))
+		kf_reader_error(reader, 0,
+		    "vm: ready_address and peer_address are the same");
+}
+
+const kf_settings_table_t kf_forwarder_settings_table = {
+	.fields = fields,
+	.count = sizeof(fields) / sizeof(fields[0]),
+	.check = check_settings,
+};
--- /dev/null
+++ b/lib/fwdnet/store_sync.c
@@ -0,0 +1,385 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "kf/clock.h"
+#include "kf/peering_codec.h"
+#include "kf/platform_store.h"
+
+#include "store_sync.h"
+
+enum {
+	HTTP_OK = 200,
+	EXPIRY_INTERVAL_US = 5000000,
+};
+
+struct store_sync {
+	http_client_t *client;
+	applier_t *applier;
+	kf_eventlog_t *log;
+	kf_replica_t *replica;
+	kf_sync_t sync;
+	kf_addr_t store;
+	uint16_t peer_port;
+	bool stale; /* the listing under way */
+	char after_key[KF_PLATFORM_KEY_BYTES];
+	bool store_lost; /* reported as lost */
+	int64_t expiry_us;
+	unsigned random_state;
+	store_sync_stats_t stats;
+	/* While changes of another VM are taken. */
+	int64_t now_us;
+	uint64_t pulled_revision;
+	bool pulled_listing;
+};
+
+static void request_list(store_sync_t *s);
+
+store_sync_t *
+store_sync_new(http_client_t *client, applier_t *applier, kf_eventlog_t *log,
+    kf_addr_t store, uint16_t peer_port)
+{
+	store_sync_t *s;
+
+	s = calloc(1, sizeof(*s));
+	if (s == NULL)
+		return NULL;
+	s->client = client;
+	s->applier = applier;
+	s->log = log;
+	s->store = store;
+	s->peer_port = peer_port;
+	s->random_state = (unsigned)kf_clock_now().mono_us;
+	s->replica = kf_replica_new(applier_changed, applier);
+	if (s->replica == NULL) {
+		free(s);
+		return NULL;
+	}
+	kf_sync_init(&s->sync);
+	return s;
+}
+
+void
+store_sync_delete(store_sync_t *s)
+{
+	if (s == NULL)
+		return;
+	kf_replica_delete(s->replica);
+	free(s);
+}
+
+void
+store_sync_set_store(store_sync_t *s, kf_addr_t store)
+{
+	s->store = store;
+}
+
+static double
+jitter(store_sync_t *s)
+{
+	return (double)rand_r(&s->random_state) / RAND_MAX;
+}
+
+static void
+finish(store_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome)
+{
+	kf_sync_done(&s->sync, call, outcome, kf_replica_revision(s->replica),
+	    jitter(s), s->now_us);
+	applier_contact(s->applier, s->sync.contact_us);
+}
+
+/* Logs the first failure and the first success after it. */
+static void
+note_store(
+    store_sync_t *s, kf_sync_call_t call, const http_answer_t *answer, bool ok)
+{
+	if (!ok)
+		s->stats.failures[call]++;
+	if (ok == !s->store_lost)
+		return;
+	s->store_lost = !ok;
+	kf_eventlog_write(s->log, ok ? KF_LOG_INFO : KF_LOG_WARN,
+	    ok ? "store_regained" : "store_lost",
+	    "call=%s status=%ld reason=\"%s\" took_us=%lld revision=%llu",
+	    kf_sync_call_name(call), answer->status,
+	    ok				    ? ""
+		: answer->error != NULL	    ? answer->error
+		: answer->status != HTTP_OK ? "refused"
+					    : kf_status_message(),
+	    (long long)answer->took_us,
+	    (unsigned long long)kf_replica_revision(s->replica));
+}
+
+static void
+apply_change(
+    store_sync_t *s, kf_source_t source, const kf_platform_change_t *change)
+{
+	kf_status_t status;
+
+	status = change->removed
+	    ? kf_replica_remove(
+		  s->replica, change->key, change->revision, s->now_us)
+	    : kf_replica_put(s->replica, source, change->key, change->value,
+		  change->len, change->revision, s->now_us);
+	if (status != KF_OK)
+		kf_eventlog_write(s->log, KF_LOG_ERROR, "item_lost",
+		    "key=%s reason=\"%s\"", change->key, kf_status_message());
+}
+
+static void
+take_change(void *ctx, const kf_platform_change_t *change)
+{
+	apply_change(ctx, KF_SOURCE_STORE, change);
+}
+
+static void
+on_list(void *ctx, uint32_t tag, const http_answer_t *answer)
+{
+	store_sync_t *s = ctx;
+	kf_platform_answer_t page = { 0 };
+	kf_status_t status = KF_ERR_IO;
+	bool first = s->after_key[0] == '\0';
+
+	(void)tag;
+	s->now_us = kf_clock_now().mono_us;
+	if (answer->status == HTTP_OK) {
+		/* Decoded once for its revision, which the listing begins with,
+		 * and once for its items. */
+		status = kf_platform_list_decode(
+		    answer->body, answer->len, &page, NULL, NULL);
+		if (status == KF_OK && first)
+			kf_replica_listing_begin(
+			    s->replica, KF_SOURCE_STORE, page.revision);
+		if (status == KF_OK)
+			status = kf_platform_list_decode(
+			    answer->body, answer->len, &page, take_change, s);
+	}
+	note_store(s, KF_SYNC_LIST, answer, status == KF_OK);
+	if (status != KF_OK) {
+		finish(s, KF_SYNC_LIST, KF_SYNC_FAILED);
+		return;
+	}
+	if (page.more && page.last_key[0] != '\0') {
+		snprintf(
+		    s->after_key, sizeof(s->after_key), "%s", page.last_key);
+		request_list(s);
+		return;
+	}
+	finish(s, KF_SYNC_LIST,
+	    kf_replica_listing_end(s->replica, KF_SOURCE_STORE, s->now_us) ==
+		    KF_OK
+		? KF_SYNC_OK
+		: KF_SYNC_BEHIND);
+}
+
+static void
+request(store_sync_t *s, kf_sync_call_t call, kf_addr_t host, const char *path,
+    uint32_t timeout_ms, http_done_fn *done)
+{
+	s->stats.calls[call]++;
+	if (http_client_get(s->client, host, path, timeout_ms, (uint32_t)call,
+		done, s) == KF_OK)
+		return;
+	kf_eventlog_write(s->log, KF_LOG_ERROR, "call_failed",
+	    "call=%s reason=\"%s\"", kf_sync_call_name(call),
+	    kf_status_message());
+	finish(s, call, KF_SYNC_FAILED);
+}
+
+static void
+request_list(store_sync_t *s)
+{
+	char path[KF_PLATFORM_PATH_BYTES];
+
+	kf_platform_list_path(path, s->after_key, s->stale);
+	request(
+	    s, KF_SYNC_LIST, s->store, path, KF_SYNC_LIST_TIMEOUT_MS, on_list);
+}
+
+static void
+on_watch(void *ctx, uint32_t tag, const http_answer_t *answer)
+{
+	store_sync_t *s = ctx;
+	kf_platform_answer_t changes = { 0 };
+	kf_status_t status = KF_ERR_IO;
+
+	(void)tag;
+	s->now_us = kf_clock_now().mono_us;
+	if (answer->status == KF_PLATFORM_HISTORY_GONE) {
+		kf_eventlog_write(s->log, KF_LOG_WARN, "history_gone",
+		    "revision=%llu",
+		    (unsigned long long)kf_replica_revision(s->replica));
+		finish(s, KF_SYNC_WATCH, KF_SYNC_HISTORY_GONE);
+		return;
+	}
+	if (answer->status == HTTP_OK) {
+		/* An outage ends before its changes are taken. */
+		applier_contact(s->applier, s->now_us);
+		status = kf_platform_watch_decode(
+		    answer->body, answer->len, &changes, take_change, s);
+	}
+	note_store(s, KF_SYNC_WATCH, answer, status == KF_OK);
+	if (status == KF_OK)
+		kf_replica_advance(s->replica, changes.revision);
+	finish(s, KF_SYNC_WATCH, status == KF_OK ? KF_SYNC_OK : KF_SYNC_FAILED);
+}
+
+static void
+begin_pulled(void *ctx, uint64_t revision, bool listing)
+{
+	store_sync_t *s = ctx;
+
+	s->pulled_revision = revision;
+	s->pulled_listing = listing;
+	if (listing)
+		kf_replica_listing_begin(s->replica, KF_SOURCE_PEER, revision);
+}
+
+static void
+take_pulled(void *ctx, const kf_changes_item_t *item)
+{
+	kf_platform_change_t change = {
+		.key = item->key,
+		.value = item->value,
+		.len = item->len,
+		.revision = item->revision,
+		.removed = item->removed,
+	};
+
+	apply_change(ctx, KF_SOURCE_PEER, &change);
+}
+
+static void
+on_pull(void *ctx, uint32_t tag, const http_answer_t *answer)
+{
+	store_sync_t *s = ctx;
+	kf_status_t status = KF_ERR_IO;
+
+	(void)tag;
+	s->now_us = kf_clock_now().mono_us;
+	if (answer->status == HTTP_OK)
+		status = kf_changes_decode((const uint8_t *)answer->body,
+		    answer->len, begin_pulled, take_pulled, s);
+	if (status == KF_OK && s->pulled_listing &&
+	    kf_replica_listing_end(s->replica, KF_SOURCE_PEER, s->now_us) ==
+		KF_ERR_STALE)
+		status = KF_OK; /* what is newer here stays */
+	else if (status == KF_OK)
+		kf_replica_advance(s->replica, s->pulled_revision);
+	if (status != KF_OK) {
+		s->stats.failures[KF_SYNC_PULL]++;
+		kf_eventlog_write(s->log, KF_LOG_WARN, "pull_failed",
+		    "status=%ld reason=\"%s\"", answer->status,
+		    answer->error != NULL ? answer->error
+					  : kf_status_message());
+	}
+	finish(s, KF_SYNC_PULL, status == KF_OK ? KF_SYNC_OK : KF_SYNC_FAILED);
+}
+
+static void
+start_store_call(store_sync_t *s, const kf_sync_order_t *order)
+{
+	char path[KF_PLATFORM_PATH_BYTES];
+
+	if (order->call == KF_SYNC_LIST) {
+		s->stale = order->stale;
+		s->after_key[0] = '\0';
+		request_list(s);
+		return;
+	}
+	kf_platform_watch_path(
+	    path, kf_replica_revision(s->replica), order->wait_ms);
+	request(s, KF_SYNC_WATCH, s->store, path,
+	    order->wait_ms + KF_SYNC_SLACK_MS, on_watch);
+}
+
+void
+store_sync_run(store_sync_t *s, const kf_peering_view_t *view, int64_t now_us)
+{
+	kf_sync_peers_t peers = {
+		.rank = view->rank,
+		.contact_us = view->contact_us,
+		.ahead_revision = view->ahead_revision,
+		.ahead_ip = view->ahead_ip,
+	};
+	kf_sync_order_t order;
+	char path[HTTP_PATH_BYTES];
+
+	s->now_us = now_us;
+	applier_contact(s->applier, view->contact_us);
+	order = kf_sync_next(&s->sync, &peers, now_us);
+	if (order.pull) {
+		kf_addr_t peer = { .ip = view->ahead_ip, .port = s->peer_port };
+
+		snprintf(path, sizeof(path), "/changes?after=%llu",
+		    (unsigned long long)kf_replica_revision(s->replica));
+		request(s, KF_SYNC_PULL, peer, path, KF_SYNC_PULL_TIMEOUT_MS,
+		    on_pull);
+	}
+	if (order.store)
+		start_store_call(s, &order);
+	if (now_us >= s->expiry_us) {
+		kf_replica_expire(s->replica, now_us);
+		s->expiry_us = now_us + EXPIRY_INTERVAL_US;
+	}
+}
+
+void
+store_sync_restart(store_sync_t *s, int64_t now_us)
+{
+	http_client_abort(s->client);
+	kf_sync_restart(&s->sync, now_us);
+}
+
+bool
+store_sync_ready(const store_sync_t *s)
+{
+	return kf_sync_ready(&s->sync) && s->applier->config_version > 0;
+}
+
+uint64_t
+store_sync_revision(const store_sync_t *s)
+{
+	return kf_replica_revision(s->replica);
+}
+
+int64_t
+store_sync_contact_us(const store_sync_t *s)
+{
+	return s->sync.contact_us;
+}
+
+const store_sync_stats_t *
+store_sync_stats(const store_sync_t *s)
+{
+	return &s->stats;
+}
+
+uint8_t *
+store_sync_changes(const store_sync_t *s, uint64_t after, size_t *len)
+{
+	bool listing = !kf_replica_has_changes(s->replica, after);
+	size_t i, count = 0, known = kf_replica_count(s->replica);
+	kf_changes_item_t *items;
+	uint8_t *data;
+
+	items = calloc(known + 1, sizeof(*items));
+	if (items == NULL)
+		return NULL;
+	for (i = 0; i < known; i++) {
+		const kf_item_t *item = kf_replica_at(s->replica, i);
+
+		if (listing ? item->removed : item->revision <= after)
+			continue;
+		items[count++] = (kf_changes_item_t){
+			.key = item->key,
+			.revision = item->revision,
+			.removed = item->removed,
+			.value = item->value,
+			.len = item->len,
+		};
+	}
+	data = kf_changes_encode(
+	    kf_replica_revision(s->replica), listing, items, count, len);
+	free(items);
+	return data;
+}
--- /dev/null
+++ b/lib/fwdnet/store_sync.h
@@ -0,0 +1,51 @@
+#ifndef KF_STORE_SYNC_H
+#define KF_STORE_SYNC_H
+
+#include "kf/eventlog.h"
+#include "kf/peering.h"
+#include "kf/replica.h"
+#include "kf/sync.h"
+
+#include "applier.h"
+#include "http_client.h"
+
+/*
+ * NAME
+ *	store_sync - keeps the replica up to date
+ *
+ * DESCRIPTION
+ *	Makes the calls that kf_sync orders, to the store or to another VM, and
+ *	puts the answers into the replica.
+ */
+
+typedef struct store_sync store_sync_t;
+
+typedef struct store_sync_stats {
+	uint64_t calls[KF_SYNC_CALL_COUNT];
+	uint64_t failures[KF_SYNC_CALL_COUNT];
+} store_sync_stats_t;
+
+store_sync_t *store_sync_new(http_client_t *client, applier_t *applier,
+    kf_eventlog_t *log, kf_addr_t store, uint16_t peer_port);
+void store_sync_delete(store_sync_t *sync);
+
+void store_sync_set_store(store_sync_t *sync, kf_addr_t store);
+
+/* Starts the calls that are due. */
+void store_sync_run(
+    store_sync_t *sync, const kf_peering_view_t *view, int64_t now_us);
+
+/* The process was suspended: calls under way are worth nothing. */
+void store_sync_restart(store_sync_t *sync, int64_t now_us);
+
+bool store_sync_ready(const store_sync_t *sync);
+uint64_t store_sync_revision(const store_sync_t *sync);
+/* Own contact with the store; INT64_MIN: never. */
+int64_t store_sync_contact_us(const store_sync_t *sync);
+const store_sync_stats_t *store_sync_stats(const store_sync_t *sync);
+
+/* The changes after a revision for another VM; freed by the caller. */
+uint8_t *store_sync_changes(
+    const store_sync_t *sync, uint64_t after, size_t *len);
+
+#endif
--- a/lib/net/logger.c
+++ b/lib/net/logger.c
@@ -1,5 +1,3 @@
-#include <log4c.h>
-
 #include <apr_thread_mutex.h>
 
 #include <stdarg.h>
@@ -8,63 +6,21 @@
 #include <string.h>
 
 #include "kf/clock.h"
+#include "kf/eventlog.h"
 #include "kf/logger.h"
 
 enum { LINE_BYTES = 1024 };
 
 struct kf_logger {
 	apr_pool_t *pool;
-	apr_thread_mutex_t *mutex; /* log4c appenders are not thread-safe */
-	log4c_category_t *category;
-	FILE *file;
-	kf_log_level_t level;
-	char name[KF_NAME_BYTES];
+	apr_thread_mutex_t *mutex; /* of the limit of decision lines */
+	kf_eventlog_t *log;
 	uint32_t limit_per_s;
 	int64_t second;
 	uint32_t logged;
 	uint64_t suppressed;
 };
 
-/* The stream appenders of log4c put a prefix before each line. */
-static int
-appender_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
-{
-	FILE *file = log4c_appender_get_udata(appender);
-
-	if (fputs(event->evt_msg, file) == EOF || fflush(file) == EOF)
-		return -1;
-	return 0;
-}
-
-static const log4c_appender_type_t line_appender = {
-	.name = "line",
-	.append = appender_append,
-};
-
-static const int priorities[] = {
-	[KF_LOG_ERROR] = LOG4C_PRIORITY_ERROR,
-	[KF_LOG_WARN] = LOG4C_PRIORITY_WARN,
-	[KF_LOG_INFO] = LOG4C_PRIORITY_INFO,
-	[KF_LOG_DEBUG] = LOG4C_PRIORITY_DEBUG,
-};
-
-static void
-logger_open(kf_logger_t *logger, const kf_settings_t *settings)
-{
-	log4c_appender_t *appender;
-
-	log4c_init();
-	log4c_appender_type_set(&line_appender);
-	appender = log4c_appender_get("knapweed");
-	log4c_appender_set_type(appender, &line_appender);
-	log4c_appender_set_udata(appender, logger->file);
-	logger->category = log4c_category_get("knapweed");
-	log4c_category_set_appender(logger->category, appender);
-	log4c_category_set_additivity(logger->category, 0);
-	log4c_category_set_priority(
-	    logger->category, priorities[settings->log_level]);
-}
-
 kf_logger_t *
 kf_logger_new(const kf_settings_t *settings)
 {
@@ -73,25 +29,16 @@
 	logger = calloc(1, sizeof(*logger));
 	if (logger == NULL)
 		return NULL;
-	memcpy(logger->name, settings->name, sizeof(logger->name));
-	logger->level = settings->log_level;
 	logger->limit_per_s = settings->decisions_per_s;
-	logger->file = stderr;
-	if (strcmp(settings->log_file, "stderr") != 0)
-		logger->file = fopen(settings->log_file, "ae");
-	if (logger->file == NULL) {
-		kf_status_set(
-		    KF_ERR_IO, "cannot open log file %s", settings->log_file);
-		free(logger);
-		return NULL;
-	}
-	if (apr_pool_create(&logger->pool, NULL) != APR_SUCCESS ||
+	logger->log = kf_eventlog_new(
+	    settings->name, settings->log_level, settings->log_file);
+	if (logger->log == NULL ||
+	    apr_pool_create(&logger->pool, NULL) != APR_SUCCESS ||
 	    apr_thread_mutex_create(&logger->mutex, APR_THREAD_MUTEX_DEFAULT,
 		logger->pool) != APR_SUCCESS) {
-		free(logger);
+		kf_logger_delete(logger);
 		return NULL;
 	}
-	logger_open(logger, settings);
 	return logger;
 }
 
@@ -100,36 +47,21 @@
 {
 	if (logger == NULL)
 		return;
-	log4c_fini();
-	apr_pool_destroy(logger->pool);
+	kf_eventlog_delete(logger->log);
+	if (logger->pool != NULL)
+		apr_pool_destroy(logger->pool);
 	free(logger);
 }
 
-static void
-logger_write(kf_logger_t *logger, kf_log_level_t level, const char *line)
-{
-	apr_thread_mutex_lock(logger->mutex);
-	log4c_category_log(logger->category, priorities[level], "%s\n", line);
-	apr_thread_mutex_unlock(logger->mutex);
-}
-
 void
 kf_logger_event(kf_logger_t *logger, kf_log_level_t level, const char *event,
     const char *fmt, ...)
 {
-	char line[LINE_BYTES], pairs[LINE_BYTES / 2];
-	kf_time_t now = kf_clock_now();
 	va_list ap;
 
-	if (level > logger->level)
-		return;
 	va_start(ap, fmt);
-	vsnprintf(pairs, sizeof(pairs), fmt, ap);
+	kf_eventlog_writev(logger->log, level, event, fmt, ap);
 	va_end(ap);
-	snprintf(line, sizeof(line), "ts=%lld.%03lld vm=%s event=%s%s%s",
-	    (long long)(now.wall_ms / 1000), (long long)(now.wall_ms % 1000),
-	    logger->name, event, pairs[0] == '\0' ? "" : " ", pairs);
-	logger_write(logger, level, line);
 }
 
 /* Whether another decision line may be written in this second. */
@@ -174,7 +106,7 @@
 	uint64_t suppressed = 0;
 	size_t len = 0;
 
-	if (logger->level < KF_LOG_INFO)
+	if (!kf_eventlog_enabled(logger->log, KF_LOG_INFO))
 		return 0;
 	if (!logger_allowed(logger, now, &suppressed))
 		return 1;
--- /dev/null
+++ b/lib/peering/include/kf/peering.h
@@ -0,0 +1,101 @@
+#ifndef KF_PEERING_H
+#define KF_PEERING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "kf/status.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_peering - the other VMs of the packet path
+ *
+ * DESCRIPTION
+ *	Each VM sends a beacon to a few random VMs at an interval, and at once
+ *	when its revision grows, so that news reach all VMs in a few steps and
+ *	the bytes a VM sends do not grow with their number.  Seeds are asked
+ *	until a VM is known, and from time to time after that, so that parts
+ *	that were cut off from each other meet again.
+ */
+
+enum {
+	KF_PEERING_INTERVAL_US = 300000,
+	/* Random VMs of the own zone and of any zone for each beacon. */
+	KF_PEERING_NEAR = 2,
+	KF_PEERING_FAR = 1,
+	/* News: enough that nearly all of a zone hear in three steps. */
+	KF_PEERING_NEWS_NEAR = 4,
+	KF_PEERING_NEWS_FAR = 2,
+	/* Members in a beacon: 3 beacons of 140 bytes each 300 ms are 1.4 KB/s,
+	 * of the 2 KB/s that control may use. */
+	KF_PEERING_MEMBERS = 6,
+	/* A VM that is not heard of for this time is taken to be gone. */
+	KF_PEERING_LIFE_US = 3000000,
+	KF_PEERING_SEED_INTERVAL_US = 1500000,
+	KF_PEERING_MAX_SEEDS = 8,
+	KF_PEERING_MAX_TARGETS = 16,
+	KF_PEERING_BEACON_BYTES = 512,
+};
+
+typedef struct kf_peering_config {
+	uint32_t ip;
+	uint64_t zone; /* kf_name_key */
+	uint32_t seeds[KF_PEERING_MAX_SEEDS];
+	uint32_t seed_count;
+	uint64_t random_seed;
+} kf_peering_config_t;
+
+/* What a VM says of itself. */
+typedef struct kf_peering_self {
+	uint64_t revision;
+	int64_t contact_us; /* with the store; INT64_MIN: never */
+	bool leaving;
+} kf_peering_self_t;
+
+/* What follows from all beacons. */
+typedef struct kf_peering_view {
+	uint32_t rank; /* in the zone, by address */
+	uint32_t zone_count;
+	uint32_t vm_count;
+	int64_t contact_us; /* latest contact at a revision not above ours */
+	uint64_t ahead_revision;
+	uint32_t ahead_ip; /* 0: no VM is ahead */
+} kf_peering_view_t;
+
+typedef struct kf_peering kf_peering_t;
+
+kf_peering_t *kf_peering_new(const kf_peering_config_t *config);
+void kf_peering_delete(kf_peering_t *peering);
+
+void kf_peering_set_seeds(
+    kf_peering_t *peering, const uint32_t *seeds, uint32_t count);
+
+/* Takes a beacon; KF_ERR_INVALID if it is malformed. */
+kf_status_t kf_peering_receive(
+    kf_peering_t *peering, const uint8_t *data, size_t len, int64_t now_us);
+
+/*
+ * Addresses that a beacon is due to, 0 if none; news: the revision has grown
+ * or this VM leaves.
+ */
+size_t kf_peering_due(kf_peering_t *peering, bool news, int64_t now_us,
+    uint32_t ips[KF_PEERING_MAX_TARGETS]);
+int64_t kf_peering_next_us(const kf_peering_t *peering);
+
+/* Writes a beacon for a VM; returns its length, 0 on failure. */
+size_t kf_peering_beacon(kf_peering_t *peering, const kf_peering_self_t *self,
+    int64_t now_us, uint8_t buf[KF_PEERING_BEACON_BYTES]);
+
+kf_peering_view_t kf_peering_view(
+    kf_peering_t *peering, const kf_peering_self_t *self, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/peering/peering.c
@@ -0,0 +1,389 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/peering.h"
+
+#include "peering_msg.h"
+
+enum {
+	MAGIC = 0x6b666231, /* "kfb1" */
+	MAX_MEMBERS = 16384,
+	/* A beacon that was held up by a pause of its sender or a queue. */
+	MAX_AGE_MS = 600000,
+};
+
+typedef struct member {
+	uint32_t ip;
+	uint64_t zone;
+	int64_t heard_us;
+	uint64_t revision;  /* 0: only heard of */
+	int64_t contact_us; /* INT64_MIN: none */
+} member_t;
+
+struct kf_peering {
+	kf_peering_config_t config;
+	member_t *members; /* by ip; never this VM */
+	size_t count;
+	size_t cap;
+	int64_t next_us;
+	int64_t seed_us;
+	uint64_t random;
+	size_t cursor; /* next member to put into a beacon */
+};
+
+kf_peering_t *
+kf_peering_new(const kf_peering_config_t *config)
+{
+	kf_peering_t *p;
+
+	p = calloc(1, sizeof(*p));
+	if (p == NULL)
+		return NULL;
+	p->config = *config;
+	p->random = config->random_seed;
+	return p;
+}
+
+void
+kf_peering_delete(kf_peering_t *p)
+{
+	if (p == NULL)
+		return;
+	free(p->members);
+	free(p);
+}
+
+void
+kf_peering_set_seeds(kf_peering_t *p, const uint32_t *seeds, uint32_t count)
+{
+	if (count > KF_PEERING_MAX_SEEDS)
+		count = KF_PEERING_MAX_SEEDS;
+	memcpy(p->config.seeds, seeds, count * sizeof(*seeds));
+	p->config.seed_count = count;
+}
+
+/* splitmix64 */
+static uint64_t
+next_random(kf_peering_t *p)
+{
+	uint64_t z = p->random += UINT64_C(0x9e3779b97f4a7c15);
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+static size_t
+position_of(const kf_peering_t *p, uint32_t ip)
+{
+	size_t low = 0, high = p->count, middle;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		if (p->members[middle].ip < ip)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static member_t *
+find_member(const kf_peering_t *p, uint32_t ip)
+{
+	size_t at = position_of(p, ip);
+
+	return at < p->count && p->members[at].ip == ip ? &p->members[at]
+							: NULL;
+}
+
+static member_t *
+add_member(kf_peering_t *p, uint32_t ip, uint64_t zone)
+{
+	size_t at = position_of(p, ip), cap;
+	member_t *grown;
+
+	if (p->count == MAX_MEMBERS)
+		return NULL;
+	if (p->count == p->cap) {
+		cap = p->cap == 0 ? 16 : p->cap * 2;
+		grown = realloc(p->members, cap * sizeof(*grown));
+		if (grown == NULL)
+			return NULL;
+		p->members = grown;
+		p->cap = cap;
+	}
+	memmove(p->members + at + 1, p->members + at,
+	    (p->count - at) * sizeof(*p->members));
+	p->count++;
+	p->members[at] = (member_t){
+		.ip = ip,
+		.zone = zone,
+		.heard_us = INT64_MIN,
+		.contact_us = INT64_MIN,
+	};
+	return &p->members[at];
+}
+
+static void
+remove_member(kf_peering_t *p, uint32_t ip)
+{
+	size_t at = position_of(p, ip);
+
+	if (at == p->count || p->members[at].ip != ip)
+		return;
+	p->count--;
+	memmove(p->members + at, p->members + at + 1,
+	    (p->count - at) * sizeof(*p->members));
+}
+
+static void
+expire_members(kf_peering_t *p, int64_t now_us)
+{
+	size_t i, kept = 0;
+
+	for (i = 0; i < p->count; i++)
+		if (now_us - p->members[i].heard_us < KF_PEERING_LIFE_US)
+			p->members[kept++] = p->members[i];
+	p->count = kept;
+}
+
+/* Another VM says when it last heard of a member. */
+static void
+hear_of(kf_peering_t *p, const peering_member *said, int64_t now_us)
+{
+	int64_t heard_us = now_us - (int64_t)said->age_ms * 1000;
+	member_t *m;
+
+	if (said->ip == p->config.ip || said->ip == 0 ||
+	    now_us - heard_us >= KF_PEERING_LIFE_US)
+		return;
+	m = find_member(p, said->ip);
+	if (m == NULL)
+		m = add_member(p, said->ip, said->zone);
+	if (m != NULL && heard_us > m->heard_us)
+		m->heard_us = heard_us;
+}
+
+static void
+hear_sender(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
+{
+	member_t *m = find_member(p, b->ip);
+
+	if (m == NULL)
+		m = add_member(p, b->ip, b->zone);
+	if (m == NULL)
+		return;
+	m->heard_us = now_us;
+	m->zone = b->zone;
+	m->revision = b->revision;
+	m->contact_us = b->contact_age_ms < 0
+	    ? INT64_MIN
+	    : now_us - (int64_t)b->contact_age_ms * 1000;
+}
+
+kf_status_t
+kf_peering_receive(
+    kf_peering_t *p, const uint8_t *data, size_t len, int64_t now_us)
+{
+	peering_beacon b = { 0 };
+	kf_status_t status = KF_OK;
+	bool_t decoded;
+	XDR xdr;
+	u_int i;
+
+	xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)len, XDR_DECODE);
+	decoded = xdr_peering_beacon(&xdr, &b);
+	xdr_destroy(&xdr);
+	if (!decoded || b.magic != MAGIC || b.ip == 0 ||
+	    b.contact_age_ms > MAX_AGE_MS)
+		status = kf_status_set(KF_ERR_INVALID, "malformed beacon");
+	else if (b.ip != p->config.ip) {
+		if (b.leaving)
+			remove_member(p, b.ip);
+		else
+			hear_sender(p, &b, now_us);
+		for (i = 0; i < b.members.members_len; i++)
+			hear_of(p, &b.members.members_val[i], now_us);
+	}
+	xdr_free((xdrproc_t)xdr_peering_beacon, (char *)&b);
+	return status;
+}
+
+static bool
+has_target(const uint32_t *ips, size_t count, uint32_t ip)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (ips[i] == ip)
+			return true;
+	return false;
+}
+
+/* Adds a random member, of this VM's zone if near is set, that is not in ips.
+ */
+static size_t
+add_random(kf_peering_t *p, bool near, uint32_t *ips, size_t count)
+{
+	size_t i, start;
+
+	if (p->count == 0 || count == KF_PEERING_MAX_TARGETS)
+		return count;
+	start = next_random(p) % p->count;
+	for (i = 0; i < p->count; i++) {
+		const member_t *m = &p->members[(start + i) % p->count];
+
+		if ((near && m->zone != p->config.zone) ||
+		    has_target(ips, count, m->ip))
+			continue;
+		ips[count++] = m->ip;
+		break;
+	}
+	return count;
+}
+
+static size_t
+add_fanout(
+    kf_peering_t *p, size_t near, size_t far, uint32_t *ips, size_t count)
+{
+	for (; near > 0; near--)
+		count = add_random(p, true, ips, count);
+	for (; far > 0; far--)
+		count = add_random(p, false, ips, count);
+	return count;
+}
+
+static size_t
+add_seeds(kf_peering_t *p, uint32_t *ips, size_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->config.seed_count; i++) {
+		uint32_t ip = p->config.seeds[i];
+
+		if (ip != p->config.ip && count < KF_PEERING_MAX_TARGETS &&
+		    !has_target(ips, count, ip))
+			ips[count++] = ip;
+	}
+	return count;
+}
+
+size_t
+kf_peering_due(kf_peering_t *p, bool news, int64_t now_us,
+    uint32_t ips[KF_PEERING_MAX_TARGETS])
+{
+	size_t count = 0;
+
+	if (news)
+		count = add_fanout(
+		    p, KF_PEERING_NEWS_NEAR, KF_PEERING_NEWS_FAR, ips, count);
+	if (now_us < p->next_us)
+		return count;
+	expire_members(p, now_us);
+	p->next_us = now_us + KF_PEERING_INTERVAL_US;
+	if (!news)
+		count =
+		    add_fanout(p, KF_PEERING_NEAR, KF_PEERING_FAR, ips, count);
+	if (p->count == 0 || now_us >= p->seed_us) {
+		p->seed_us = now_us + KF_PEERING_SEED_INTERVAL_US;
+		count = add_seeds(p, ips, count);
+	}
+	return count;
+}
+
+int64_t
+kf_peering_next_us(const kf_peering_t *p)
+{
+	return p->next_us;
+}
+
+/* Latest contact that holds for what this VM has. */
+static int64_t
+contact_us(const kf_peering_t *p, const kf_peering_self_t *self)
+{
+	int64_t latest_us = self->contact_us;
+	size_t i;
+
+	for (i = 0; i < p->count; i++) {
+		const member_t *m = &p->members[i];
+
+		if (m->revision == self->revision && m->contact_us > latest_us)
+			latest_us = m->contact_us;
+	}
+	return latest_us;
+}
+
+static int
+age_ms(int64_t since_us, int64_t now_us)
+{
+	int64_t ms = (now_us - since_us) / 1000;
+
+	return since_us == INT64_MIN || ms > MAX_AGE_MS || ms < 0 ? -1
+								  : (int)ms;
+}
+
+size_t
+kf_peering_beacon(kf_peering_t *p, const kf_peering_self_t *self,
+    int64_t now_us, uint8_t buf[KF_PEERING_BEACON_BYTES])
+{
+	peering_member members[KF_PEERING_MEMBERS];
+	peering_beacon b = {
+		.magic = MAGIC,
+		.ip = p->config.ip,
+		.zone = p->config.zone,
+		.revision = self->revision,
+		.contact_age_ms = age_ms(contact_us(p, self), now_us),
+		.leaving = self->leaving,
+		.members.members_val = members,
+	};
+	size_t i, len;
+	XDR xdr;
+
+	for (i = 0; i < KF_PEERING_MEMBERS && i < p->count; i++) {
+		const member_t *m = &p->members[p->cursor++ % p->count];
+
+		members[i] = (peering_member){
+			.ip = m->ip,
+			.zone = m->zone,
+			.age_ms = (u_int)((now_us - m->heard_us) / 1000),
+		};
+	}
+	b.members.members_len = (u_int)i;
+	xdrmem_create(&xdr, (char *)buf, KF_PEERING_BEACON_BYTES, XDR_ENCODE);
+	len = xdr_peering_beacon(&xdr, &b) ? xdr_getpos(&xdr) : 0;
+	xdr_destroy(&xdr);
+	return len;
+}
+
+kf_peering_view_t
+kf_peering_view(kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us)
+{
+	kf_peering_view_t view = { .zone_count = 1 };
+	bool ahead_near = false;
+	size_t i;
+
+	expire_members(p, now_us);
+	view.vm_count = (uint32_t)p->count + 1;
+	view.contact_us = contact_us(p, self);
+	for (i = 0; i < p->count; i++) {
+		const member_t *m = &p->members[i];
+		bool near = m->zone == p->config.zone;
+
+		if (near) {
+			view.zone_count++;
+			view.rank += m->ip < p->config.ip;
+		}
+		if (m->revision <= self->revision)
+			continue;
+		/* A VM of the own zone is asked first if it has as much. */
+		if (m->revision > view.ahead_revision ||
+		    (m->revision == view.ahead_revision && near &&
+			!ahead_near)) {
+			view.ahead_revision = m->revision;
+			view.ahead_ip = m->ip;
+			ahead_near = near;
+		}
+	}
+	return view;
+}
--- /dev/null
+++ b/lib/peering/peering_msg.x
@@ -0,0 +1,36 @@
+/* Messages between the VMs of the packet path. */
+
+const PEERING_MAX_MEMBERS = 24;
+const PEERING_MAX_KEY = 200;
+const PEERING_MAX_VALUE = 1048576;
+const PEERING_MAX_ITEMS = 200000;
+
+struct peering_member {
+	unsigned int ip;
+	unsigned hyper zone;
+	unsigned int age_ms;	/* since it was heard of */
+};
+
+struct peering_beacon {
+	unsigned int magic;
+	unsigned int ip;
+	unsigned hyper zone;
+	unsigned hyper revision;
+	int contact_age_ms;	/* of the store at this revision; -1: never */
+	bool leaving;
+	peering_member members<PEERING_MAX_MEMBERS>;
+};
+
+struct peering_item {
+	string key<PEERING_MAX_KEY>;
+	unsigned hyper revision;
+	bool removed;
+	opaque value<PEERING_MAX_VALUE>;
+};
+
+/* Answer to a request for the changes after a revision. */
+struct peering_changes {
+	unsigned hyper revision;
+	bool listing;		/* items are all there is */
+	peering_item items<PEERING_MAX_ITEMS>;
+};
--- /dev/null
+++ b/lib/program/include/kf/program.h
@@ -0,0 +1,36 @@
+#ifndef KF_PROGRAM_H
+#define KF_PROGRAM_H
+
+#include "kf/declaration.h"
+#include "kf/status.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_program_main - command line of a daemon
+ *
+ * DESCRIPTION
+ *	Reads --config and --check, loads the settings and runs the daemon.
+ *	Returns the exit status: 0, 1 if it could not run, 2 if the settings
+ *	were refused.
+ */
+
+typedef struct kf_program {
+	const char *name;
+	const char *doc; /* one line for --help */
+	/* Returns the settings, or NULL after reporting every error. */
+	void *(*load)(const char *path, kf_error_fn *on_error, void *ctx);
+	kf_status_t (*run)(const char *path, const void *settings);
+	void (*unload)(void *settings);
+} kf_program_t;
+
+int kf_program_main(const kf_program_t *program, int argc, char **argv);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/replica/sync.c
@@ -0,0 +1,161 @@
+#include "kf/sync.h"
+
+static const char *const call_names[KF_SYNC_CALL_COUNT] = {
+	[KF_SYNC_LIST] = "list",
+	[KF_SYNC_WATCH] = "watch",
+	[KF_SYNC_PULL] = "pull",
+};
+
+const char *
+kf_sync_call_name(kf_sync_call_t call)
+{
+	return call_names[call];
+}
+
+void
+kf_sync_init(kf_sync_t *s)
+{
+	*s = (kf_sync_t){ .contact_us = INT64_MIN };
+}
+
+static int64_t
+age_us(int64_t since_us, int64_t now_us)
+{
+	return since_us == INT64_MIN ? INT64_MAX : now_us - since_us;
+}
+
+/* Whether this VM watches the store itself. */
+static bool
+is_reader(const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
+{
+	int64_t limit_us = (int64_t)peers->rank * KF_SYNC_RANK_US;
+
+	if (peers->rank == 0 || !s->listed || !s->caught_up)
+		return true;
+	if (limit_us > KF_SYNC_RANK_MAX_US)
+		limit_us = KF_SYNC_RANK_MAX_US;
+	return age_us(peers->contact_us, now_us) >
+	    KF_SYNC_TAKEOVER_US + limit_us;
+}
+
+/*
+ * Without changes of its own: other VMs confirm what this one has, or nobody
+ * reaches the store and what other VMs know has to do.
+ */
+static bool
+is_settled(const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
+{
+	return age_us(peers->contact_us, now_us) < KF_SYNC_TAKEOVER_US ||
+	    now_us - s->listed_us >= KF_SYNC_SETTLE_US;
+}
+
+kf_sync_order_t
+kf_sync_next(kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
+{
+	kf_sync_order_t order = { 0 };
+
+	if (!s->busy_peer && now_us >= s->peer_not_before_us &&
+	    peers->ahead_ip != 0 && peers->ahead_revision > s->revision) {
+		order.pull = true;
+		s->busy_peer = true;
+	}
+	if (s->listed && !s->caught_up && is_settled(s, peers, now_us))
+		s->caught_up = true;
+	if (s->busy_store || now_us < s->store_not_before_us ||
+	    !is_reader(s, peers, now_us))
+		return order;
+	order.store = true;
+	s->busy_store = true;
+	order.call =
+	    s->listed && !s->fresh_list_needed ? KF_SYNC_WATCH : KF_SYNC_LIST;
+	order.stale = !s->fresh_list_needed;
+	/* The first watch asks for what the listing may have missed. */
+	order.wait_ms = s->caught_up ? KF_SYNC_WATCH_WAIT_MS : 0;
+	return order;
+}
+
+static int64_t
+retry_us(const kf_sync_t *s, double jitter)
+{
+	int64_t us = KF_SYNC_RETRY_MIN_US;
+	uint32_t i;
+
+	for (i = 1; i < s->store_failures && us < KF_SYNC_RETRY_MAX_US; i++)
+		us *= 2;
+	if (us > KF_SYNC_RETRY_MAX_US)
+		us = KF_SYNC_RETRY_MAX_US;
+	return us / 2 + (int64_t)((double)us * jitter);
+}
+
+static void
+note_listed(kf_sync_t *s, int64_t now_us)
+{
+	if (!s->listed)
+		s->listed_us = now_us;
+	s->listed = true;
+}
+
+static void
+store_done(kf_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome,
+    double jitter, int64_t now_us)
+{
+	s->busy_store = false;
+	s->store_not_before_us = now_us;
+	/* A stale listing may be behind what other VMs have told. */
+	if (outcome == KF_SYNC_BEHIND)
+		outcome = s->fresh_list_needed ? KF_SYNC_FAILED : KF_SYNC_OK;
+	if (outcome == KF_SYNC_FAILED) {
+		s->store_failures++;
+		s->store_not_before_us = now_us + retry_us(s, jitter);
+		return;
+	}
+	s->store_failures = 0;
+	if (outcome != KF_SYNC_OK) {
+		s->fresh_list_needed = true;
+		return;
+	}
+	if (call == KF_SYNC_LIST) {
+		/* A stale listing is no proof of what is true now. */
+		if (s->fresh_list_needed)
+			s->contact_us = now_us;
+		note_listed(s, now_us);
+		s->fresh_list_needed = false;
+		return;
+	}
+	s->contact_us = now_us;
+	s->caught_up = true;
+	s->store_not_before_us = now_us + KF_SYNC_WATCH_GAP_US;
+}
+
+void
+kf_sync_done(kf_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome,
+    uint64_t revision, double jitter, int64_t now_us)
+{
+	s->revision = revision;
+	if (call != KF_SYNC_PULL) {
+		store_done(s, call, outcome, jitter, now_us);
+		return;
+	}
+	s->busy_peer = false;
+	if (outcome == KF_SYNC_OK)
+		note_listed(s, now_us);
+	else
+		s->peer_not_before_us = now_us + KF_SYNC_RETRY_MIN_US +
+		    (int64_t)(KF_SYNC_RETRY_MIN_US * jitter);
+}
+
+void
+kf_sync_restart(kf_sync_t *s, int64_t now_us)
+{
+	s->busy_store = false;
+	s->busy_peer = false;
+	s->store_failures = 0;
+	s->store_not_before_us = now_us;
+	s->peer_not_before_us = now_us;
+}
+
+bool
+kf_sync_ready(const kf_sync_t *s)
+{
+	return s->listed && s->caught_up;
+}
--- a/lib/settings/include/kf/settings.h
+++ b/lib/settings/include/kf/settings.h
@@ -2,6 +2,7 @@
 #define KF_SETTINGS_H
 
 #include "kf/declaration.h"
+#include "kf/eventlog.h"
 #include "kf/field.h"
 
 #ifdef __cplusplus
@@ -30,13 +31,6 @@
 	KF_ENCAPSULATION_NONE,
 } kf_encapsulation_t;
 
-typedef enum kf_log_level {
-	KF_LOG_ERROR = 0,
-	KF_LOG_WARN,
-	KF_LOG_INFO,
-	KF_LOG_DEBUG,
-} kf_log_level_t;
-
 typedef struct kf_settings {
 	/* [vm] */
 	char name[KF_NAME_BYTES];
--- /dev/null
+++ b/lib/settings/include/kf/settings_table.h
@@ -0,0 +1,47 @@
+#ifndef KF_SETTINGS_TABLE_H
+#define KF_SETTINGS_TABLE_H
+
+#include "kf/reader.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_settings_table - reads the settings of a daemon from an INI file
+ *
+ * DESCRIPTION
+ *	A table of descriptors states section, key, type, unit, range and
+ *	default of each setting; each run of equal section names is one
+ *	section.  Every error is reported before the functions return.
+ */
+
+typedef struct kf_settings_table {
+	const kf_field_t *fields;
+	size_t count;
+	/* Checks settings against each other; may be NULL. */
+	void (*check)(const void *settings, kf_reader_t *reader);
+} kf_settings_table_t;
+
+/* Fills settings, which the caller has zeroed. */
+kf_status_t kf_settings_table_parse(const kf_settings_table_t *table,
+    const char *file, const char *text, size_t len, kf_error_fn *on_error,
+    void *ctx, void *settings);
+
+/* The same from a file. */
+kf_status_t kf_settings_table_load(const kf_settings_table_t *table,
+    const char *path, kf_error_fn *on_error, void *ctx, void *settings);
+
+/*
+ * Parses addresses "ip:port" between spaces or commas; KF_ERR_FULL if there
+ * are more than max, KF_ERR_CONFLICT if one is given twice.
+ */
+kf_status_t kf_settings_addrs(
+    const char *value, kf_addr_t *addrs, uint32_t max, uint32_t *count);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -1,9 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "kf/file.h"
-#include "kf/reader.h"
 #include "kf/settings.h"
+#include "kf/settings_table.h"
 
 enum {
 	MIB = 1024 * 1024,
@@ -12,11 +11,9 @@
 	START_WINDOW_MAX_MS = 60000,
 	TOKEN_LIFETIME_MIN_S = 60,
 	TOKEN_LIFETIME_MAX_S = 7 * 86400,
-	MAX_SECTIONS = 8,
 };
 
 static const char *const encapsulations[] = { "proxy-v2", "none", NULL };
-static const char *const levels[] = { "error", "warn", "info", "debug", NULL };
 
 static kf_status_t set_url(void *object, const char *value);
 static kf_status_t set_seeds(void *object, const char *value);
@@ -74,8 +71,9 @@
 	    PLACE(ingress_packets_per_s), .unit = "packets/s", .min = 0,
 	    .max = 100000000, .fallback = "0",
 	    .text = "ingress limit; 0: none" },
-	{ "log", "level", KF_FIELD_CHOICE, PLACE(log_level), .choices = levels,
-	    .fallback = "info", .text = "least severe level written" },
+	{ "log", "level", KF_FIELD_CHOICE, PLACE(log_level),
+	    .choices = kf_log_levels, .fallback = "info",
+	    .text = "least severe level written" },
 	{ "log", "decisions_per_s", KF_FIELD_U32, PLACE(decisions_per_s),
 	    .unit = "lines/s", .min = 0, .max = 1000000, .fallback = "200",
 	    .text = "limit of decision lines" },
@@ -113,75 +111,13 @@
 	return KF_OK;
 }
 
-static kf_status_t
-seeds_add(kf_settings_t *settings, const char *word, size_t len)
-{
-	char text[KF_ADDR_TEXT_BYTES];
-	kf_addr_t addr;
-	uint32_t i;
-
-	if (settings->seed_count == KF_SETTINGS_MAX_SEEDS)
-		return kf_status_set(
-		    KF_ERR_FULL, "more than %d seeds", KF_SETTINGS_MAX_SEEDS);
-	if (len >= sizeof(text))
-		return kf_status_set(
-		    KF_ERR_INVALID, "'%.40s' is not an ip:port", word);
-	memcpy(text, word, len);
-	text[len] = '\0';
-	if (kf_addr_parse(text, &addr) != KF_OK)
-		return KF_ERR_INVALID;
-	for (i = 0; i < settings->seed_count; i++) {
-		if (kf_addr_equal(settings->seeds[i], addr))
-			return kf_status_set(
-			    KF_ERR_CONFLICT, "'%s' is given twice", text);
-	}
-	settings->seeds[settings->seed_count++] = addr;
-	return KF_OK;
-}
-
 static kf_status_t
 set_seeds(void *object, const char *value)
 {
-	kf_status_t status;
-	size_t len;
-
-	for (;;) {
-		value += strspn(value, " \t");
-		if (*value == '\0')
-			return KF_OK;
-		len = strcspn(value, " \t");
-		status = seeds_add(object, value, len);
-		if (status != KF_OK)
-			return status;
-		value += len;
-	}
-}
-
-static void *
-section_begin(void *target, const char *name, int line)
-{
-	(void)name;
-	(void)line;
-	return target;
-}
-
-/* Each run of equal section names in the table is a section. */
-static size_t
-build_sections(kf_section_t *sections)
-{
-	size_t i, count = 0;
+	kf_settings_t *settings = object;
 
-	for (i = 0; i < FIELD_COUNT && count < MAX_SECTIONS; i++) {
-		if (i == 0 ||
-		    strcmp(fields[i].section, fields[i - 1].section) != 0)
-			sections[count++] = (kf_section_t){
-				.kind = fields[i].section,
-				.fields = &fields[i],
-				.begin = section_begin,
-			};
-		sections[count - 1].field_count++;
-	}
-	return count;
+	return kf_settings_addrs(value, settings->seeds, KF_SETTINGS_MAX_SEEDS,
+	    &settings->seed_count);
 }
 
 static bool
@@ -225,32 +161,24 @@
 		    "vm: metrics_address and control_address are the same");
 }
 
-kf_settings_t *
-kf_settings_parse(const char *file, const char *text, size_t len,
-    kf_error_fn *on_error, void *ctx)
+static void
+check_settings(const void *object, kf_reader_t *reader)
 {
-	kf_section_t sections[MAX_SECTIONS] = { 0 };
-	kf_reader_t reader = {
-		.file = file,
-		.on_error = on_error,
-		.ctx = ctx,
-		.sections = sections,
-	};
-	kf_settings_t *settings;
+	check_addresses(object, reader);
+	check_metrics(object, reader);
+}
 
-	settings = calloc(1, sizeof(*settings));
-	if (settings == NULL) {
-		kf_reader_error(&reader, 0, "out of memory");
-		return NULL;
-	}
-	reader.section_count = build_sections(sections);
-	reader.target = settings;
-	kf_reader_run(&reader, text, len, KF_DOCUMENT_MAX_BYTES);
-	if (reader.error_count == 0) {
-		check_addresses(settings, &reader);
-		check_metrics(settings, &reader);
-	}
-	if (reader.error_count > 0) {
+static const kf_settings_table_t settings_table = {
+	.fields = fields,
+	.count = FIELD_COUNT,
+	.check = check_settings,
+};
+
+/* Takes what a parser returned; NULL if it failed. */
+static kf_settings_t *
+settings_finish(kf_settings_t *settings, kf_status_t status)
+{
+	if (status != KF_OK) {
 		kf_settings_delete(settings);
 		return NULL;
 	}
@@ -259,22 +187,41 @@
 	return settings;
 }
 
-kf_settings_t *
-kf_settings_load(const char *path, kf_error_fn *on_error, void *ctx)
+static kf_settings_t *
+settings_new(const char *file, kf_error_fn *on_error, void *ctx)
 {
 	kf_settings_t *settings;
-	char *text;
-	size_t len;
 
-	if (kf_file_read(path, KF_DOCUMENT_MAX_BYTES, &text, &len) != KF_OK) {
-		on_error(ctx, path, 0, kf_status_message());
-		return NULL;
-	}
-	settings = kf_settings_parse(path, text, len, on_error, ctx);
-	free(text);
+	settings = calloc(1, sizeof(*settings));
+	if (settings == NULL)
+		on_error(ctx, file, 0, "out of memory");
 	return settings;
 }
 
+kf_settings_t *
+kf_settings_parse(const char *file, const char *text, size_t len,
+    kf_error_fn *on_error, void *ctx)
+{
+	kf_settings_t *settings = settings_new(file, on_error, ctx);
+
+	return settings == NULL
+	    ? NULL
+	    : settings_finish(settings,
+		  kf_settings_table_parse(&settings_table, file, text, len,
+		      on_error, ctx, settings));
+}
+
+kf_settings_t *
+kf_settings_load(const char *path, kf_error_fn *on_error, void *ctx)
+{
+	kf_settings_t *settings = settings_new(path, on_error, ctx);
+
+	return settings == NULL ? NULL
+				: settings_finish(settings,
+				      kf_settings_table_load(&settings_table,
+					  path, on_error, ctx, settings));
+}
+
 void
 kf_settings_delete(kf_settings_t *settings)
 {
--- /dev/null
+++ b/lib/settings/settings_table.c
@@ -0,0 +1,123 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/file.h"
+#include "kf/settings_table.h"
+
+static const char separators[] = " \t,";
+
+static void *
+section_begin(void *target, const char *name, int line)
+{
+	(void)name;
+	(void)line;
+	return target;
+}
+
+static size_t
+build_sections(const kf_settings_table_t *table, kf_section_t *sections)
+{
+	const kf_field_t *fields = table->fields;
+	size_t i, count = 0;
+
+	for (i = 0; i < table->count && count < KF_READER_MAX_SECTIONS; i++) {
+		if (i == 0 ||
+		    strcmp(fields[i].section, fields[i - 1].section) != 0)
+			sections[count++] = (kf_section_t){
+				.kind = fields[i].section,
+				.fields = &fields[i],
+				.begin = section_begin,
+			};
+		sections[count - 1].field_count++;
+	}
+	return count;
+}
+
+kf_status_t
+kf_settings_table_parse(const kf_settings_table_t *table, const char *file,
+    const char *text, size_t len, kf_error_fn *on_error, void *ctx,
+    void *settings)
+{
+	kf_section_t sections[KF_READER_MAX_SECTIONS] = { 0 };
+	kf_reader_t reader = {
+		.file = file,
+		.on_error = on_error,
+		.ctx = ctx,
+		.sections = sections,
+		.section_count = build_sections(table, sections),
+		.target = settings,
+	};
+
+	kf_reader_run(&reader, text, len, KF_DOCUMENT_MAX_BYTES);
+	if (reader.error_count == 0 && table->check != NULL)
+		table->check(settings, &reader);
+	return reader.error_count == 0
+	    ? KF_OK
+	    : kf_status_set(
+		  KF_ERR_INVALID, "%s: %zu errors", file, reader.error_count);
+}
+
+kf_status_t
+kf_settings_table_load(const kf_settings_table_t *table, const char *path,
+    kf_error_fn *on_error, void *ctx, void *settings)
+{
+	kf_status_t status;
+	char *text;
+	size_t len;
+
+	status = kf_file_read(path, KF_DOCUMENT_MAX_BYTES, &text, &len);
+	if (status != KF_OK) {
+		on_error(ctx, path, 0, kf_status_message());
+		return status;
+	}
+	status = kf_settings_table_parse(
+	    table, path, text, len, on_error, ctx, settings);
+	free(text);
+	return status;
+}
+
+static kf_status_t
+addrs_add(const char *word, size_t len, kf_addr_t *addrs, uint32_t max,
+    uint32_t *count)
+{
+	char text[KF_ADDR_TEXT_BYTES];
+	kf_addr_t addr;
+	uint32_t i;
+
+	if (*count == max)
+		return kf_status_set(
+		    KF_ERR_FULL, "more than %u addresses", max);
+	if (len >= sizeof(text))
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%.40s' is not an ip:port", word);
+	memcpy(text, word, len);
+	text[len] = '\0';
+	if (kf_addr_parse(text, &addr) != KF_OK)
+		return KF_ERR_INVALID;
+	for (i = 0; i < *count; i++) {
+		if (kf_addr_equal(addrs[i], addr))
+			return kf_status_set(
+			    KF_ERR_CONFLICT, "'%s' is given twice", text);
+	}
+	addrs[(*count)++] = addr;
+	return KF_OK;
+}
+
+kf_status_t
+kf_settings_addrs(
+    const char *value, kf_addr_t *addrs, uint32_t max, uint32_t *count)
+{
+	kf_status_t status;
+	size_t len;
+
+	for (;;) {
+		value += strspn(value, separators);
+		if (*value == '\0')
+			return KF_OK;
+		len = strcspn(value, separators);
+		status = addrs_add(value, len, addrs, max, count);
+		if (status != KF_OK)
+			return status;
+		value += len;
+	}
+}
--- a/lib/net/clock.c
+++ b/lib/sysio/clock.c
@@ -7,7 +7,7 @@
 {
 	struct timespec mono, wall;
 
-	clock_gettime(CLOCK_MONOTONIC, &mono);
+	clock_gettime(CLOCK_BOOTTIME, &mono);
 	clock_gettime(CLOCK_REALTIME, &wall);
 	return (kf_time_t){
 		.mono_us = mono.tv_sec * 1000000 + mono.tv_nsec / 1000,
--- a/lib/net/include/kf/clock.h
+++ b/lib/sysio/include/kf/clock.h
@@ -12,7 +12,10 @@
  *	kf_clock - the clocks of this process
  */
 
-/* Reads the monotonic and the wall clock. */
+/*
+ * Reads the monotonic and the wall clock.  The monotonic one counts the time
+ * for which the VM was suspended, so that beliefs age while it is.
+ */
 kf_time_t kf_clock_now(void);
 
 #ifdef __cplusplus
