--- a/lib/fwdnet/daemon.c
+++ b/lib/fwdnet/daemon.c
@@ -31,7 +31,8 @@
 	packet_thread_t *packets;
 	forward_log_t forward_log;
 
-	forward_log_init(&forward_log, log, settings->decisions_per_s);
+	forward_log_init(
+	    &forward_log, log, settings->decisions_per_s, settings->sample);
 	packets = packet_thread_new(settings->packet_address,
 	    kf_name_key(settings->zone), &forward_log, pool);
 	if (packets != NULL)
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -4,18 +4,16 @@
 
 #include "forward_log.h"
 
-enum {
-	/* One flow in this many is logged though nothing went wrong. */
-	SAMPLE = 128,
-	PAIRS_BYTES = 480,
-};
+enum { PAIRS_BYTES = 480 };
 
 void
-forward_log_init(forward_log_t *l, kf_eventlog_t *log, uint32_t limit_per_s)
+forward_log_init(
+    forward_log_t *l, kf_eventlog_t *log, uint32_t limit_per_s, uint32_t sample)
 {
 	*l = (forward_log_t){
 		.log = log,
 		.limit_per_s = limit_per_s,
+		.sample = sample,
 		.contact_us = INT64_MIN,
 	};
 }
@@ -106,7 +104,7 @@
 
 	if (r->event == KF_FORWARD_OPENED)
 		histogram_add(&l->opening, r->since_us);
-	if (is_ordinary(r) && r->flow_hash % SAMPLE != 0)
+	if (is_ordinary(r) && r->flow_hash % l->sample != 0)
 		return;
 	if (!kf_eventlog_enabled(l->log, KF_LOG_INFO))
 		return;
--- a/lib/fwdnet/forward_log.h
+++ b/lib/fwdnet/forward_log.h
@@ -20,6 +20,7 @@
 typedef struct forward_log {
 	kf_eventlog_t *log;
 	uint32_t limit_per_s;
+	uint32_t sample;
 	int64_t second;
 	uint32_t written;
 	uint64_t suppressed;
@@ -29,8 +30,9 @@
 	histogram_t opening;
 } forward_log_t;
 
-void forward_log_init(
-    forward_log_t *forward_log, kf_eventlog_t *log, uint32_t limit_per_s);
+/* One ordinary flow in sample is logged, at most limit_per_s lines. */
+void forward_log_init(forward_log_t *forward_log, kf_eventlog_t *log,
+    uint32_t limit_per_s, uint32_t sample);
 
 /* A kf_forwarder record callback; ctx is the forward_log_t. */
 void forward_log_record(void *ctx, const kf_forward_record_t *record);
--- a/lib/fwdnet/include/kf/forwarder_settings.h
+++ b/lib/fwdnet/include/kf/forwarder_settings.h
@@ -40,6 +40,7 @@
 	/* [log] */
 	kf_log_level_t log_level;
 	uint32_t decisions_per_s;
+	uint32_t sample; /* ordinary flows for each logged one */
 	char log_file[KF_FORWARDER_LOG_BYTES];
 } kf_forwarder_settings_t;
 
--- a/lib/fwdnet/settings.c
+++ b/lib/fwdnet/settings.c
@@ -6,6 +6,7 @@
 	GRACE_MIN_MS = 1000,
 	GRACE_MAX_MS = 600000,
 	MAX_DECISIONS_PER_S = 1000000,
+	MAX_SAMPLE = 1000000,
 };
 
 static kf_status_t
@@ -61,6 +62,10 @@
 	{ "log", "decisions_per_s", KF_FIELD_U32, PLACE(decisions_per_s),
 	    .unit = "lines/s", .min = 0, .max = MAX_DECISIONS_PER_S,
 	    .fallback = "50", .text = "limit of decision lines" },
+	{ "log", "sample", KF_FIELD_U32, PLACE(sample), .unit = "flows",
+	    .min = 1, .max = MAX_SAMPLE, .fallback = "128",
+	    .text = "of flows that open without trouble, one in this many is "
+		    "logged, on all VMs the same" },
 	{ "log", "file", KF_FIELD_TEXT, PLACE(log_file),
 	    .max = KF_FORWARDER_LOG_BYTES - 1, .fallback = "stdout",
 	    .text = "path of the log, stdout or stderr" },
--- /dev/null
+++ b/tests/process/packets-calm.sh
@@ -0,0 +1,47 @@
+# Guards against requests that are lost or refused on a calm day, an upstream
+# or a VM that is left out, and metrics or log lines that are missing.
+set -u
+build=$1
+. tests/process/common.sh
+. tests/process/packets.inc
+
+start_packets
+clients 200
+run_requests 400
+end_clients
+world stats
+requests=$(value requests "$work/answer")
+expect answered "$(value answered "$work/answer")" "$requests"
+expect runs "$(value runs "$work/answer")" "$requests"
+check_rules
+world runs
+for upstream in i-0000a1 i-0000a2 i-0000b1 i-0000c1; do
+	expect_some "$upstream" "$(value "$upstream" "$work/answer")"
+done
+expect certs "$(value i-0000d1 "$work/answer")" 0
+
+opened=0
+for vm in 1 2 3; do
+	curl -sf "http://$net.$vm:7720/metrics" >"$work/metrics" ||
+	    fail "no metrics of v$vm"
+	n=$(sed -n 's/^knapweed_decisions_total{event="flow_opened"} //p' \
+	    "$work/metrics")
+	expect_some "flows opened by v$vm" "$n"
+	opened=$((opened + n))
+	grep -q '^knapweed_flow_opening_seconds_count ' "$work/metrics" ||
+	    fail "no histogram of v$vm"
+	expect "config of v$vm" "$(sed -n 's/^knapweed_config_version //p' \
+	    "$work/metrics")" 5
+	for event in started config upstream ready flow_placed flow_opened; do
+		grep -q " vm=v$vm event=$event " "$work/v$vm.log" ||
+		    fail "no $event in the log of v$vm"
+	done
+done
+[ "$opened" -ge "$requests" ] || fail "$opened of $requests flows opened"
+curl -s -o "$work/other" -w '%{http_code}' "http://$net.1:7720/other" \
+    >"$work/code"
+expect "unknown path" "$(cat "$work/code")" 404
+
+stop v1
+expect "status after SIGTERM" "$status" 0
+grep -q 'event=stopping' "$work/v1.log" || fail "no line at the stop"
--- /dev/null
+++ b/tests/process/packets-upstreams.sh
@@ -0,0 +1,43 @@
+# Guards against requests sent to upstreams that are dead, refuse or leave, and
+# against flows of an upstream that drains being cut.
+set -u
+build=$1
+. tests/process/common.sh
+. tests/process/packets.inc
+
+start_packets --service-time-us 5000
+clients 100
+run_requests 50
+# Dead without an entry being removed: others take its flows.
+world state i-0000a1 silent
+run_requests 200
+world state i-0000a1 runs
+world state i-0000b1 refuses
+run_requests 200
+world state i-0000b1 runs
+cat "$work"/v?.log >"$work/all.out"
+grep -q 'event=upstream_ejected upstream=i-0000a1' "$work/all.out" ||
+    fail "a silent upstream is not ejected"
+grep -q 'event=upstream_ejected upstream=i-0000b1' "$work/all.out" ||
+    fail "an upstream that refuses is not ejected"
+
+# Requests that ran at the two when they failed may have no answer.
+end_clients
+before=$(stat failed)
+unknown=$(stat unknown)
+
+clients 100
+world drain i-0000a2
+run_requests 350
+world remove i-0000a2
+run_requests 50
+world add i-0000a3 orders zone-1 "$net.12:8080" 3
+run_requests 200
+end_clients
+world stats
+expect "failed while one left" "$(value failed "$work/answer")" "$before"
+expect "unknown while one left" "$(value unknown "$work/answer")" "$unknown"
+check_rules
+world runs
+expect_some "new upstream at the address" \
+    "$(value i-0000a3 "$work/answer")"
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -48,6 +48,7 @@
 	EXPECT_EQ(6000, s.grace_ms);
 	EXPECT_EQ(KF_LOG_INFO, s.log_level);
 	EXPECT_STREQ("stdout", s.log_file);
+	EXPECT_EQ(128u, s.sample);
 }
 
 /* Guards against a start on settings with a fault, and one error per run. */
