--- a/tests/process/manual.sh
+++ b/tests/process/manual.sh
@@ -46,7 +46,7 @@
 	mandoc -T lint -W warning "$page" || fail "$page: not well-formed"
 }
 
-for program in "$bin"/knapweedd "$bin"/standin-*; do
+for program in "$bin"/knapweedd "$bin"/knapweed-forwarder "$bin"/standin-*; do
 	"$program" --help >"$out/text" || fail "$program --help"
 	page "$(basename "$program")" "$out/text"
 done
