Show and explain what a forwarder believes, and fuzz the packet path

Cause: on-call engineers had logs and metrics only; which upstreams a VM takes for healthy, how loaded, and where a flow would go, was not to be seen. The decoders of the platform and of beacons ran on written cases only. Change: knapctl packets asks forwarders for their state or for an explanation of a flow; knapctl check and keys know the forwarder's settings.

--- a/bin/knapctl/check.c
+++ b/bin/knapctl/check.c
@@ -4,6 +4,7 @@
 
 #include "kf/document.h"
 #include "kf/file.h"
+#include "kf/forwarder_settings.h"
 #include "kf/settings.h"
 #include "command.h"
 
@@ -18,8 +19,8 @@
 	{ .name = "kind",
 	    .key = 'k',
 	    .arg = "KIND",
-	    .doc = "declaration, vms, keys or settings; default: found by "
-		   "the sections" },
+	    .doc = "declaration, vms, keys, settings or forwarder; default: "
+		   "found by the sections and keys" },
 	{ 0 },
 };
 
@@ -116,6 +117,21 @@
 	return line;
 }
 
+static char *
+check_forwarder(const char *path, const char *text, size_t len)
+{
+	kf_forwarder_settings_t settings = { 0 };
+	char *line = NULL;
+
+	if (kf_settings_table_parse(&kf_forwarder_settings_table, path, text,
+		len, print_error, NULL, &settings) != KF_OK)
+		return NULL;
+	return asprintf(
+		   &line, "VM %s in zone %s", settings.name, settings.zone) < 0
+	    ? NULL
+	    : line;
+}
+
 typedef char *check_fn(const char *path, const char *text, size_t len);
 
 static check_fn *const checks[KF_DOCUMENT_KIND_COUNT] = {
@@ -123,6 +139,7 @@
 	[KF_DOCUMENT_VMS] = check_vms,
 	[KF_DOCUMENT_KEYS] = check_keys,
 	[KF_DOCUMENT_SETTINGS] = check_settings,
+	[KF_DOCUMENT_FORWARDER] = check_forwarder,
 };
 
 static void
--- a/bin/knapctl/command.h
+++ b/bin/knapctl/command.h
@@ -32,6 +32,7 @@
 int command_diff(int argc, char **argv);
 int command_explain(int argc, char **argv);
 int command_keys(int argc, char **argv);
+int command_packets(int argc, char **argv);
 int command_show(int argc, char **argv);
 
 /* Options that several subcommands have. */
--- a/bin/knapctl/keys.c
+++ b/bin/knapctl/keys.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 
 #include "kf/document.h"
+#include "kf/forwarder_settings.h"
 #include "kf/settings.h"
 #include "command.h"
 
@@ -15,7 +16,7 @@
 	{ .name = "kind",
 	    .key = 'k',
 	    .arg = "KIND",
-	    .doc = "only declaration, vms, keys or settings" },
+	    .doc = "only declaration, vms, keys, settings or forwarder" },
 	{ 0 },
 };
 
@@ -72,6 +73,11 @@
 		add_fields(table, kind, fields, count);
 		return;
 	}
+	if (kind == KF_DOCUMENT_FORWARDER) {
+		add_fields(table, kind, kf_forwarder_settings_table.fields,
+		    kf_forwarder_settings_table.count);
+		return;
+	}
 	sections = kf_document_sections(kind, &count);
 	for (i = 0; i < count; i++)
 		add_fields(
--- a/bin/knapctl/main.c
+++ b/bin/knapctl/main.c
@@ -15,6 +15,8 @@
 	{ "explain", "show where the flows of a declaration go",
 	    command_explain },
 	{ "keys", "list the keys of documents and settings", command_keys },
+	{ "packets", "show what running forwarders believe and would do",
+	    command_packets },
 	{ "show", "show what running balancers believe", command_show },
 };
 
--- /dev/null
+++ b/fuzz/fuzz_beacon.c
@@ -0,0 +1,47 @@
+/*
+ * Guards against crashes and leaks on beacons and changes of other VMs, and
+ * against a view that a damaged beacon makes impossible.
+ */
+#include <stdlib.h>
+
+#include "kf/peering.h"
+#include "kf/peering_codec.h"
+
+static void
+on_begin(void *ctx, uint64_t revision, bool listing)
+{
+	(void)ctx;
+	(void)revision;
+	(void)listing;
+}
+
+static void
+on_item(void *ctx, const kf_changes_item_t *item)
+{
+	(void)ctx;
+	if (item->key == NULL)
+		abort();
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	const kf_peering_config_t config = { .ip = 1, .zone = 2 };
+	const kf_peering_self_t self = { .contact_us = INT64_MIN };
+	uint8_t beacon[KF_PEERING_BEACON_BYTES];
+	kf_peering_view_t view;
+	kf_peering_t *peering;
+
+	peering = kf_peering_new(&config);
+	if (peering == NULL)
+		return 0;
+	(void)kf_peering_receive(peering, data, size, 1000000);
+	view = kf_peering_view(peering, &self, 1000000);
+	if (view.rank >= view.zone_count || view.zone_count > view.vm_count)
+		abort();
+	if (kf_peering_beacon(peering, &self, 3, 1000000, beacon) == 0)
+		abort();
+	kf_peering_delete(peering);
+	(void)kf_changes_decode(data, size, on_begin, on_item, NULL);
+	return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,91 @@
+/*
+ * Guards against crashes and leaks on packets, entries, configurations and
+ * answers of the store, and against what is taken from damaged ones.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/platform_packet.h"
+#include "kf/platform_published.h"
+#include "kf/platform_store.h"
+
+static void
+on_change(void *ctx, const kf_platform_change_t *change)
+{
+	size_t *taken = ctx;
+
+	if (change->key == NULL || change->revision == 0 ||
+	    (change->removed && change->len != 0))
+		abort();
+	(*taken)++;
+}
+
+static void
+check_packet(const uint8_t *data, size_t size)
+{
+	uint8_t reset[KF_PLATFORM_HEADER_BYTES];
+	kf_packet_t packet;
+
+	if (kf_platform_packet_decode(data, size, &packet) != KF_OK)
+		return;
+	if (packet.payload_bytes != size - KF_PLATFORM_HEADER_BYTES)
+		abort();
+	kf_platform_packet_reset(reset, &packet);
+}
+
+static void
+check_entry(const uint8_t *data, size_t size)
+{
+	kf_upstream_info_t info;
+
+	if (kf_platform_upstream_decode(
+		"servers/i-7f3a91c2", data, size, &info) != KF_OK)
+		return;
+	if (info.id != 0x7f3a91c2 || info.slots == 0 || info.cold_left_us < 0)
+		abort();
+}
+
+static void
+check_routes(const uint8_t *data, size_t size)
+{
+	kf_route_table_t *table, *next;
+	size_t i;
+
+	table = kf_platform_routes_decode(data, size, NULL);
+	if (table == NULL)
+		return;
+	for (i = 0; i < table->count; i++)
+		if (kf_route_table_find(table, table->routes[i].address) !=
+		    &table->routes[i])
+			abort();
+	next = kf_platform_routes_decode(data, size, table);
+	kf_route_table_delete(next);
+	kf_route_table_delete(table);
+}
+
+static void
+check_answers(const uint8_t *data, size_t size)
+{
+	kf_platform_answer_t answer;
+	size_t taken = 0;
+
+	if (kf_platform_list_decode((const char *)data, size, &answer,
+		on_change, &taken) != KF_OK &&
+	    taken > 0)
+		abort();
+	taken = 0;
+	if (kf_platform_watch_decode((const char *)data, size, &answer,
+		on_change, &taken) != KF_OK &&
+	    taken > 0)
+		abort();
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	check_packet(data, size);
+	check_entry(data, size);
+	check_routes(data, size);
+	check_answers(data, size);
+	return 0;
+}
--- a/lib/declaration/detect.c
+++ b/lib/declaration/detect.c
@@ -10,6 +10,7 @@
 	[KF_DOCUMENT_VMS] = "vms",
 	[KF_DOCUMENT_KEYS] = "keys",
 	[KF_DOCUMENT_SETTINGS] = "settings",
+	[KF_DOCUMENT_FORWARDER] = "forwarder",
 };
 
 static const struct {
@@ -45,13 +46,16 @@
 	}
 }
 
+/* The settings of both daemons have the same sections. */
 static void
-ignore_pair(void *ctx, const char *key, const char *value, int line)
+detect_pair(void *ctx, const char *key, const char *value, int line)
 {
-	(void)ctx;
-	(void)key;
+	kf_document_kind_t *kind = ctx;
+
 	(void)value;
 	(void)line;
+	if (*kind == KF_DOCUMENT_SETTINGS && strcmp(key, "packet_address") == 0)
+		*kind = KF_DOCUMENT_FORWARDER;
 }
 
 static void
@@ -67,7 +71,7 @@
 {
 	static const kf_ini_handler_t handler = {
 		.section = detect_section,
-		.pair = ignore_pair,
+		.pair = detect_pair,
 		.malformed = ignore_malformed,
 	};
 	kf_document_kind_t kind = KF_DOCUMENT_UNKNOWN;
--- a/lib/declaration/include/kf/document.h
+++ b/lib/declaration/include/kf/document.h
@@ -23,7 +23,8 @@
 	KF_DOCUMENT_DECLARATION,
 	KF_DOCUMENT_VMS,
 	KF_DOCUMENT_KEYS,
-	KF_DOCUMENT_SETTINGS,
+	KF_DOCUMENT_SETTINGS,  /* of knapweedd */
+	KF_DOCUMENT_FORWARDER, /* settings of knapweed-forwarder */
 	KF_DOCUMENT_KIND_COUNT
 } kf_document_kind_t;
 
--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -33,8 +33,9 @@
 	return false;
 }
 
-static double
-estimate_load(const kf_target_t *target, kf_position_t position, int64_t now_us)
+double
+kf_estimate_load(
+    const kf_target_t *target, kf_position_t position, int64_t now_us)
 {
 	double slots = target->info.slots == 0 ? 1 : target->info.slots;
 	double flows = target->open + target->opening;
@@ -58,7 +59,7 @@
 	/* A probe is worth one flow: it has a second upstream soon. */
 	if (health == KF_HEALTH_PROBE)
 		health = KF_HEALTH_GOOD;
-	load = estimate_load(target, s->position, s->now_us) + penalty;
+	load = kf_estimate_load(target, s->position, s->now_us) + penalty;
 	if (s->equal_count > 0 &&
 	    (health > s->best.health ||
 		(health == s->best.health && load > s->best.load)))
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -223,3 +223,33 @@
 	stats->opening = kf_conntrack_count(f->flows, KF_FLOW_OPENING);
 	stats->open = kf_conntrack_count(f->flows, KF_FLOW_OPEN);
 }
+
+kf_position_t
+kf_forwarder_position(const kf_forwarder_t *f)
+{
+	return f->position;
+}
+
+kf_flow_explanation_t
+kf_forwarder_explain(
+    kf_forwarder_t *f, kf_addr_t client, kf_addr_t address, int64_t now_us)
+{
+	kf_flow_explanation_t e = {
+		.route = kf_route_table_find(f->routes, address),
+		.flow = kf_conntrack_find(f->flows, client, address),
+	};
+	kf_pool_t *pool;
+	uint32_t cursor;
+
+	if (e.route == NULL || e.route->removed)
+		return e;
+	e.service = kf_route_service(e.route, kf_flow_hash(client, address));
+	pool = kf_directory_pool(f->directory, e.service);
+	if (pool == NULL)
+		return e;
+	/* A placement moves the cursor. */
+	cursor = pool->cursor;
+	e.choice = kf_choose(pool, e.flow, f->position, now_us);
+	pool->cursor = cursor;
+	return e;
+}
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -32,6 +32,10 @@
 	double load; /* estimated flows for each slot */
 } kf_choice_t;
 
+/* Flows for each slot that an upstream is taken to have. */
+double kf_estimate_load(
+    const kf_target_t *target, kf_position_t position, int64_t now_us);
+
 /* Upstreams that flow has tried already are left out; flow may be NULL. */
 kf_choice_t kf_choose(kf_pool_t *pool, const kf_flow_t *flow,
     kf_position_t position, int64_t now_us);
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -107,6 +107,20 @@
 void kf_forwarder_stats(
     const kf_forwarder_t *forwarder, kf_forwarder_stats_t *stats);
 
+/* Where a new flow would go, and its open packets with a token. */
+typedef struct kf_flow_explanation {
+	const kf_route_t *route; /* NULL: no route */
+	uint64_t service;
+	kf_choice_t choice;
+	const kf_flow_t *flow; /* this VM's record of it, or NULL */
+} kf_flow_explanation_t;
+
+/* Changes nothing. */
+kf_flow_explanation_t kf_forwarder_explain(kf_forwarder_t *forwarder,
+    kf_addr_t client, kf_addr_t address, int64_t now_us);
+
+kf_position_t kf_forwarder_position(const kf_forwarder_t *forwarder);
+
 /* Time after which a second upstream is tried. */
 int64_t kf_forwarder_patience_us(const kf_forwarder_t *forwarder);
 
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -41,8 +41,10 @@
 typedef struct kf_upstream_info {
 	uint64_t id;
 	char name[KF_UPSTREAM_NAME_BYTES];
-	uint64_t service; /* kf_name_key */
-	uint64_t zone;	  /* kf_name_key */
+	char service_name[KF_UPSTREAM_NAME_BYTES];
+	char zone_name[KF_UPSTREAM_NAME_BYTES];
+	uint64_t service; /* kf_name_key of its name */
+	uint64_t zone;	  /* kf_name_key of its name */
 	kf_addr_t address;
 	uint32_t slots;
 	int64_t born_ms; /* start of the incarnation, UTC since 1970 */
@@ -54,6 +56,7 @@
 	KF_LISTED = 0,
 	KF_LISTING_MISSING, /* not listed after an outage; may come back */
 	KF_LISTING_GONE,    /* kept for its open flows only */
+	KF_LISTING_COUNT
 } kf_listing_t;
 
 typedef enum kf_health {
@@ -61,6 +64,7 @@
 	KF_HEALTH_PROBE, /* ejection has ended; one flow may try it */
 	KF_HEALTH_DOUBTFUL,
 	KF_HEALTH_EJECTED,
+	KF_HEALTH_COUNT
 } kf_health_t;
 
 typedef struct kf_target {
@@ -86,6 +90,9 @@
 
 kf_health_t kf_target_health(const kf_target_t *target, int64_t now_us);
 
+const char *kf_health_name(kf_health_t health);
+const char *kf_listing_name(kf_listing_t listing);
+
 void kf_target_opened(kf_target_t *target);
 
 /* Returns true if the failure ejects the upstream. */
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -1,6 +1,31 @@
 #include "kf/packet.h"
 #include "kf/target.h"
 
+static const char *const health_names[KF_HEALTH_COUNT] = {
+	[KF_HEALTH_GOOD] = "good",
+	[KF_HEALTH_PROBE] = "probe",
+	[KF_HEALTH_DOUBTFUL] = "doubtful",
+	[KF_HEALTH_EJECTED] = "ejected",
+};
+
+static const char *const listing_names[KF_LISTING_COUNT] = {
+	[KF_LISTED] = "listed",
+	[KF_LISTING_MISSING] = "missing",
+	[KF_LISTING_GONE] = "gone",
+};
+
+const char *
+kf_health_name(kf_health_t health)
+{
+	return health_names[health];
+}
+
+const char *
+kf_listing_name(kf_listing_t listing)
+{
+	return listing_names[listing];
+}
+
 uint32_t
 kf_token_of(uint64_t upstream_id)
 {
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -14,6 +14,7 @@
 
 #include "control_loop.h"
 #include "forward_metrics.h"
+#include "forward_state.h"
 #include "http_server.h"
 #include "store_sync.h"
 
@@ -34,7 +35,7 @@
 	/* A pause of this length may have cost open connections. */
 	PAUSE_US = 1000000,
 	HTTP_OK = 200,
-	HTTP_NOT_FOUND = 404,
+	HTTP_BAD_REQUEST = 400,
 	HTTP_ERROR = 500,
 	HTTP_UNAVAILABLE = 503,
 };
@@ -76,19 +77,24 @@
 }
 
 static void
-serve_ready(void *ctx, const char *path, uint64_t after, http_response_t *r)
+serve_ready(void *ctx, const char *path, const http_request_t *request,
+    http_response_t *r)
 {
 	const control_loop_t *l = ctx;
 
-	(void)after;
+	(void)request;
 	if (strcmp(path, l->settings.ready_path) == 0)
 		r->status =
 		    l->ready && !l->leaving ? HTTP_OK : HTTP_UNAVAILABLE;
 }
 
 static void
-serve_changes(control_loop_t *l, uint64_t after, http_response_t *r)
+serve_changes(
+    control_loop_t *l, const http_request_t *request, http_response_t *r)
 {
+	uint64_t after =
+	    strtoull(http_request_query(request, "after"), NULL, 10);
+
 	if (store_sync_revision(l->sync) == 0) {
 		r->status = HTTP_UNAVAILABLE;
 		return;
@@ -122,14 +128,57 @@
 }
 
 static void
-serve_peer(void *ctx, const char *path, uint64_t after, http_response_t *r)
+serve_state(control_loop_t *l, http_response_t *r)
+{
+	forward_state_t state = {
+		.vm = l->settings.name,
+		.zone = l->settings.zone,
+		.ready = l->ready && !l->leaving,
+		.leaving = l->leaving,
+		.revision = store_sync_revision(l->sync),
+		.own_contact_us = store_sync_contact_us(l->sync),
+		.view = l->view,
+		.now_us = l->now_us,
+	};
+
+	r->body = forward_state_render(&state, l->packets, &r->len);
+	r->type = "text/plain; charset=utf-8";
+	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+}
+
+static void
+serve_explain(
+    control_loop_t *l, const http_request_t *request, http_response_t *r)
+{
+	kf_addr_t client, address;
+
+	if (kf_addr_parse(http_request_query(request, "client"), &client) !=
+		KF_OK ||
+	    kf_addr_parse(http_request_query(request, "address"), &address) !=
+		KF_OK) {
+		r->status = HTTP_BAD_REQUEST;
+		return;
+	}
+	r->body = forward_state_explain(
+	    l->packets, client, address, l->now_us, &r->len);
+	r->type = "text/plain; charset=utf-8";
+	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+}
+
+static void
+serve_peer(void *ctx, const char *path, const http_request_t *request,
+    http_response_t *r)
 {
 	control_loop_t *l = ctx;
 
 	if (strcmp(path, "/changes") == 0)
-		serve_changes(l, after, r);
+		serve_changes(l, request, r);
 	else if (strcmp(path, "/metrics") == 0)
 		serve_metrics(l, r);
+	else if (strcmp(path, "/state") == 0)
+		serve_state(l, r);
+	else if (strcmp(path, "/explain") == 0)
+		serve_explain(l, request, r);
 }
 
 static void
--- /dev/null
+++ b/lib/fwdnet/forward_state.c
@@ -0,0 +1,155 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "forward_state.h"
+
+/* -1: never */
+static long long
+age_ms(int64_t since_us, int64_t now_us)
+{
+	return since_us == INT64_MIN ? -1 : (now_us - since_us) / 1000;
+}
+
+static void
+write_vm(FILE *out, const forward_state_t *s, kf_forwarder_t *forwarder)
+{
+	const kf_route_table_t *routes = kf_forwarder_routes(forwarder);
+
+	fprintf(out,
+	    "record=vm vm=%s zone=%s ready=%s leaving=%s revision=%llu "
+	    "config_version=%llu own_contact_age_ms=%lld contact_age_ms=%lld "
+	    "rank=%u zone_vms=%u known_vms=%u patience_us=%lld\n",
+	    s->vm, s->zone, s->ready ? "yes" : "no", s->leaving ? "yes" : "no",
+	    (unsigned long long)s->revision,
+	    routes == NULL ? 0ULL : (unsigned long long)routes->version,
+	    age_ms(s->own_contact_us, s->now_us),
+	    age_ms(s->view.contact_us, s->now_us), s->view.rank,
+	    s->view.zone_count, s->view.vm_count,
+	    (long long)kf_forwarder_patience_us(forwarder));
+}
+
+static void
+write_target(FILE *out, const char *record, const kf_target_t *t,
+    kf_position_t position, int64_t now_us)
+{
+	char address[KF_ADDR_TEXT_BYTES];
+
+	fprintf(out,
+	    "record=%s upstream=%s service=%s zone=%s address=%s slots=%u "
+	    "state=%s listing=%s health=%s eligible=%s load=%.2f open=%u "
+	    "opening=%u failures=%u cold_left_ms=%lld\n",
+	    record, t->info.name, t->info.service_name, t->info.zone_name,
+	    kf_addr_format(t->info.address, address), t->info.slots,
+	    t->info.draining ? "draining" : "ready",
+	    kf_listing_name(t->listing),
+	    kf_health_name(kf_target_health(t, now_us)),
+	    kf_target_eligible(t, now_us) ? "yes" : "no",
+	    kf_estimate_load(t, position, now_us), t->open, t->opening,
+	    t->failures,
+	    t->warm_us > now_us ? (long long)((t->warm_us - now_us) / 1000)
+				: 0LL);
+}
+
+/* Writes the upstreams of a service, or of all if it is 0. */
+static void
+write_targets(FILE *out, const char *record, kf_forwarder_t *forwarder,
+    uint64_t service, int64_t now_us)
+{
+	const kf_directory_t *directory = kf_forwarder_directory(forwarder);
+	size_t i;
+
+	for (i = 0; i < kf_directory_count(directory); i++) {
+		const kf_target_t *target = kf_directory_at(directory, i);
+
+		if (service == 0 || target->info.service == service)
+			write_target(out, record, target,
+			    kf_forwarder_position(forwarder), now_us);
+	}
+}
+
+char *
+forward_state_render(
+    const forward_state_t *s, packet_thread_t *packets, size_t *len)
+{
+	kf_forwarder_t *forwarder;
+	char *text = NULL;
+	FILE *out;
+
+	out = open_memstream(&text, len);
+	if (out == NULL)
+		return NULL;
+	forwarder = packet_thread_lock(packets);
+	write_vm(out, s, forwarder);
+	write_targets(out, "upstream", forwarder, 0, s->now_us);
+	packet_thread_unlock(packets);
+	fclose(out);
+	return text;
+}
+
+static void
+write_route(FILE *out, const kf_flow_explanation_t *e)
+{
+	if (e->route == NULL)
+		fprintf(out,
+		    "record=route route=- outcome=refused "
+		    "reason=\"no route has the address\"\n");
+	else if (e->route->removed)
+		fprintf(out,
+		    "record=route route=%s outcome=refused "
+		    "reason=\"the route was removed\"\n",
+		    e->route->name);
+	else if (e->choice.target == NULL)
+		fprintf(out,
+		    "record=route route=%s outcome=refused "
+		    "reason=\"no upstream is eligible\"\n",
+		    e->route->name);
+	else
+		fprintf(out,
+		    "record=route route=%s outcome=placed upstream=%s "
+		    "health=%s load=%.2f eligible=%u reason=\"healthiest, then "
+		    "least load, then in turn\"\n",
+		    e->route->name, e->choice.target->info.name,
+		    kf_health_name(e->choice.health), e->choice.load,
+		    e->choice.eligible);
+}
+
+static void
+write_flow(
+    FILE *out, const kf_flow_t *flow, kf_forwarder_t *forwarder, int64_t now_us)
+{
+	const kf_target_t *target =
+	    kf_directory_find(kf_forwarder_directory(forwarder), flow->token);
+
+	fprintf(out,
+	    "record=flow flow=%016llx state=%s upstream=%s tries=%u copies=%u "
+	    "age_ms=%lld\n",
+	    (unsigned long long)flow->hash,
+	    flow->state == KF_FLOW_OPEN ? "open" : "opening",
+	    target == NULL ? "-" : target->info.name, flow->tries, flow->copies,
+	    (long long)((now_us - flow->started_us) / 1000));
+}
+
+char *
+forward_state_explain(packet_thread_t *packets, kf_addr_t client,
+    kf_addr_t address, int64_t now_us, size_t *len)
+{
+	kf_flow_explanation_t explanation;
+	kf_forwarder_t *forwarder;
+	char *text = NULL;
+	FILE *out;
+
+	out = open_memstream(&text, len);
+	if (out == NULL)
+		return NULL;
+	forwarder = packet_thread_lock(packets);
+	explanation = kf_forwarder_explain(forwarder, client, address, now_us);
+	write_route(out, &explanation);
+	if (explanation.flow != NULL)
+		write_flow(out, explanation.flow, forwarder, now_us);
+	if (explanation.service != 0)
+		write_targets(
+		    out, "candidate", forwarder, explanation.service, now_us);
+	packet_thread_unlock(packets);
+	fclose(out);
+	return text;
+}
--- a/lib/fwdnet/http_client.c
+++ b/lib/fwdnet/http_client.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "http_client.h"
+#include "kf/http_client.h"
 
 typedef struct request {
 	struct request *next;
--- a/lib/fwdnet/http_server.c
+++ b/lib/fwdnet/http_server.c
@@ -16,12 +16,25 @@
 	CONNECTION_MEMORY_BYTES = 8192,
 };
 
+struct http_request {
+	struct MHD_Connection *connection;
+};
+
 struct http_server {
 	struct MHD_Daemon *daemon;
 	http_handler_fn *handler;
 	void *ctx;
 };
 
+const char *
+http_request_query(const http_request_t *request, const char *name)
+{
+	const char *value = MHD_lookup_connection_value(
+	    request->connection, MHD_GET_ARGUMENT_KIND, name);
+
+	return value == NULL ? "" : value;
+}
+
 static enum MHD_Result
 respond(struct MHD_Connection *connection, const http_response_t *from)
 {
@@ -50,20 +63,17 @@
     void **state)
 {
 	http_response_t response = { .status = MHD_HTTP_NOT_FOUND };
+	http_request_t request = { .connection = connection };
 	http_server_t *server = ctx;
-	const char *after;
 
 	(void)version;
 	(void)data;
 	(void)len;
 	(void)state;
-	after = MHD_lookup_connection_value(
-	    connection, MHD_GET_ARGUMENT_KIND, "after");
 	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0)
 		response.status = MHD_HTTP_METHOD_NOT_ALLOWED;
 	else
-		server->handler(server->ctx, url,
-		    after == NULL ? 0 : strtoull(after, NULL, 10), &response);
+		server->handler(server->ctx, url, &request, &response);
 	return respond(connection, &response);
 }
 
--- a/lib/fwdnet/http_server.h
+++ b/lib/fwdnet/http_server.h
@@ -17,9 +17,13 @@
 	size_t len;
 } http_response_t;
 
-/* after: the value of the query's "after", 0 if there is none. */
-typedef void http_handler_fn(
-    void *ctx, const char *path, uint64_t after, http_response_t *response);
+typedef struct http_request http_request_t;
+
+/* A value of the query, "" if it is not given. */
+const char *http_request_query(const http_request_t *request, const char *name);
+
+typedef void http_handler_fn(void *ctx, const char *path,
+    const http_request_t *request, http_response_t *response);
 
 typedef struct http_server http_server_t;
 
--- a/lib/fwdnet/store_sync.h
+++ b/lib/fwdnet/store_sync.h
@@ -7,7 +7,7 @@
 #include "kf/sync.h"
 
 #include "applier.h"
-#include "http_client.h"
+#include "kf/http_client.h"
 
 /*
  * NAME
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -79,7 +79,7 @@
 	    .text = "limit of decision lines" },
 	{ "log", "file", KF_FIELD_TEXT, PLACE(log_file),
 	    .max = KF_SETTINGS_TEXT_BYTES - 1, .fallback = "stderr",
-	    .text = "path of the log, or stderr" },
+	    .text = "path of the log, stdout or stderr" },
 	{ "upstream", "paths", KF_FIELD_U32, PLACE(upstream_paths),
 	    .unit = "paths", .min = 1, .max = 64, .fallback = "4",
 	    .text = "UDP source ports per upstream" },
--- a/tests/process/packets-calm.sh
+++ b/tests/process/packets-calm.sh
@@ -42,6 +42,27 @@
     >"$work/code"
 expect "unknown path" "$(cat "$work/code")" 404
 
+"$bin/knapctl" packets --server "$net.1:7720" --server "$net.2:7720" \
+    >"$work/state" || fail "knapctl packets: $(cat "$work/state")"
+for want in "record=vm vm=v1 zone=zone-1 ready=yes" \
+    "record=vm vm=v2 zone=zone-2 ready=yes" \
+    "record=upstream upstream=i-0000a1 service=orders zone=zone-1"; do
+	grep -q "^$want" "$work/state" || fail "knapctl packets lacks $want"
+done
+expect "upstreams in the state" \
+    "$(grep -c 'state=ready listing=listed health=good' "$work/state")" 10
+"$bin/knapctl" packets --server "$net.1:7720" --client 127.0.0.9:4000 \
+    --address "$route" >"$work/explain" || fail "cannot explain"
+grep -q '^record=route route=r2 outcome=placed upstream=i-0000a[12] ' \
+    "$work/explain" || fail "not placed: $(cat "$work/explain")"
+expect candidates "$(grep -c '^record=candidate' "$work/explain")" 4
+"$bin/knapctl" packets --server "$net.1:7720" --client 127.0.0.9:4000 \
+    --address 198.18.0.9:1 >"$work/explain" || fail "cannot explain"
+grep -q 'reason="no route has the address"' "$work/explain" ||
+    fail "no reason: $(cat "$work/explain")"
+"$bin/knapctl" packets --server "$net.9:7720" 2>"$work/unreachable" &&
+    fail "a server that does not answer is no finding"
+
 stop v1
 expect "status after SIGTERM" "$status" 0
 grep -q 'event=stopping' "$work/v1.log" || fail "no line at the stop"
