Let packets wait in the socket until the first configuration

Change: the packet thread starts with the first listing; packets older than 1 s by then are dropped. The new process test counted drops before and none after.

--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -32,6 +32,9 @@
 	STOP_MIN_US = 2500000,
 	/* A leaving VM ends early if no packet has come for this time. */
 	STOP_IDLE_US = 1000000,
+	/* Clients give an opening up after 1.4 s; packets that have waited for
+	 * longer than this before the first configuration are dropped. */
+	HOLD_PACKETS_US = 1000000,
 	/* A pause of this length may have cost open connections. */
 	PAUSE_US = 1000000,
 	HTTP_OK = 200,
@@ -58,6 +61,8 @@
 	http_server_t *peer_server;
 	int signal_fd;
 	int beacon_fd;
+	int64_t started_us;
+	bool forwarding;
 	bool ready;
 	bool leaving;
 	int64_t leaving_us;
@@ -257,6 +262,7 @@
 	l->signal_fd = -1;
 	l->beacon_fd = -1;
 	l->now_us = kf_clock_now().mono_us;
+	l->started_us = l->now_us;
 	l->view.contact_us = INT64_MIN;
 	if (loop_open(l) != KF_OK) {
 		control_loop_delete(l);
@@ -345,6 +351,24 @@
 	forward_log_set_beliefs(l->forward_log, self.revision, view.contact_us);
 }
 
+/*
+ * Packets that arrive before the first configuration wait in the socket: after
+ * a restart of all VMs these are clients whose next copy is up to 800 ms away.
+ */
+static kf_status_t
+update_forwarding(control_loop_t *l)
+{
+	kf_status_t status;
+
+	if (l->forwarding || !store_sync_listed(l->sync))
+		return KF_OK;
+	if (l->now_us - l->started_us > HOLD_PACKETS_US)
+		packet_thread_discard(l->packets);
+	status = packet_thread_start(l->packets);
+	l->forwarding = status == KF_OK;
+	return status;
+}
+
 static void
 update_ready(control_loop_t *l)
 {
@@ -508,13 +532,15 @@
 		http_server_run(l->peer_server);
 }
 
-static void
+static kf_status_t
 do_work(control_loop_t *l)
 {
+	kf_status_t status;
 	uint64_t revision;
 	bool news;
 
 	http_client_run(l->client);
+	status = update_forwarding(l);
 	update_view(l);
 	store_sync_run(l->sync, &l->view, l->now_us);
 	revision = store_sync_revision(l->sync);
@@ -524,14 +550,20 @@
 	update_ready(l);
 	if (l->now_us - l->settings_us >= SETTINGS_INTERVAL_US)
 		check_settings(l);
+	return status;
 }
 
-void
+kf_status_t
 control_loop_run(control_loop_t *l)
 {
+	kf_status_t status;
+
 	check_settings(l);
 	do {
-		do_work(l);
+		status = do_work(l);
+		if (status != KF_OK)
+			return status;
 		wait_for_work(l);
 	} while (!is_stopped(l));
+	return KF_OK;
 }
--- a/lib/fwdnet/control_loop.h
+++ b/lib/fwdnet/control_loop.h
@@ -24,7 +24,10 @@
     forward_log_t *forward_log, kf_eventlog_t *log);
 void control_loop_delete(control_loop_t *loop);
 
-/* Returns when the process is to end. */
-void control_loop_run(control_loop_t *loop);
+/*
+ * Starts the packet thread with the first configuration and returns when the
+ * process is to end.
+ */
+kf_status_t control_loop_run(control_loop_t *loop);
 
 #endif
--- a/lib/fwdnet/daemon.c
+++ b/lib/fwdnet/daemon.c
@@ -38,12 +38,10 @@
 	if (packets != NULL)
 		loop = control_loop_new(
 		    path, settings, packets, &forward_log, log);
-	if (loop != NULL)
-		status = packet_thread_start(packets);
-	if (status == KF_OK) {
+	if (loop != NULL) {
 		kf_eventlog_write(
 		    log, KF_LOG_INFO, "started", "zone=%s", settings->zone);
-		control_loop_run(loop);
+		status = control_loop_run(loop);
 		packet_thread_stop(packets);
 		kf_eventlog_write(log, KF_LOG_INFO, "stopped", "%s", "");
 	}
--- a/lib/fwdnet/packet_thread.c
+++ b/lib/fwdnet/packet_thread.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "kf/clock.h"
+#include "kf/udp.h"
 
 #include "exchange.h"
 #include "packet_thread.h"
@@ -195,6 +196,12 @@
 	    : kf_status_set(KF_ERR_IO, "cannot start the packet thread");
 }
 
+void
+packet_thread_discard(packet_thread_t *t)
+{
+	kf_udp_discard(exchange_fd(t->exchange));
+}
+
 void
 packet_thread_stop(packet_thread_t *t)
 {
--- a/lib/fwdnet/packet_thread.h
+++ b/lib/fwdnet/packet_thread.h
@@ -21,6 +21,8 @@
 packet_thread_t *packet_thread_new(kf_addr_t address, uint64_t zone,
     forward_log_t *forward_log, apr_pool_t *pool);
 kf_status_t packet_thread_start(packet_thread_t *thread);
+/* Drops packets that wait to be read; only before the start. */
+void packet_thread_discard(packet_thread_t *thread);
 /* Ends and joins the thread. */
 void packet_thread_stop(packet_thread_t *thread);
 void packet_thread_delete(packet_thread_t *thread);
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -330,6 +330,12 @@
 	kf_sync_restart(&s->sync, now_us);
 }
 
+bool
+store_sync_listed(const store_sync_t *s)
+{
+	return s->sync.listed && s->applier->config_version > 0;
+}
+
 bool
 store_sync_ready(const store_sync_t *s)
 {
--- a/lib/fwdnet/store_sync.h
+++ b/lib/fwdnet/store_sync.h
@@ -38,6 +38,8 @@
 /* The process was suspended: calls under way are worth nothing. */
 void store_sync_restart(store_sync_t *sync, int64_t now_us);
 
+/* True once upstreams and a configuration are known, if late ones. */
+bool store_sync_listed(const store_sync_t *sync);
 bool store_sync_ready(const store_sync_t *sync);
 uint64_t store_sync_revision(const store_sync_t *sync);
 /* Own contact with the store; INT64_MIN: never. */
--- /dev/null
+++ b/tests/process/packets-start.sh
@@ -0,0 +1,29 @@
+# Guards against packets that are dropped while a VM starts: the client's next
+# copy comes up to 800 ms later.
+set -u
+build=$1
+. tests/process/common.sh
+. tests/process/packets.inc
+
+start_world
+add_upstreams
+world config 5 "$route=orders"
+world store refuses
+for vm in 1 2 3; do
+	start_vm "$vm"
+	wait_line "v$vm.log" event=store_lost
+done
+clients 100
+run_requests 20
+world store up
+wait_stat in_rotation 3
+run_requests 100
+end_clients
+world stats
+expect failed "$(value failed "$work/answer")" 0
+check_rules
+for vm in 1 2 3; do
+	expect "dropped without a configuration by v$vm" "$(curl -s \
+	    "http://$net.$vm:7720/metrics" |
+	    sed -n 's/^knapweed_reason_total{reason="no_config"} //p')" 0
+done
