Refuse the less urgent flows of a service in a flood that lasts

Change: beacons carry the VM's flows at each service's upstreams. When these have three flows for each slot for 1.5 s, new flows of routes less urgent than others in use are refused at once; none has run. A backlog after a restart is worked off as before.

--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -5,6 +5,8 @@
 	NEAR_WINDOW = 64,
 	FAR_WINDOW = 64,
 	MAX_EQUAL = NEAR_WINDOW + FAR_WINDOW,
+	/* Upstreams that stand for all of a large service. */
+	ROOM_WINDOW = 128,
 };
 
 /* Another zone is used when the own zone's upstreams have this many more
@@ -87,6 +89,33 @@
 		consider(s, targets[(start + i) % count], penalty);
 }
 
+static void
+add_room(kf_room_t *room, kf_target_t *const *targets, size_t count,
+    size_t window, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < count && i < window; i++) {
+		const kf_target_t *target = targets[i];
+
+		if (!kf_target_eligible(target, now_us) ||
+		    kf_target_health(target, now_us) == KF_HEALTH_EJECTED)
+			continue;
+		room->flows += target->open + target->opening;
+		room->slots += target->info.slots;
+	}
+}
+
+kf_room_t
+kf_pool_room(const kf_pool_t *pool, int64_t now_us)
+{
+	kf_room_t room = { 0 };
+
+	add_room(&room, pool->near, pool->near_count, ROOM_WINDOW, now_us);
+	add_room(&room, pool->far, pool->far_count, ROOM_WINDOW, now_us);
+	return room;
+}
+
 /* First place of this VM among count equal candidates. */
 static uint32_t
 first_of(kf_position_t position, size_t count)
--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -116,7 +116,10 @@
 		.token = choice.target->token,
 		.sent_us = now_us,
 	};
-	choice.target->opening++;
+	if (flow->tries == 1)
+		flow->counted = true;
+	if (flow->counted)
+		choice.target->opening++;
 	send_syn(f, flow, choice.target);
 	record = flow_record(f, flow,
 	    flow->tries == 1 ? KF_FORWARD_PLACED : KF_FORWARD_HEDGED,
@@ -167,10 +170,16 @@
 
 static void
 connect_new(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
-    uint64_t service, const uint8_t *datagram, size_t len)
+    const kf_route_t *route, const uint8_t *datagram, size_t len)
 {
+	uint64_t service = kf_route_service(
+	    route, kf_flow_hash(packet->client, packet->address));
 	kf_flow_t *flow;
 
+	if (admission_refuses(f, route, service, now_us)) {
+		forwarder_refuse(f, packet, KF_REASON_OVERLOAD);
+		return;
+	}
 	flow = kf_conntrack_add(f->flows, packet->client, packet->address);
 	if (flow == NULL) {
 		forwarder_refuse(f, packet, KF_REASON_OVERLOAD);
@@ -213,10 +222,7 @@
 		flow = NULL;
 	}
 	if (flow == NULL)
-		connect_new(f, now_us, packet,
-		    kf_route_service(
-			route, kf_flow_hash(packet->client, packet->address)),
-		    datagram, len);
+		connect_new(f, now_us, packet, route, datagram, len);
 	else if (flow->state == KF_FLOW_OPEN)
 		repeat_open(f, flow, datagram, len);
 	else
@@ -277,6 +283,9 @@
 		flow_close(f, flow);
 		return false;
 	}
+	/* By now the client has most likely given up. */
+	if (age_us >= THIRD_TRY_FACTOR * kf_forwarder_patience_us(f))
+		flow_release_tries(f, flow);
 	if (age_us >= REFUSAL_US)
 		note_refusal(f, flow, now_us);
 	else
@@ -293,12 +302,10 @@
 	kf_target_t *target;
 	uint8_t i;
 
+	flow_release_tries(f, flow);
 	for (i = 0; i < flow->tries; i++) {
 		kf_flow_try_t *attempt = &flow->attempt[i];
 
-		target = kf_directory_find(f->directory, attempt->token);
-		if (target != NULL && target->opening > 0)
-			target->opening--;
 		if (attempt->token == token)
 			learn_opening_time(f, now_us - attempt->sent_us);
 		else if (i + 1 < flow->tries)
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -142,15 +142,22 @@
 	free(far);
 }
 
-static uint32_t
-cursor_of(const kf_pool_t *pools, size_t count, uint64_t service)
+/* Keeps what is known of a service apart from its upstreams. */
+static void
+carry_over(kf_pool_t *pool, const kf_pool_t *old, size_t count)
 {
 	size_t i;
 
-	for (i = 0; i < count; i++)
-		if (pools[i].service == service)
-			return pools[i].cursor;
-	return 0;
+	for (i = 0; i < count; i++) {
+		if (old[i].service != pool->service)
+			continue;
+		pool->cursor = old[i].cursor;
+		pool->others_flows = old[i].others_flows;
+		memcpy(pool->asked, old[i].asked, sizeof(pool->asked));
+		pool->asked_us = old[i].asked_us;
+		pool->full_since_us = old[i].full_since_us;
+		pool->refused_us = old[i].refused_us;
+	}
 }
 
 static kf_status_t
@@ -177,8 +184,7 @@
 		kf_pool_t *pool = &pools[pool_count++];
 
 		pool->service = members[start]->info.service;
-		pool->cursor =
-		    cursor_of(d->pools, d->pool_count, pool->service);
+		carry_over(pool, d->pools, d->pool_count);
 		for (i = start;
 		     i < listed && members[i]->info.service == pool->service;
 		     i++)
@@ -358,6 +364,18 @@
 	return NULL;
 }
 
+size_t
+kf_directory_pool_count(const kf_directory_t *d)
+{
+	return d->pool_count;
+}
+
+kf_pool_t *
+kf_directory_pool_at(kf_directory_t *d, size_t i)
+{
+	return &d->pools[i];
+}
+
 size_t
 kf_directory_count(const kf_directory_t *d)
 {
--- a/lib/forwarder/expiry.c
+++ b/lib/forwarder/expiry.c
@@ -1,22 +1,33 @@
 #include "forwarder_internal.h"
 
 void
-flow_close(kf_forwarder_t *f, kf_flow_t *flow)
+flow_release_tries(kf_forwarder_t *f, kf_flow_t *flow)
 {
 	kf_target_t *target;
 	uint8_t i;
 
-	if (flow->state == KF_FLOW_OPEN) {
-		target = kf_directory_find(f->directory, flow->token);
-		if (target != NULL && target->open > 0)
-			target->open--;
-	}
-	for (i = 0; flow->state == KF_FLOW_OPENING && i < flow->tries; i++) {
+	if (!flow->counted)
+		return;
+	flow->counted = false;
+	for (i = 0; i < flow->tries; i++) {
 		target =
 		    kf_directory_find(f->directory, flow->attempt[i].token);
 		if (target != NULL && target->opening > 0)
 			target->opening--;
 	}
+}
+
+void
+flow_close(kf_forwarder_t *f, kf_flow_t *flow)
+{
+	kf_target_t *target;
+
+	if (flow->state == KF_FLOW_OPEN) {
+		target = kf_directory_find(f->directory, flow->token);
+		if (target != NULL && target->open > 0)
+			target->open--;
+	}
+	flow_release_tries(f, flow);
 	kf_conntrack_remove(f->flows, flow);
 }
 
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -28,7 +28,7 @@
 	if (f == NULL)
 		return NULL;
 	f->callbacks = *callbacks;
-	f->position = (kf_position_t){ .rank = 0, .vm_count = 1 };
+	f->position = (kf_position_t){ .vm_count = 1 };
 	f->due_us = INT64_MAX;
 	f->directory = kf_directory_new(zone);
 	f->flows = kf_conntrack_new();
@@ -253,3 +253,34 @@
 	pool->cursor = cursor;
 	return e;
 }
+
+size_t
+kf_forwarder_loads(
+    kf_forwarder_t *f, int64_t now_us, kf_service_load_t *loads, size_t max)
+{
+	size_t i, count = 0;
+
+	for (i = 0; i < kf_directory_pool_count(f->directory); i++) {
+		const kf_pool_t *pool = kf_directory_pool_at(f->directory, i);
+		uint64_t flows = kf_pool_room(pool, now_us).flows;
+
+		if (flows > 0 && count < max)
+			loads[count++] = (kf_service_load_t){
+				.service = pool->service,
+				.flows = (uint32_t)flows,
+			};
+	}
+	return count;
+}
+
+void
+kf_forwarder_set_others(kf_forwarder_t *f, kf_others_flows_fn *flows, void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < kf_directory_pool_count(f->directory); i++) {
+		kf_pool_t *pool = kf_directory_pool_at(f->directory, i);
+
+		pool->others_flows = flows(ctx, pool->service);
+	}
+}
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -21,9 +21,20 @@
 	REFUSAL_US = 350000,
 	/* Routers need up to about 1 s to move flows of a VM that left. */
 	MOVE_GUARD_US = 1200000,
-	/* A flow without a packet for this time no longer counts as load. */
-	LOAD_IDLE_US = 3000000,
+	/* A flow without a packet for this time no longer counts as load: when
+	 * routers move flows, their end is seen by another VM.  Requests take
+	 * up to 430 ms and may wait as long. */
+	LOAD_IDLE_US = 1000000,
 	EXPIRY_INTERVAL_US = 250000,
+	/* Flows for each slot above which the less urgent routes of a service
+	 * are refused: one at work and two waiting, twice the time that a
+	 * request takes.  Upstreams shed at about five. */
+	FULL_LOAD = 3,
+	/* The upstreams have been full for this time: a backlog of 1.5 s of
+	 * requests is worked off in about as long. */
+	FLOOD_AFTER_US = 1500000,
+	FLOOD_MEMORY_US = 2000000,
+	DEMAND_MEMORY_US = 1000000,
 };
 
 struct kf_forwarder {
@@ -47,6 +58,13 @@
 void forwarder_refuse(
     kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason);
 
+/*
+ * Whether a new flow is refused, so that more urgent ones of its service find
+ * room.  The most urgent route in use is never refused here.
+ */
+bool admission_refuses(kf_forwarder_t *f, const kf_route_t *route,
+    uint64_t service, int64_t now_us);
+
 /* Opening of flows. */
 void connect_syn(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
     const uint8_t *datagram, size_t len);
@@ -60,6 +78,8 @@
 /* Tries another upstream, or gives the flow up; returns false if it is gone. */
 bool connect_step(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us);
 
+/* Takes the tries of a flow that does not open off the load. */
+void flow_release_tries(kf_forwarder_t *f, kf_flow_t *flow);
 /* Forgets a flow and takes it off the load of its upstreams. */
 void flow_close(kf_forwarder_t *f, kf_flow_t *flow);
 /* Forgets flows that have been idle, and upstreams that are gone. */
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -36,6 +36,14 @@
 double kf_estimate_load(
     const kf_target_t *target, kf_position_t position, int64_t now_us);
 
+/* What a service's upstreams have room for, as this VM sees it. */
+typedef struct kf_room {
+	uint64_t flows; /* of this VM */
+	uint64_t slots; /* of upstreams that are not ejected */
+} kf_room_t;
+
+kf_room_t kf_pool_room(const kf_pool_t *pool, int64_t now_us);
+
 /* Upstreams that flow has tried already are left out; flow may be NULL. */
 kf_choice_t kf_choose(kf_pool_t *pool, const kf_flow_t *flow,
     kf_position_t position, int64_t now_us);
--- a/lib/forwarder/include/kf/conntrack.h
+++ b/lib/forwarder/include/kf/conntrack.h
@@ -54,6 +54,7 @@
 	uint32_t copies; /* of the SYN by the client */
 	uint32_t token;	 /* of the upstream, once open */
 	uint8_t tries;
+	bool counted;	   /* its tries count as load of their upstreams */
 	uint8_t syn_bytes; /* 0: the packet is not kept */
 	kf_flow_try_t attempt[KF_FLOW_MAX_TRIES];
 	int64_t started_us;
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -25,13 +25,22 @@
 	KF_DIRECTORY_KEEP_US = 90000000,
 };
 
+/* Routes with a higher number count as this priority. */
+enum { KF_PRIORITIES = 8 };
+
 typedef struct kf_pool {
 	uint64_t service;
 	kf_target_t **near; /* in this VM's zone, by id */
 	size_t near_count;
 	kf_target_t **far; /* by id */
 	size_t far_count;
+	/* Kept when upstreams come and go. */
 	uint32_t cursor;
+	uint64_t others_flows;	     /* at the upstreams by other VMs */
+	double asked[KF_PRIORITIES]; /* new flows, fading with time */
+	int64_t asked_us;	     /* of the last one */
+	int64_t full_since_us;	     /* 0: not full */
+	int64_t refused_us;	     /* last refusal of a flow */
 } kf_pool_t;
 
 typedef struct kf_directory kf_directory_t;
@@ -68,6 +77,9 @@
 kf_target_t *kf_directory_find(const kf_directory_t *directory, uint32_t token);
 kf_pool_t *kf_directory_pool(kf_directory_t *directory, uint64_t service);
 
+size_t kf_directory_pool_count(const kf_directory_t *directory);
+kf_pool_t *kf_directory_pool_at(kf_directory_t *directory, size_t i);
+
 /* Targets in the order of their ids, for reports. */
 size_t kf_directory_count(const kf_directory_t *directory);
 const kf_target_t *kf_directory_at(const kf_directory_t *directory, size_t i);
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -22,6 +22,10 @@
  *	is opening, when no upstream has run anything of it (KF_NOT_RUN), or
  *	when its route has been removed.
  *
+ *	When the upstreams of a service have about as many flows as they can
+ *	work on in time, new flows of its less urgent routes are refused at
+ *	once, so that the urgent ones find room.
+ *
  *	A flow that does not open within the time that openings take goes to a
  *	second upstream as well, later to a third; it opens at the one whose
  *	answer the client takes.
@@ -119,6 +123,21 @@
 kf_flow_explanation_t kf_forwarder_explain(kf_forwarder_t *forwarder,
     kf_addr_t client, kf_addr_t address, int64_t now_us);
 
+/* Flows of this VM at the upstreams of a service. */
+typedef struct kf_service_load {
+	uint64_t service;
+	uint32_t flows;
+} kf_service_load_t;
+
+/* Services with flows, max at most; returns their number. */
+size_t kf_forwarder_loads(kf_forwarder_t *forwarder, int64_t now_us,
+    kf_service_load_t *loads, size_t max);
+
+/* Tells how many flows other VMs have at each service's upstreams. */
+typedef uint64_t kf_others_flows_fn(void *ctx, uint64_t service);
+void kf_forwarder_set_others(
+    kf_forwarder_t *forwarder, kf_others_flows_fn *flows, void *ctx);
+
 kf_position_t kf_forwarder_position(const kf_forwarder_t *forwarder);
 
 /* Time after which a second upstream is tried. */
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -25,6 +25,8 @@
 	MAX_BODY_BYTES = 64 << 20,
 	BEACON_BYTES = 2048,
 	SETTINGS_INTERVAL_US = 1000000,
+	/* Beacons go out every 450 ms. */
+	LOADS_INTERVAL_US = 200000,
 	/* Time between the end of forwarding and the kill, for the end of the
 	 * process on a slow VM. */
 	STOP_MARGIN_MS = 1000,
@@ -57,6 +59,9 @@
 	kf_peering_t *peering;
 	kf_peering_view_t view;
 	uint64_t told_revision;
+	kf_service_load_t loads[KF_PEERING_MAX_LOADS];
+	size_t load_count;
+	int64_t loads_us; /* when they were exchanged */
 	http_server_t *ready_server;
 	http_server_t *peer_server;
 	int signal_fd;
@@ -74,11 +79,20 @@
 static kf_peering_self_t
 self_of(const control_loop_t *l)
 {
-	return (kf_peering_self_t){
+	kf_peering_self_t self = {
 		.revision = store_sync_revision(l->sync),
 		.contact_us = store_sync_contact_us(l->sync),
 		.leaving = l->leaving,
+		.load_count = l->load_count,
 	};
+	size_t i;
+
+	for (i = 0; i < l->load_count; i++)
+		self.loads[i] = (kf_peering_load_t){
+			.service = l->loads[i].service,
+			.flows = l->loads[i].flows,
+		};
+	return self;
 }
 
 static void
@@ -386,6 +400,30 @@
 		: (long long)((l->now_us - l->view.contact_us) / 1000));
 }
 
+static uint64_t
+others_flows(void *ctx, uint64_t service)
+{
+	const control_loop_t *l = ctx;
+
+	return kf_peering_others_flows(l->peering, service, l->now_us);
+}
+
+/* Exchanges loads between the forwarder and the beacons. */
+static void
+update_loads(control_loop_t *l)
+{
+	kf_forwarder_t *forwarder;
+
+	if (l->now_us - l->loads_us < LOADS_INTERVAL_US)
+		return;
+	l->loads_us = l->now_us;
+	forwarder = packet_thread_lock(l->packets);
+	l->load_count = kf_forwarder_loads(
+	    forwarder, l->now_us, l->loads, KF_PEERING_MAX_LOADS);
+	kf_forwarder_set_others(forwarder, others_flows, l);
+	packet_thread_unlock(l->packets);
+}
+
 static void
 on_settings_error(void *ctx, const char *file, int line, const char *text)
 {
@@ -542,6 +580,7 @@
 	http_client_run(l->client);
 	status = update_forwarding(l);
 	update_view(l);
+	update_loads(l);
 	store_sync_run(l->sync, &l->view, l->now_us);
 	revision = store_sync_revision(l->sync);
 	news = revision != l->told_revision;
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -24,15 +24,15 @@
  */
 
 enum {
-	KF_PEERING_INTERVAL_US = 400000,
+	KF_PEERING_INTERVAL_US = 450000,
 	/* Random VMs of the own zone and of any zone for each beacon. */
 	KF_PEERING_NEAR = 2,
 	KF_PEERING_FAR = 1,
 	/* News: enough that nearly all of a zone hear in three steps. */
 	KF_PEERING_NEWS_NEAR = 4,
 	KF_PEERING_NEWS_FAR = 2,
-	/* Members in a beacon: 3 beacons of 200 bytes each 400 ms
-	 * are 1.5 KB/s, of the 2 KB/s that control may use. */
+	/* Members in a beacon: 3 beacons of 260 bytes each 450 ms are
+	 * 1.7 KB/s, of the 2 KB/s that control may use. */
 	KF_PEERING_MEMBERS = 16,
 	/* A VM that is not heard of for this time is taken to be gone: in a
 	 * zone of 30 VMs each is heard of more than twice a second. */
@@ -40,6 +40,9 @@
 	KF_PEERING_SEED_INTERVAL_US = 1500000,
 	KF_PEERING_MAX_SEEDS = 8,
 	KF_PEERING_MAX_TARGETS = 16,
+	KF_PEERING_MAX_LOADS = 4,
+	/* Age at which what a VM said of its load is no longer used. */
+	KF_PEERING_LOAD_LIFE_US = 2000000,
 	KF_PEERING_BEACON_BYTES = 512,
 };
 
@@ -51,17 +54,25 @@
 	uint64_t random_seed;
 } kf_peering_config_t;
 
+/* Flows of a VM at the upstreams of a service. */
+typedef struct kf_peering_load {
+	uint64_t service; /* kf_name_key */
+	uint32_t flows;
+} kf_peering_load_t;
+
 /* What a VM says of itself. */
 typedef struct kf_peering_self {
 	uint64_t revision;
 	int64_t contact_us; /* with the store; INT64_MIN: never */
 	bool leaving;
+	kf_peering_load_t loads[KF_PEERING_MAX_LOADS];
+	size_t load_count;
 } kf_peering_self_t;
 
 /* What follows from all beacons. */
 typedef struct kf_peering_view {
-	uint32_t rank; /* in the zone, by address */
-	uint32_t zone_count;
+	uint32_t rank;	     /* in the zone, by address */
+	uint32_t zone_count; /* VMs of the zone */
 	uint32_t vm_count;
 	int64_t contact_us; /* latest contact at a revision not above ours */
 	uint64_t ahead_revision;
@@ -99,6 +110,13 @@
 kf_peering_view_t kf_peering_view(
     kf_peering_t *peering, const kf_peering_self_t *self, int64_t now_us);
 
+/*
+ * Flows of other VMs at a service's upstreams: what VMs have said lately, and
+ * the same on average for those that have not been heard directly.
+ */
+uint64_t kf_peering_others_flows(
+    const kf_peering_t *peering, uint64_t service, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -25,6 +25,9 @@
 	uint64_t revision;  /* 0: only heard of */
 	int64_t contact_us; /* INT64_MIN: none */
 	peering_question asks;
+	int64_t direct_us; /* own beacon; INT64_MIN: none */
+	uint32_t load_count;
+	peering_load loads[KF_PEERING_MAX_LOADS];
 } member_t;
 
 struct kf_peering {
@@ -131,6 +134,7 @@
 		.zone = zone,
 		.heard_us = INT64_MIN,
 		.contact_us = INT64_MIN,
+		.direct_us = INT64_MIN,
 	};
 	return &p->members[at];
 }
@@ -192,6 +196,9 @@
 		p->answered++;
 	}
 	m->heard_us = now_us;
+	m->direct_us = now_us;
+	m->load_count = b->loads.loads_len;
+	memcpy(m->loads, b->loads.loads_val, m->load_count * sizeof(*m->loads));
 	m->zone = b->zone;
 	m->revision = b->revision;
 	m->contact_us = b->contact_age_ms < 0
@@ -356,13 +363,16 @@
 	return latest_us;
 }
 
+/* -1: never, or too long ago to matter */
 static int
 age_ms(int64_t since_us, int64_t now_us)
 {
-	int64_t ms = (now_us - since_us) / 1000;
+	int64_t ms;
 
-	return since_us == INT64_MIN || ms > MAX_AGE_MS || ms < 0 ? -1
-								  : (int)ms;
+	if (since_us == INT64_MIN)
+		return -1;
+	ms = (now_us - since_us) / 1000;
+	return ms > MAX_AGE_MS || ms < 0 ? -1 : (int)ms;
 }
 
 /*
@@ -418,6 +428,7 @@
     uint32_t to_ip, int64_t now_us, uint8_t buf[KF_PEERING_BEACON_BYTES])
 {
 	peering_member members[KF_PEERING_MEMBERS];
+	peering_load loads[KF_PEERING_MAX_LOADS];
 	peering_beacon b = {
 		.magic = MAGIC,
 		.ip = p->config.ip,
@@ -426,11 +437,18 @@
 		.contact_age_ms = age_ms(contact_us(p, self), now_us),
 		.leaving = self->leaving,
 		.asks = question(p),
+		.loads.loads_len = (u_int)self->load_count,
+		.loads.loads_val = loads,
 		.members.members_val = members,
 	};
-	size_t len;
+	size_t i, len;
 	XDR xdr;
 
+	for (i = 0; i < self->load_count; i++)
+		loads[i] = (peering_load){
+			.service = self->loads[i].service,
+			.flows = self->loads[i].flows,
+		};
 	b.members_zone = zone_told(p, to_ip);
 	b.members.members_len =
 	    (u_int)tell_members(p, b.members_zone, to_ip, now_us, members);
@@ -471,3 +489,24 @@
 	}
 	return view;
 }
+
+uint64_t
+kf_peering_others_flows(const kf_peering_t *p, uint64_t service, int64_t now_us)
+{
+	uint64_t flows = 0, heard = 0;
+	uint32_t k;
+	size_t i;
+
+	for (i = 0; i < p->count; i++) {
+		const member_t *m = &p->members[i];
+
+		if (m->direct_us == INT64_MIN ||
+		    now_us - m->direct_us > KF_PEERING_LOAD_LIFE_US)
+			continue;
+		heard++;
+		for (k = 0; k < m->load_count; k++)
+			if (m->loads[k].service == service)
+				flows += m->loads[k].flows;
+	}
+	return heard == 0 ? 0 : flows * p->count / heard;
+}
--- a/lib/peering/peering_msg.x
+++ b/lib/peering/peering_msg.x
@@ -1,6 +1,7 @@
 /* Messages between the VMs of the packet path. */
 
 const PEERING_MAX_MEMBERS = 24;
+const PEERING_MAX_LOADS = 4;
 const PEERING_MAX_KEY = 200;
 const PEERING_MAX_VALUE = 1048576;
 const PEERING_MAX_ITEMS = 200000;
@@ -11,6 +12,12 @@
 	unsigned int age_ms;	/* since it was heard of */
 };
 
+/* Flows of the sender at the upstreams of a service. */
+struct peering_load {
+	unsigned hyper service;
+	unsigned int flows;
+};
+
 /* What the sender knows too few of. */
 enum peering_question {
 	PEERING_ASKS_NOTHING = 0,
@@ -26,6 +33,7 @@
 	int contact_age_ms;	/* of the store at this revision; -1: never */
 	bool leaving;
 	peering_question asks;
+	peering_load loads<PEERING_MAX_LOADS>;
 	unsigned hyper members_zone;
 	peering_member members<PEERING_MAX_MEMBERS>;
 };
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -9,17 +9,20 @@
  * Golden sessions in tests/golden/forwarder: packets and decisions that each
  * command causes.
  *
- *	vm ZONE [RANK COUNT]	start over, at this place among the zone's VMs
+ *	vm ZONE [RANK COUNT [ZONES]]	start over, at this place among the
+ *				zone's VMs, 1 s after the first packet
  *	up NAME SERVICE ZONE SLOTS	an entry, the name's number is its id
  *	drain|restart NAME	the same entry, draining or born anew
  *	cold NAME MS		the same entry with a cold start left
  *	gone|lapse NAME		the entry is removed; the store was away
- *	routes VERSION PORT=SERVICE[:WEIGHT][,SERVICE:WEIGHT] ...
+ *	routes VERSION PORT[@PRIORITY]=SERVICE[:WEIGHT][,SERVICE:WEIGHT] ...
  *	vms RANK COUNT		VMs have come or gone
+ *	others SERVICE FLOWS	other VMs have flows at its upstreams
  *	syn CLIENT PORT [COPY]	an opening packet
  *	data|fin|rst CLIENT PORT NAME	a packet with the token of an upstream
  *	run MS			let time pass
  *	spread FIRST COUNT PORT	upstreams that new flows get; they stay open
+ *	shares FIRST COUNT PORT	the same, each ends at once
  */
 namespace {
 
@@ -57,12 +60,14 @@
 			{ "lapse", &Session::Lapse },
 			{ "routes", &Session::Routes },
 			{ "vms", &Session::Vms },
+			{ "others", &Session::Others },
 			{ "syn", &Session::Syn },
 			{ "data", &Session::Data },
 			{ "fin", &Session::Fin },
 			{ "rst", &Session::Rst },
 			{ "run", &Session::RunFor },
 			{ "spread", &Session::Spread },
+			{ "shares", &Session::Shares },
 		};
 
 		return handlers;
@@ -167,17 +172,38 @@
 			routes.push_back(MakeRoute(
 			    (uint16_t)std::stoul(word.substr(0, equal)),
 			    shares));
+			size_t at = word.find('@');
+			if (at != std::string::npos)
+				routes.back().priority = (uint32_t)std::stoul(
+				    word.substr(at + 1, equal - at - 1));
 		}
 		w_->log += std::string("  ") +
 		    kf_status_name(w_->SetRoutes(version, routes)) + "\n";
 	}
 	void Vms(std::istringstream &in)
 	{
-		kf_position_t position;
+		kf_position_t position = { 0, 1 };
 
 		in >> position.rank >> position.vm_count;
 		kf_forwarder_set_position(w_->forwarder, position, w_->now_us);
 	}
+	void Others(std::istringstream &in)
+	{
+		std::pair<uint64_t, uint64_t> others;
+		std::string service;
+
+		in >> service >> others.second;
+		others.first = kf_name_key(service.c_str());
+		kf_forwarder_set_others(
+		    w_->forwarder,
+		    [](void *ctx, uint64_t of) {
+			    auto *o =
+				static_cast<std::pair<uint64_t, uint64_t> *>(
+				    ctx);
+			    return o->first == of ? o->second : 0;
+		    },
+		    &others);
+	}
 	void Syn(std::istringstream &in)
 	{
 		uint16_t client, port;
@@ -225,6 +251,14 @@
 		w_->Run(ms * 1000);
 	}
 	void Spread(std::istringstream &in)
+	{
+		OpenFlows(in, false);
+	}
+	void Shares(std::istringstream &in)
+	{
+		OpenFlows(in, true);
+	}
+	void OpenFlows(std::istringstream &in, bool end)
 	{
 		std::map<std::string, int> counts;
 		uint16_t first, count, port;
@@ -246,6 +280,8 @@
 			packet.token = w_->sent[0].token;
 			w_->Run(4000);
 			w_->Packet(packet);
+			packet.fin = end;
+			w_->Packet(packet);
 		}
 		w_->log.clear();
 		for (const auto &c : counts)
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -82,6 +82,16 @@
 			ips.insert(vm.first);
 		return ips;
 	}
+	void SetLoad(uint32_t ip, uint64_t service, uint32_t flows)
+	{
+		vms_[ip].self.loads[0] = { service, flows };
+		vms_[ip].self.load_count = 1;
+	}
+	uint64_t OthersFlows(uint32_t ip, uint64_t service)
+	{
+		return kf_peering_others_flows(
+		    vms_[ip].peering, service, now_us_);
+	}
 	uint64_t Bytes(uint32_t ip)
 	{
 		return vms_[ip].bytes;
@@ -91,7 +101,7 @@
 	struct Vm {
 		uint64_t zone = 0;
 		kf_peering_t *peering = nullptr;
-		kf_peering_self_t self = { 1, INT64_MIN, false };
+		kf_peering_self_t self = { 1, INT64_MIN, false, {}, 0 };
 		uint64_t bytes = 0;
 	};
 
@@ -157,8 +167,10 @@
 {
 	Fleet fleet(0);
 
-	for (uint32_t ip = 2; ip <= 301; ip++)
+	for (uint32_t ip = 2; ip <= 301; ip++) {
 		fleet.Start(ip, ip % 3);
+		fleet.SetLoad(ip, 77, 10);
+	}
 	fleet.Run(5000);
 	uint64_t before = fleet.Bytes(200);
 	fleet.Run(10000);
@@ -231,11 +243,34 @@
 	EXPECT_NE(INT64_MIN, fleet.View(2).contact_us);
 }
 
+/* Guards against a load of other VMs that is off by more than half, which would
+ * take a busy service for a flooded one, and one that stays when they are gone.
+ */
+TEST(Peering, LoadsOfOtherVms)
+{
+	Fleet fleet(0.02);
+
+	for (uint32_t ip = 1; ip <= 9; ip++) {
+		fleet.Start(ip, ip % 3);
+		fleet.SetLoad(ip, 77, 10);
+	}
+	EXPECT_EQ(0u, fleet.OthersFlows(4, 77));
+	fleet.Run(3000);
+	for (uint32_t ip = 1; ip <= 9; ip++) {
+		EXPECT_NEAR(80.0, (double)fleet.OthersFlows(ip, 77), 40) << ip;
+		EXPECT_EQ(0u, fleet.OthersFlows(ip, 78)) << ip;
+	}
+	for (uint32_t ip = 2; ip <= 9; ip++)
+		fleet.Kill(ip);
+	fleet.Run(2100);
+	EXPECT_EQ(0u, fleet.OthersFlows(1, 77));
+}
+
 /* Guards against damaged and foreign datagrams. */
 TEST(Peering, RefusesMalformedBeacons)
 {
 	kf_peering_config_t config = {};
-	kf_peering_self_t self = { 1, INT64_MIN, false };
+	kf_peering_self_t self = { 1, INT64_MIN, false, {}, 0 };
 	uint8_t beacon[KF_PEERING_BEACON_BYTES];
 
 	config.ip = 1;
