Copy nothing from a null pointer

Cause: UBSan aborted forwarders in the process tests: beacons without loads and items without a value were copied with memcpy from a null pointer. Change: the copies are left out. Result: packets-calm, -start and -published fail before and pass after under ASan and UBSan; peering_test and replica_test pass there.

--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -184,6 +184,7 @@
 hear_sender(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
 {
 	member_t *m = find_member(p, b->ip);
+	uint32_t i;
 
 	if (m == NULL)
 		m = add_member(p, b->ip, b->zone);
@@ -198,7 +199,8 @@
 	m->heard_us = now_us;
 	m->direct_us = now_us;
 	m->load_count = b->loads.loads_len;
-	memcpy(m->loads, b->loads.loads_val, m->load_count * sizeof(*m->loads));
+	for (i = 0; i < m->load_count; i++)
+		m->loads[i] = b->loads.loads_val[i];
 	m->zone = b->zone;
 	m->revision = b->revision;
 	m->contact_us = b->contact_age_ms < 0
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -122,7 +122,8 @@
 		free(copy);
 		return KF_OK;
 	}
-	memcpy(copy, value, len);
+	if (len > 0)
+		memcpy(copy, value, len);
 	copy[len] = '\0';
 	free(item->value);
 	item->value = copy;
