--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 demo: build
 	@scripts/demo $(BUILD) $(DEPLOYMENT)
+	@scripts/demo-packets $(BUILD)
 
 bench: build
 	@scripts/bench $(BUILD)
