Split a pool's upstreams without an allocation that may fail

Cause: clang-tidy found a copy from a null pointer if the allocation of a service's far upstreams failed. Change: one array for all services, checked with the others. Result: lint clean; forwarder_golden_test and forwarder_property_test pass.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -124,22 +124,21 @@
 
 /* Splits members of one service into near and far, both by id. */
 static void
-pool_fill(kf_pool_t *pool, kf_target_t **members, size_t count, uint64_t zone)
+pool_fill(kf_pool_t *pool, kf_target_t **members, size_t count, uint64_t zone,
+    kf_target_t **scratch)
 {
-	kf_target_t **far = malloc(count * sizeof(kf_target_t *));
 	size_t i;
 
 	pool->near = members;
 	for (i = 0; i < count; i++) {
-		if (far != NULL && members[i]->info.zone != zone)
-			far[pool->far_count++] = members[i];
+		if (members[i]->info.zone != zone)
+			scratch[pool->far_count++] = members[i];
 		else
 			members[pool->near_count++] = members[i];
 	}
 	pool->far = members + pool->near_count;
-	if (pool->far_count > 0)
-		memcpy(pool->far, far, pool->far_count * sizeof(kf_target_t *));
-	free(far);
+	for (i = 0; i < pool->far_count; i++)
+		pool->far[i] = scratch[i];
 }
 
 /* Keeps what is known of a service apart from its upstreams. */
@@ -163,14 +162,16 @@
 static kf_status_t
 index_services(kf_directory_t *d)
 {
-	kf_target_t **members;
+	kf_target_t **members, **scratch;
 	kf_pool_t *pools;
 	size_t i, start, listed = 0, pool_count = 0;
 
 	members = calloc(d->count + 1, sizeof(kf_target_t *));
+	scratch = calloc(d->count + 1, sizeof(kf_target_t *));
 	pools = calloc(d->count + 1, sizeof(*pools));
-	if (members == NULL || pools == NULL) {
+	if (members == NULL || scratch == NULL || pools == NULL) {
 		free(members);
+		free(scratch);
 		free(pools);
 		/* The old pools may hold targets that no longer exist. */
 		d->pool_count = 0;
@@ -189,8 +190,9 @@
 		     i < listed && members[i]->info.service == pool->service;
 		     i++)
 			;
-		pool_fill(pool, members + start, i - start, d->zone);
+		pool_fill(pool, members + start, i - start, d->zone, scratch);
 	}
+	free(scratch);
 	free(d->members);
 	free(d->pools);
 	d->members = members;
