--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -8,7 +8,6 @@
 #include <unistd.h>
 
 #include "kf/clock.h"
-#include "kf/file.h"
 #include "kf/route_table.h"
 #include "kf/udp.h"
 
@@ -16,6 +15,7 @@
 #include "forward_metrics.h"
 #include "forward_state.h"
 #include "http_server.h"
+#include "settings_watch.h"
 #include "store_sync.h"
 
 enum {
@@ -46,10 +46,8 @@
 };
 
 struct control_loop {
-	const char *settings_path;
-	kf_forwarder_settings_t settings;
-	char *settings_text;
-	int64_t settings_us;
+	settings_watch_t watch;
+	int64_t settings_us; /* last look at the file */
 	packet_thread_t *packets;
 	forward_log_t *forward_log;
 	kf_eventlog_t *log;
@@ -102,7 +100,7 @@
 	const control_loop_t *l = ctx;
 
 	(void)request;
-	if (strcmp(path, l->settings.ready_path) == 0)
+	if (strcmp(path, l->watch.settings.ready_path) == 0)
 		r->status =
 		    l->ready && !l->leaving ? HTTP_OK : HTTP_UNAVAILABLE;
 }
@@ -150,8 +148,8 @@
 serve_state(control_loop_t *l, http_response_t *r)
 {
 	forward_state_t state = {
-		.vm = l->settings.name,
-		.zone = l->settings.zone,
+		.vm = l->watch.settings.name,
+		.zone = l->watch.settings.zone,
 		.ready = l->ready && !l->leaving,
 		.leaving = l->leaving,
 		.revision = store_sync_revision(l->sync),
@@ -205,9 +203,9 @@
 {
 	uint32_t ips[KF_FORWARDER_MAX_SEEDS], i;
 
-	for (i = 0; i < l->settings.seed_count; i++)
-		ips[i] = l->settings.seeds[i].ip;
-	kf_peering_set_seeds(l->peering, ips, l->settings.seed_count);
+	for (i = 0; i < l->watch.settings.seed_count; i++)
+		ips[i] = l->watch.settings.seeds[i].ip;
+	kf_peering_set_seeds(l->peering, ips, l->watch.settings.seed_count);
 }
 
 static int
@@ -225,7 +223,7 @@
 static kf_status_t
 loop_open(control_loop_t *l)
 {
-	const kf_forwarder_settings_t *s = &l->settings;
+	const kf_forwarder_settings_t *s = &l->watch.settings;
 	kf_peering_config_t peering = {
 		.ip = s->peer_address.ip,
 		.zone = kf_name_key(s->zone),
@@ -262,8 +260,7 @@
 	l = calloc(1, sizeof(*l));
 	if (l == NULL)
 		return NULL;
-	l->settings_path = settings_path;
-	l->settings = *settings;
+	settings_watch_init(&l->watch, settings_path, settings, log);
 	l->packets = packets;
 	l->forward_log = forward_log;
 	l->log = log;
@@ -299,14 +296,14 @@
 		close(l->beacon_fd);
 	if (l->signal_fd >= 0)
 		close(l->signal_fd);
-	free(l->settings_text);
+	settings_watch_free(&l->watch);
 	free(l);
 }
 
 static void
 send_beacons(control_loop_t *l, bool news)
 {
-	kf_addr_t to = { .port = l->settings.peer_address.port };
+	kf_addr_t to = { .port = l->watch.settings.peer_address.port };
 	uint8_t beacon[KF_PEERING_BEACON_BYTES];
 	uint32_t ips[KF_PEERING_MAX_TARGETS];
 	kf_peering_self_t self = self_of(l);
@@ -338,6 +335,23 @@
 	}
 }
 
+static void
+log_lost_vms(control_loop_t *l)
+{
+	uint32_t ips[KF_PEERING_MAX_LOST];
+	char text[KF_ADDR_TEXT_BYTES];
+	size_t i, count = kf_peering_take_lost(l->peering, ips);
+
+	for (i = 0; i < count; i++)
+		kf_eventlog_write(l->log, KF_LOG_WARN, "vm_lost",
+		    "peer=%s silent_ms=%d",
+		    kf_addr_format(
+			(kf_addr_t){ .ip = ips[i],
+			    .port = l->watch.settings.peer_address.port },
+			text),
+		    KF_PEERING_LIFE_US / 1000);
+}
+
 /* Tells the forwarder where this VM stands, and logs VMs coming and going. */
 static void
 update_view(control_loop_t *l)
@@ -361,6 +375,7 @@
 		    "known=%u zone=%u rank=%u", view.vm_count, view.zone_count,
 		    view.rank);
 	}
+	log_lost_vms(l);
 	l->view = view;
 	forward_log_set_beliefs(l->forward_log, self.revision, view.contact_us);
 }
@@ -424,73 +439,14 @@
 	packet_thread_unlock(l->packets);
 }
 
-static void
-on_settings_error(void *ctx, const char *file, int line, const char *text)
-{
-	control_loop_t *l = ctx;
-
-	kf_eventlog_write(l->log, KF_LOG_ERROR, "settings_error",
-	    "file=%s line=%d reason=\"%s\"", file, line, text);
-}
-
-/* Addresses of this process are taken at the start only. */
-static bool
-needs_restart(
-    const kf_forwarder_settings_t *a, const kf_forwarder_settings_t *b)
-{
-	return !kf_addr_equal(a->packet_address, b->packet_address) ||
-	    !kf_addr_equal(a->ready_address, b->ready_address) ||
-	    !kf_addr_equal(a->peer_address, b->peer_address) ||
-	    strcmp(a->zone, b->zone) != 0 || a->log_level != b->log_level ||
-	    strcmp(a->log_file, b->log_file) != 0;
-}
-
-static void
-take_settings(control_loop_t *l, const char *text, size_t len)
-{
-	kf_forwarder_settings_t settings = { 0 };
-	bool restart;
-
-	if (kf_settings_table_parse(&kf_forwarder_settings_table,
-		l->settings_path, text, len, on_settings_error, l,
-		&settings) != KF_OK) {
-		kf_eventlog_write(l->log, KF_LOG_ERROR, "reload",
-		    "outcome=refused reason=\"%s\"", kf_status_message());
-		return;
-	}
-	restart = needs_restart(&l->settings, &settings);
-	l->settings.store_address = settings.store_address;
-	memcpy(l->settings.seeds, settings.seeds, sizeof(settings.seeds));
-	l->settings.seed_count = settings.seed_count;
-	l->settings.grace_ms = settings.grace_ms;
-	memcpy(l->settings.ready_path, settings.ready_path,
-	    sizeof(settings.ready_path));
-	store_sync_set_store(l->sync, settings.store_address);
-	set_seeds(l);
-	kf_eventlog_write(l->log, restart ? KF_LOG_WARN : KF_LOG_INFO, "reload",
-	    "outcome=%s seeds=%u grace_ms=%lld",
-	    restart ? "partial_needs_restart" : "taken", settings.seed_count,
-	    (long long)settings.grace_ms);
-}
-
-/* The file may change with and without a signal. */
 static void
 check_settings(control_loop_t *l)
 {
-	char *text;
-	size_t len;
-
 	l->settings_us = l->now_us;
-	if (kf_file_read(l->settings_path, KF_DOCUMENT_MAX_BYTES, &text,
-		&len) != KF_OK) {
-		kf_eventlog_write(l->log, KF_LOG_WARN, "reload",
-		    "outcome=unreadable reason=\"%s\"", kf_status_message());
+	if (!settings_watch_check(&l->watch))
 		return;
-	}
-	if (l->settings_text != NULL && strcmp(text, l->settings_text) != 0)
-		take_settings(l, text, len);
-	free(l->settings_text);
-	l->settings_text = text;
+	store_sync_set_store(l->sync, l->watch.settings.store_address);
+	set_seeds(l);
 }
 
 static void
@@ -502,7 +458,7 @@
 	l->leaving_us = l->now_us;
 	l->packet_us = l->now_us;
 	kf_eventlog_write(l->log, KF_LOG_INFO, "stopping", "grace_ms=%lld",
-	    (long long)l->settings.grace_ms);
+	    (long long)l->watch.settings.grace_ms);
 	send_beacons(l, true);
 }
 
@@ -524,7 +480,7 @@
 static bool
 is_stopped(control_loop_t *l)
 {
-	int64_t limit_us = (l->settings.grace_ms - STOP_MARGIN_MS) * 1000;
+	int64_t limit_us = (l->watch.settings.grace_ms - STOP_MARGIN_MS) * 1000;
 	packet_thread_stats_t stats;
 
 	if (!l->leaving)
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -40,6 +40,7 @@
 	KF_PEERING_SEED_INTERVAL_US = 1500000,
 	KF_PEERING_MAX_SEEDS = 8,
 	KF_PEERING_MAX_TARGETS = 16,
+	KF_PEERING_MAX_LOST = 16,
 	KF_PEERING_MAX_LOADS = 4,
 	/* Age at which what a VM said of its load is no longer used. */
 	KF_PEERING_LOAD_LIFE_US = 2000000,
@@ -110,6 +111,13 @@
 kf_peering_view_t kf_peering_view(
     kf_peering_t *peering, const kf_peering_self_t *self, int64_t now_us);
 
+/*
+ * Takes the addresses of VMs of the zone that have not been heard of for
+ * KF_PEERING_LIFE_US since the last call, KF_PEERING_MAX_LOST at most.
+ */
+size_t kf_peering_take_lost(
+    kf_peering_t *peering, uint32_t ips[KF_PEERING_MAX_LOST]);
+
 /*
  * Flows of other VMs at a service's upstreams: what VMs have said lately, and
  * the same on average for those that have not been heard directly.
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -38,6 +38,8 @@
 	int64_t next_us;
 	int64_t seed_us;
 	uint64_t random;
+	uint32_t lost[KF_PEERING_MAX_LOST]; /* not yet taken */
+	size_t lost_count;
 	size_t cursor;		      /* next member to put into a beacon */
 	uint32_t answer[MAX_ANSWERS]; /* VMs that are answered at once */
 	size_t answer_count;
@@ -151,17 +153,37 @@
 	    (p->count - at) * sizeof(*p->members));
 }
 
+static void
+note_lost(kf_peering_t *p, const member_t *m)
+{
+	if (m->zone == p->config.zone && p->lost_count < KF_PEERING_MAX_LOST)
+		p->lost[p->lost_count++] = m->ip;
+}
+
 static void
 expire_members(kf_peering_t *p, int64_t now_us)
 {
 	size_t i, kept = 0;
 
-	for (i = 0; i < p->count; i++)
+	for (i = 0; i < p->count; i++) {
 		if (now_us - p->members[i].heard_us < KF_PEERING_LIFE_US)
 			p->members[kept++] = p->members[i];
+		else
+			note_lost(p, &p->members[i]);
+	}
 	p->count = kept;
 }
 
+size_t
+kf_peering_take_lost(kf_peering_t *p, uint32_t ips[KF_PEERING_MAX_LOST])
+{
+	size_t count = p->lost_count;
+
+	memcpy(ips, p->lost, count * sizeof(*ips));
+	p->lost_count = 0;
+	return count;
+}
+
 /* Another VM says when it last heard of a member. */
 static void
 hear_of(
--- a/tests/process/packets-restarts.sh
+++ b/tests/process/packets-restarts.sh
@@ -20,6 +20,10 @@
 start_vm 2
 wait_stat in_rotation 3
 run_requests 60
+# In a zone of its own a VM is missed by nobody.
+cat "$work"/v?.log >"$work/all.out"
+grep -q event=vm_lost "$work/all.out" &&
+    fail "a VM of another zone is reported as lost"
 end_clients
 check_rules
 world stats
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <vector>
 
 #include "kf/peering.h"
 
@@ -70,6 +71,13 @@
 
 		return kf_peering_view(vm.peering, &vm.self, now_us_);
 	}
+	std::vector<uint32_t> Lost(uint32_t ip)
+	{
+		uint32_t ips[KF_PEERING_MAX_LOST];
+		size_t count = kf_peering_take_lost(vms_[ip].peering, ips);
+
+		return std::vector<uint32_t>(ips, ips + count);
+	}
 	uint64_t Revision(uint32_t ip)
 	{
 		return vms_[ip].self.revision;
@@ -205,6 +213,11 @@
 	EXPECT_EQ(5u, fleet.View(2).zone_count);
 	EXPECT_EQ(0u, fleet.View(2).rank);
 	EXPECT_EQ(4u, fleet.View(6).rank);
+	EXPECT_EQ(std::vector<uint32_t>{ 1 }, fleet.Lost(2));
+	EXPECT_EQ(std::vector<uint32_t>{}, fleet.Lost(2));
+	fleet.Leave(6);
+	fleet.Run(7000);
+	EXPECT_EQ(4u, fleet.View(2).zone_count);
 }
 
 /* Guards against parts that stay apart after a cut longer than the memory of
