Run the tests that load all processors one at a time

Three such scripts ran at a time, so that the verdict depended on the machine. No check and no bound changed.

--- a/tests/process/bench.sh
+++ b/tests/process/bench.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs each benchmark with tiny sizes.  Guards against a benchmark that no
 # longer builds a fleet, ends early or leaves a measure out.
+# Runs alone: it loads all processors.
 set -eu
 build=$1
 
--- a/tests/process/capacity.sh
+++ b/tests/process/capacity.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs the capacity program with tiny sizes.  Guards against a measurement that
 # fails, prints no points or no fit, or disappears from the output.
+# Runs alone: it loads all processors.
 set -eu
 build=$1
 out=$build/test-output/capacity.out
--- a/tests/process/fail-flood-late-copies.sh
+++ b/tests/process/fail-flood-late-copies.sh
@@ -2,6 +2,7 @@
 # upstreams freeze, so that balancers differ for a moment about who is ejected,
 # and then the callers stop, so that they send copies of requests whose refusals
 # they have not read.
+# Runs alone: it loads all processors.
 set -u
 build=$1
 . "$(dirname "$0")/fleet.sh"
--- a/tests/process/fail-flood-least-urgent.sh
+++ b/tests/process/fail-flood-least-urgent.sh
@@ -1,6 +1,7 @@
 # Guards against a flood of the least urgent work, 10 times its capacity, that
 # takes the goodput of the other service, and against a flooded class that
 # starves.
+# Runs alone: it loads all processors.
 set -u
 build=$1
 . "$(dirname "$0")/fleet.sh"
--- a/tests/process/fail-flood-one-service.sh
+++ b/tests/process/fail-flood-one-service.sh
@@ -1,6 +1,7 @@
 # Guards against a flood of one class that takes the goodput of another class
 # of the same service, against a class that starves, and against refusals that
 # leave the outcome of a request unknown although it did not run.
+# Runs alone: it loads all processors.
 set -u
 build=$1
 . "$(dirname "$0")/fleet.sh"
