Remove twins and repeated work of the packet path

Cause: rereading the whole change. Changes of items had one type in platform/ and an equal one in lib/peering; loads of a service two as well. A listing was parsed twice and its values decoded four times, at every start of a VM. The directory was walked three times every 250 ms. Three binary searches, the signal sets of both daemons, socket addresses, ages of the contact and the configuration version stood in several places. connect_step returned what nobody read, kf_peering_next_us had no caller, and a comment said that a long SYN is forwarded; it is refused. Change: kf_item_change_t and kf_replica_apply, kf_service_load_t, kf_lower_bound (lib/membership uses it too), kf_signals (both daemons), kf_sockaddr (exchange and both HTTP servers), kf_age_ms; a listing is parsed once and its values decoded once; one walk of the directory; the version comes from the routes in force. The tests keep their assertions. Left: the binary searches of lib/admission and lib/view, which run for each decision, and the MHD and curl code of lib/net beside that of lib/fwdnet.

--- a/fuzz/fuzz_beacon.c
+++ b/fuzz/fuzz_beacon.c
@@ -16,7 +16,7 @@
 }
 
 static void
-on_item(void *ctx, const kf_changes_item_t *item)
+on_item(void *ctx, const kf_item_change_t *item)
 {
 	(void)ctx;
 	if (item->key == NULL)
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -10,7 +10,7 @@
 #include "kf/platform_store.h"
 
 static void
-on_change(void *ctx, const kf_platform_change_t *change)
+on_change(void *ctx, const kf_item_change_t *change)
 {
 	size_t *taken = ctx;
 
@@ -69,7 +69,7 @@
 	kf_platform_answer_t answer;
 	size_t taken = 0;
 
-	if (kf_platform_list_decode((const char *)data, size, &answer,
+	if (kf_platform_list_decode((const char *)data, size, &answer, NULL,
 		on_change, &taken) != KF_OK &&
 	    taken > 0)
 		abort();
--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -90,12 +90,12 @@
 }
 
 static void
-add_room(kf_room_t *room, kf_target_t *const *targets, size_t count,
-    size_t window, int64_t now_us)
+add_room(
+    kf_room_t *room, kf_target_t *const *targets, size_t count, int64_t now_us)
 {
 	size_t i;
 
-	for (i = 0; i < count && i < window; i++) {
+	for (i = 0; i < count && i < ROOM_WINDOW; i++) {
 		const kf_target_t *target = targets[i];
 
 		if (!kf_target_eligible(target, now_us) ||
@@ -111,8 +111,8 @@
 {
 	kf_room_t room = { 0 };
 
-	add_room(&room, pool->near, pool->near_count, ROOM_WINDOW, now_us);
-	add_room(&room, pool->far, pool->far_count, ROOM_WINDOW, now_us);
+	add_room(&room, pool->near, pool->near_count, now_us);
+	add_room(&room, pool->far, pool->far_count, now_us);
 	return room;
 }
 
--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -94,9 +94,8 @@
 static void
 send_syn(kf_forwarder_t *f, const kf_flow_t *flow, const kf_target_t *target)
 {
-	if (flow->syn_bytes > 0)
-		f->callbacks.send(f->callbacks.ctx, &target->info,
-		    target->token, flow->syn, flow->syn_bytes);
+	f->callbacks.send(f->callbacks.ctx, &target->info, target->token,
+	    flow->syn, flow->syn_bytes);
 }
 
 /* Sends the opening packet to an upstream that has not had it. */
@@ -180,6 +179,10 @@
 		forwarder_refuse(f, packet, KF_REASON_OVERLOAD);
 		return;
 	}
+	if (len > KF_FLOW_SYN_BYTES) {
+		forwarder_refuse(f, packet, KF_REASON_MALFORMED);
+		return;
+	}
 	flow = kf_conntrack_add(f->flows, packet->client, packet->address);
 	if (flow == NULL) {
 		forwarder_refuse(f, packet, KF_REASON_OVERLOAD);
@@ -189,15 +192,11 @@
 	flow->service = service;
 	flow->copies = packet->acknowledged;
 	flow->started_us = now_us;
-	if (len <= sizeof(flow->syn)) {
-		memcpy(flow->syn, datagram, len);
-		flow->syn_bytes = (uint8_t)len;
-	}
-	if (flow->syn_bytes == 0 || !try_next(f, flow, now_us)) {
+	flow->syn_bytes = (uint8_t)len;
+	memcpy(flow->syn, datagram, len);
+	if (!try_next(f, flow, now_us)) {
 		kf_conntrack_remove(f->flows, flow);
-		forwarder_refuse(f, packet,
-		    len > sizeof(flow->syn) ? KF_REASON_MALFORMED
-					    : KF_REASON_NO_UPSTREAM);
+		forwarder_refuse(f, packet, KF_REASON_NO_UPSTREAM);
 		return;
 	}
 	schedule(f, flow, now_us + kf_forwarder_patience_us(f));
@@ -269,7 +268,7 @@
 	return flow->started_us + due_us;
 }
 
-bool
+void
 connect_step(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us)
 {
 	kf_forward_record_t record;
@@ -281,7 +280,7 @@
 		record.reason = KF_REASON_UPSTREAM_LOST;
 		forwarder_record(f, &record);
 		flow_close(f, flow);
-		return false;
+		return;
 	}
 	/* By now the client has most likely given up. */
 	if (age_us >= THIRD_TRY_FACTOR * kf_forwarder_patience_us(f))
@@ -291,7 +290,6 @@
 	else
 		try_next(f, flow, now_us);
 	schedule(f, flow, next_step_us(f, flow, now_us));
-	return true;
 }
 
 void
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "kf/directory.h"
+#include "kf/search.h"
 
 enum { MIN_BUCKETS = 64 };
 
@@ -60,20 +61,20 @@
 	free(d);
 }
 
-/* Place of the first target whose id is not lower. */
+static int
+id_compare(const void *key, const void *element)
+{
+	uint64_t id = *(const uint64_t *)key;
+	uint64_t other = (*(kf_target_t *const *)element)->info.id;
+
+	return (id > other) - (id < other);
+}
+
 static size_t
 position_of(const kf_directory_t *d, uint64_t id)
 {
-	size_t low = 0, high = d->count, middle;
-
-	while (low < high) {
-		middle = low + (high - low) / 2;
-		if (d->targets[middle]->info.id < id)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
+	return kf_lower_bound(
+	    &id, d->targets, d->count, sizeof(kf_target_t *), id_compare);
 }
 
 static kf_target_t **
@@ -314,6 +315,14 @@
 						  : KF_CHANGE_MISSING;
 }
 
+/* Whether no flow can be open at an upstream any more. */
+static bool
+is_forgotten(const kf_target_t *target, int64_t now_us)
+{
+	return target->listing == KF_LISTING_GONE &&
+	    now_us - target->unlisted_us >= KF_DIRECTORY_KEEP_US;
+}
+
 void
 kf_directory_expire(kf_directory_t *d, int64_t now_us)
 {
@@ -323,30 +332,21 @@
 
 	for (i = 0; i < d->count; i++) {
 		target = d->targets[i];
+		if (is_forgotten(target, now_us)) {
+			changed = true;
+			free(target);
+			continue;
+		}
 		if (target->listing == KF_LISTING_MISSING &&
 		    now_us - target->unlisted_us >= KF_TARGET_MISSING_US) {
-			target->listing = KF_LISTING_GONE;
 			changed = true;
+			target->listing = KF_LISTING_GONE;
 		}
-	}
-	for (i = 0; i < d->count; i++) {
-		target = d->targets[i];
-		if (target->listing == KF_LISTING_GONE &&
-		    now_us - target->unlisted_us >= KF_DIRECTORY_KEEP_US)
-			changed = true;
-	}
-	if (!changed)
-		return;
-	for (i = 0; i < d->count; i++) {
-		target = d->targets[i];
-		if (target->listing == KF_LISTING_GONE &&
-		    now_us - target->unlisted_us >= KF_DIRECTORY_KEEP_US)
-			free(target);
-		else
-			d->targets[kept++] = target;
+		d->targets[kept++] = target;
 	}
 	d->count = kept;
-	(void)reindex(d);
+	if (changed)
+		(void)reindex(d);
 }
 
 kf_target_t *
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -75,8 +75,8 @@
  * upstream with this token answered, so an earlier one refused it. */
 void connect_reset(
     kf_forwarder_t *f, kf_flow_t *flow, uint32_t token, int64_t now_us);
-/* Tries another upstream, or gives the flow up; returns false if it is gone. */
-bool connect_step(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us);
+/* Tries another upstream, or gives the flow up and forgets it. */
+void connect_step(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us);
 
 /* Takes the tries of a flow that does not open off the load. */
 void flow_release_tries(kf_forwarder_t *f, kf_flow_t *flow);
--- a/lib/forwarder/include/kf/conntrack.h
+++ b/lib/forwarder/include/kf/conntrack.h
@@ -24,7 +24,7 @@
 
 enum {
 	KF_FLOW_MAX_TRIES = 3,
-	/* A SYN carries no data; a longer one is forwarded once. */
+	/* A SYN carries no data; a longer one is refused. */
 	KF_FLOW_SYN_BYTES = 64,
 	KF_FLOW_NONE = 0, /* index of no record */
 	/* 18 MB with the index; half of the smallest VM's 80 MB is for the
@@ -54,8 +54,8 @@
 	uint32_t copies; /* of the SYN by the client */
 	uint32_t token;	 /* of the upstream, once open */
 	uint8_t tries;
-	bool counted;	   /* its tries count as load of their upstreams */
-	uint8_t syn_bytes; /* 0: the packet is not kept */
+	bool counted; /* its tries count as load of their upstreams */
+	uint8_t syn_bytes;
 	kf_flow_try_t attempt[KF_FLOW_MAX_TRIES];
 	int64_t started_us;
 	int64_t due_us; /* next step of an opening flow */
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -5,6 +5,7 @@
 #include "kf/directory.h"
 #include "kf/packet.h"
 #include "kf/route_table.h"
+#include "kf/service_load.h"
 #include "kf/verdict.h"
 
 #ifdef __cplusplus
@@ -123,13 +124,7 @@
 kf_flow_explanation_t kf_forwarder_explain(kf_forwarder_t *forwarder,
     kf_addr_t client, kf_addr_t address, int64_t now_us);
 
-/* Flows of this VM at the upstreams of a service. */
-typedef struct kf_service_load {
-	uint64_t service;
-	uint32_t flows;
-} kf_service_load_t;
-
-/* Services with flows, max at most; returns their number. */
+/* Services with flows of this VM, max at most; returns their number. */
 size_t kf_forwarder_loads(kf_forwarder_t *forwarder, int64_t now_us,
     kf_service_load_t *loads, size_t max);
 
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -97,18 +97,10 @@
 {
 	kf_route_table_t *table;
 	kf_forwarder_t *forwarder;
-	size_t count = 0;
-	uint64_t version = 0;
 	kf_status_t status = KF_ERR_INVALID;
 
-	/* Only this thread replaces the table, so it may be read unlocked. */
-	forwarder = packet_thread_lock(a->packets);
-	packet_thread_unlock(a->packets);
-	table = kf_platform_routes_decode(
-	    item->value, item->len, kf_forwarder_routes(forwarder));
+	table = kf_platform_routes_decode(item->value, item->len, a->routes);
 	if (table != NULL) {
-		count = table->count;
-		version = table->version;
 		forwarder = packet_thread_lock(a->packets);
 		status = kf_forwarder_set_routes(forwarder, table);
 		packet_thread_unlock(a->packets);
@@ -117,13 +109,19 @@
 		log_refused(a, item);
 		return;
 	}
-	a->config_version = version;
+	a->routes = table;
 	kf_eventlog_write(a->log, KF_LOG_INFO, "config",
 	    "version=%llu routes=%zu revision=%llu",
-	    (unsigned long long)version, count,
+	    (unsigned long long)table->version, table->count,
 	    (unsigned long long)item->revision);
 }
 
+uint64_t
+applier_config_version(const applier_t *a)
+{
+	return a->routes == NULL ? 0 : a->routes->version;
+}
+
 void
 applier_changed(void *ctx, const kf_item_t *item, int64_t now_us)
 {
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -19,15 +19,18 @@
 typedef struct applier {
 	packet_thread_t *packets;
 	kf_eventlog_t *log;
-	uint64_t config_version;
-	int64_t contact_us; /* latest contact with the store */
-	int64_t outage_us;  /* end of its last outage; INT64_MIN: none */
-	uint64_t refused;   /* items that could not be decoded */
+	const kf_route_table_t *routes; /* in force; the forwarder owns them */
+	int64_t contact_us;		/* latest contact with the store */
+	int64_t outage_us; /* end of its last outage; INT64_MIN: none */
+	uint64_t refused;  /* items that could not be decoded */
 } applier_t;
 
 /* A kf_replica callback; ctx is the applier_t. */
 void applier_changed(void *ctx, const kf_item_t *item, int64_t now_us);
 
+/* Version of the configuration in force; 0: none. */
+uint64_t applier_config_version(const applier_t *applier);
+
 /* The store has been reached, by this VM or by one that told it. */
 void applier_contact(applier_t *applier, int64_t contact_us);
 
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -9,6 +9,7 @@
 
 #include "kf/clock.h"
 #include "kf/route_table.h"
+#include "kf/signals.h"
 #include "kf/udp.h"
 
 #include "control_loop.h"
@@ -45,6 +46,10 @@
 	HTTP_UNAVAILABLE = 503,
 };
 
+static const char text_type[] = "text/plain; charset=utf-8";
+
+const int control_loop_signals[] = { SIGTERM, SIGINT, SIGHUP, 0 };
+
 struct control_loop {
 	settings_watch_t watch;
 	int64_t settings_us; /* last look at the file */
@@ -83,16 +88,20 @@
 		.leaving = l->leaving,
 		.load_count = l->load_count,
 	};
-	size_t i;
 
-	for (i = 0; i < l->load_count; i++)
-		self.loads[i] = (kf_peering_load_t){
-			.service = l->loads[i].service,
-			.flows = l->loads[i].flows,
-		};
+	memcpy(self.loads, l->loads, sizeof(self.loads));
 	return self;
 }
 
+/* body: NULL if it could not be made. */
+static void
+respond(http_response_t *r, void *body, const char *type)
+{
+	r->body = body;
+	r->type = type;
+	r->status = body == NULL ? HTTP_ERROR : HTTP_OK;
+}
+
 static void
 serve_ready(void *ctx, const char *path, const http_request_t *request,
     http_response_t *r)
@@ -116,9 +125,8 @@
 		r->status = HTTP_UNAVAILABLE;
 		return;
 	}
-	r->body = store_sync_changes(l->sync, after, &r->len);
-	r->type = "application/octet-stream";
-	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+	respond(r, store_sync_changes(l->sync, after, &r->len),
+	    "application/octet-stream");
 }
 
 static void
@@ -128,20 +136,17 @@
 		.sync = *store_sync_stats(l->sync),
 		.opening = &l->forward_log->opening,
 		.revision = store_sync_revision(l->sync),
-		.config_version = l->applier.config_version,
+		.config_version = applier_config_version(&l->applier),
 		.items_refused = l->applier.refused,
 		.log_dropped = kf_eventlog_dropped(l->log),
-		.contact_age_ms = l->view.contact_us == INT64_MIN
-		    ? -1
-		    : (l->now_us - l->view.contact_us) / 1000,
+		.contact_age_ms = kf_age_ms(l->view.contact_us, l->now_us),
 		.vm_count = l->view.vm_count,
 		.ready = l->ready && !l->leaving,
 	};
 
 	packet_thread_stats(l->packets, &metrics.packets);
-	r->body = forward_metrics_render(&metrics, &r->len);
-	r->type = "text/plain; version=0.0.4; charset=utf-8";
-	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+	respond(r, forward_metrics_render(&metrics, &r->len),
+	    "text/plain; version=0.0.4; charset=utf-8");
 }
 
 static void
@@ -158,9 +163,8 @@
 		.now_us = l->now_us,
 	};
 
-	r->body = forward_state_render(&state, l->packets, &r->len);
-	r->type = "text/plain; charset=utf-8";
-	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+	respond(
+	    r, forward_state_render(&state, l->packets, &r->len), text_type);
 }
 
 static void
@@ -176,10 +180,10 @@
 		r->status = HTTP_BAD_REQUEST;
 		return;
 	}
-	r->body = forward_state_explain(
-	    l->packets, client, address, l->now_us, &r->len);
-	r->type = "text/plain; charset=utf-8";
-	r->status = r->body == NULL ? HTTP_ERROR : HTTP_OK;
+	respond(r,
+	    forward_state_explain(
+		l->packets, client, address, l->now_us, &r->len),
+	    text_type);
 }
 
 static void
@@ -208,18 +212,6 @@
 	kf_peering_set_seeds(l->peering, ips, l->watch.settings.seed_count);
 }
 
-static int
-open_signals(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 static kf_status_t
 loop_open(control_loop_t *l)
 {
@@ -230,10 +222,8 @@
 		.random_seed = (uint64_t)l->now_us ^ s->peer_address.ip,
 	};
 
-	l->signal_fd = open_signals();
-	if (l->signal_fd < 0)
-		return kf_status_set(KF_ERR_IO, "cannot watch signals");
-	if (kf_udp_open(s->peer_address, 0, &l->beacon_fd) != KF_OK)
+	if (kf_signals_open(control_loop_signals, &l->signal_fd) != KF_OK ||
+	    kf_udp_open(s->peer_address, 0, &l->beacon_fd) != KF_OK)
 		return KF_ERR_IO;
 	l->client = http_client_new(MAX_BODY_BYTES);
 	if (l->client == NULL)
@@ -409,10 +399,8 @@
 	kf_eventlog_write(l->log, KF_LOG_INFO, "ready",
 	    "revision=%llu config=%llu contact_age_ms=%lld",
 	    (unsigned long long)store_sync_revision(l->sync),
-	    (unsigned long long)l->applier.config_version,
-	    l->view.contact_us == INT64_MIN
-		? -1LL
-		: (long long)((l->now_us - l->view.contact_us) / 1000));
+	    (unsigned long long)applier_config_version(&l->applier),
+	    (long long)kf_age_ms(l->view.contact_us, l->now_us));
 }
 
 static uint64_t
--- a/lib/fwdnet/control_loop.h
+++ b/lib/fwdnet/control_loop.h
@@ -19,6 +19,9 @@
 
 typedef struct control_loop control_loop_t;
 
+/* What the loop reads, for kf_signals_block. */
+extern const int control_loop_signals[];
+
 control_loop_t *control_loop_new(const char *settings_path,
     const kf_forwarder_settings_t *settings, packet_thread_t *packets,
     forward_log_t *forward_log, kf_eventlog_t *log);
--- a/lib/fwdnet/daemon.c
+++ b/lib/fwdnet/daemon.c
@@ -2,26 +2,11 @@
 
 #include <curl/curl.h>
 
-#include <signal.h>
-
 #include "kf/forwarder_daemon.h"
+#include "kf/signals.h"
 
 #include "control_loop.h"
 
-/* Signals are read by the control loop only. */
-static void
-block_signals(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	sigaddset(&set, SIGPIPE);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-}
-
 static kf_status_t
 run_threads(const char *path, const kf_forwarder_settings_t *settings,
     kf_eventlog_t *log, apr_pool_t *pool)
@@ -58,7 +43,7 @@
 	apr_pool_t *pool;
 	kf_status_t status;
 
-	block_signals();
+	kf_signals_block(control_loop_signals);
 	/* No TLS here: its set-up would take most of the start. */
 	if (apr_initialize() != APR_SUCCESS ||
 	    apr_pool_create(&pool, NULL) != APR_SUCCESS ||
--- a/lib/fwdnet/exchange.c
+++ b/lib/fwdnet/exchange.c
@@ -105,11 +105,7 @@
 	if (e->out_count == BATCH)
 		exchange_flush(e);
 	i = e->out_count++;
-	e->out_to[i] = (struct sockaddr_in){
-		.sin_family = AF_INET,
-		.sin_port = htons(to.port),
-		.sin_addr.s_addr = htonl(to.ip),
-	};
+	e->out_to[i] = kf_sockaddr(to);
 	e->out_iov[i].iov_len = len;
 	return e->out_data[i];
 }
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -91,9 +91,7 @@
 	    (long long)r->since_us, choice, kf_verdict_name(r->verdict),
 	    kf_reason_name(r->reason),
 	    (unsigned long long)__atomic_load_n(&l->revision, __ATOMIC_RELAXED),
-	    contact_us == INT64_MIN
-		? -1LL
-		: (long long)((now.mono_us - contact_us) / 1000));
+	    (long long)kf_age_ms(contact_us, now.mono_us));
 }
 
 void
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -1,14 +1,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "forward_state.h"
+#include "kf/clock.h"
 
-/* -1: never */
-static long long
-age_ms(int64_t since_us, int64_t now_us)
-{
-	return since_us == INT64_MIN ? -1 : (now_us - since_us) / 1000;
-}
+#include "forward_state.h"
 
 static void
 write_vm(FILE *out, const forward_state_t *s, kf_forwarder_t *forwarder)
@@ -22,8 +17,8 @@
 	    s->vm, s->zone, s->ready ? "yes" : "no", s->leaving ? "yes" : "no",
 	    (unsigned long long)s->revision,
 	    routes == NULL ? 0ULL : (unsigned long long)routes->version,
-	    age_ms(s->own_contact_us, s->now_us),
-	    age_ms(s->view.contact_us, s->now_us), s->view.rank,
+	    (long long)kf_age_ms(s->own_contact_us, s->now_us),
+	    (long long)kf_age_ms(s->view.contact_us, s->now_us), s->view.rank,
 	    s->view.zone_count, s->view.vm_count,
 	    (long long)kf_forwarder_patience_us(forwarder));
 }
--- a/lib/fwdnet/http_server.c
+++ b/lib/fwdnet/http_server.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kf/udp.h"
+
 #include "http_server.h"
 
 enum {
@@ -80,11 +82,7 @@
 http_server_t *
 http_server_new(kf_addr_t address, http_handler_fn *handler, void *ctx)
 {
-	struct sockaddr_in sin = {
-		.sin_family = AF_INET,
-		.sin_port = htons(address.port),
-		.sin_addr.s_addr = htonl(address.ip),
-	};
+	struct sockaddr_in sin = kf_sockaddr(address);
 	char text[KF_ADDR_TEXT_BYTES];
 	http_server_t *server;
 
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -111,48 +111,41 @@
 
 static void
 apply_change(
-    store_sync_t *s, kf_source_t source, const kf_platform_change_t *change)
+    store_sync_t *s, kf_source_t source, const kf_item_change_t *change)
 {
-	kf_status_t status;
-
-	status = change->removed
-	    ? kf_replica_remove(
-		  s->replica, change->key, change->revision, s->now_us)
-	    : kf_replica_put(s->replica, source, change->key, change->value,
-		  change->len, change->revision, s->now_us);
-	if (status != KF_OK)
+	if (kf_replica_apply(s->replica, source, change, s->now_us) != KF_OK)
 		kf_eventlog_write(s->log, KF_LOG_ERROR, "item_lost",
 		    "key=%s reason=\"%s\"", change->key, kf_status_message());
 }
 
 static void
-take_change(void *ctx, const kf_platform_change_t *change)
+take_change(void *ctx, const kf_item_change_t *change)
 {
 	apply_change(ctx, KF_SOURCE_STORE, change);
 }
 
+/* A listing begins with its first page. */
+static void
+begin_page(void *ctx, uint64_t revision)
+{
+	store_sync_t *s = ctx;
+
+	if (s->after_key[0] == '\0')
+		kf_replica_listing_begin(s->replica, KF_SOURCE_STORE, revision);
+}
+
 static void
 on_list(void *ctx, uint32_t tag, const http_answer_t *answer)
 {
 	store_sync_t *s = ctx;
 	kf_platform_answer_t page = { 0 };
 	kf_status_t status = KF_ERR_IO;
-	bool first = s->after_key[0] == '\0';
 
 	(void)tag;
 	s->now_us = kf_clock_now().mono_us;
-	if (answer->status == HTTP_OK) {
-		/* Decoded once for its revision, which the listing begins with,
-		 * and once for its items. */
-		status = kf_platform_list_decode(
-		    answer->body, answer->len, &page, NULL, NULL);
-		if (status == KF_OK && first)
-			kf_replica_listing_begin(
-			    s->replica, KF_SOURCE_STORE, page.revision);
-		if (status == KF_OK)
-			status = kf_platform_list_decode(
-			    answer->body, answer->len, &page, take_change, s);
-	}
+	if (answer->status == HTTP_OK)
+		status = kf_platform_list_decode(answer->body, answer->len,
+		    &page, begin_page, take_change, s);
 	note_store(s, KF_SYNC_LIST, answer, status == KF_OK);
 	if (status != KF_OK) {
 		finish(s, KF_SYNC_LIST, KF_SYNC_FAILED);
@@ -235,17 +228,9 @@
 }
 
 static void
-take_pulled(void *ctx, const kf_changes_item_t *item)
+take_pulled(void *ctx, const kf_item_change_t *change)
 {
-	kf_platform_change_t change = {
-		.key = item->key,
-		.value = item->value,
-		.len = item->len,
-		.revision = item->revision,
-		.removed = item->removed,
-	};
-
-	apply_change(ctx, KF_SOURCE_PEER, &change);
+	apply_change(ctx, KF_SOURCE_PEER, change);
 }
 
 static void
@@ -333,13 +318,13 @@
 bool
 store_sync_listed(const store_sync_t *s)
 {
-	return s->sync.listed && s->applier->config_version > 0;
+	return s->sync.listed && s->applier->routes != NULL;
 }
 
 bool
 store_sync_ready(const store_sync_t *s)
 {
-	return kf_sync_ready(&s->sync) && s->applier->config_version > 0;
+	return kf_sync_ready(&s->sync) && s->applier->routes != NULL;
 }
 
 uint64_t
@@ -365,7 +350,7 @@
 {
 	bool listing = !kf_replica_has_changes(s->replica, after);
 	size_t i, count = 0, known = kf_replica_count(s->replica);
-	kf_changes_item_t *items;
+	kf_item_change_t *items;
 	uint8_t *data;
 
 	items = calloc(known + 1, sizeof(*items));
@@ -376,7 +361,7 @@
 
 		if (listing ? item->removed : item->revision <= after)
 			continue;
-		items[count++] = (kf_changes_item_t){
+		items[count++] = (kf_item_change_t){
 			.key = item->key,
 			.revision = item->revision,
 			.removed = item->removed,
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kf/search.h"
+
 #include "internal.h"
 
 static const char *const names[KF_VM_LIVENESS_COUNT] = {
@@ -85,21 +87,21 @@
 	return (uint32_t)((z >> 32) * limit >> 32);
 }
 
+static int
+vm_compare(const void *key, const void *element)
+{
+	uint32_t vm = *(const uint32_t *)key;
+	uint32_t other = (*(record_t *const *)element)->pub.id.vm;
+
+	return (vm > other) - (vm < other);
+}
+
 /* Index of the first record whose VM id is not below vm. */
 static size_t
 lower_bound(const kf_membership_t *m, uint32_t vm)
 {
-	size_t low = 0, high = m->count;
-
-	while (low < high) {
-		size_t middle = low + (high - low) / 2;
-
-		if (m->records[middle]->pub.id.vm < vm)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
+	return kf_lower_bound(
+	    &vm, m->records, m->count, sizeof(record_t *), vm_compare);
 }
 
 record_t *
--- a/lib/net/control_thread.c
+++ b/lib/net/control_thread.c
@@ -9,6 +9,7 @@
 
 #include "kf/clock.h"
 #include "kf/control_server.h"
+#include "kf/signals.h"
 #include "kf/udp.h"
 
 #include "control_thread.h"
@@ -30,6 +31,8 @@
 	DRAIN_MAX_US = 10000000,
 };
 
+const int control_thread_signals[] = { SIGTERM, SIGINT, 0 };
+
 struct control_thread {
 	kf_settings_t settings;
 	kf_vm_id_t self;
@@ -159,20 +162,6 @@
 	return status;
 }
 
-static kf_status_t
-open_signals(control_thread_t *t)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	t->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-	return t->signal_fd < 0
-	    ? kf_status_set(KF_ERR_IO, "cannot create signalfd")
-	    : KF_OK;
-}
-
 static kf_status_t
 make_core(control_thread_t *t, kf_vm_id_t self)
 {
@@ -235,8 +224,9 @@
 	}
 	if (kf_udp_open(settings->control_address, KF_UDP_ERRORS,
 		&t->control_fd) != KF_OK ||
-	    open_signals(t) != KF_OK || open_rpc(t) != KF_OK ||
-	    open_metrics(t) != KF_OK || make_core(t, self) != KF_OK ||
+	    kf_signals_open(control_thread_signals, &t->signal_fd) != KF_OK ||
+	    open_rpc(t) != KF_OK || open_metrics(t) != KF_OK ||
+	    make_core(t, self) != KF_OK ||
 	    (t->fetch = fetch_new(settings->platform_url,
 		 settings->control_address.ip)) == NULL) {
 		control_thread_delete(t);
--- a/lib/net/control_thread.h
+++ b/lib/net/control_thread.h
@@ -20,6 +20,9 @@
 
 typedef struct control_thread control_thread_t;
 
+/* What the thread reads, for kf_signals_block. */
+extern const int control_thread_signals[];
+
 control_thread_t *control_thread_new(const kf_settings_t *settings,
     kf_vm_id_t self, traffic_thread_t **traffic, uint32_t traffic_count,
     kf_logger_t *logger);
--- a/lib/net/daemon.c
+++ b/lib/net/daemon.c
@@ -2,26 +2,12 @@
 
 #include <curl/curl.h>
 
-#include <signal.h>
-
 #include "kf/clock.h"
 #include "kf/daemon.h"
+#include "kf/signals.h"
 
 #include "control_thread.h"
 
-/* Signals are read by the control thread only. */
-static void
-block_signals(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGPIPE);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-}
-
 /*
  * Runs an incarnation above *above, and sets that to 0 or to the one that the
  * next must exceed.
@@ -76,7 +62,7 @@
 	kf_status_t status;
 	uint64_t above = 0;
 
-	block_signals();
+	kf_signals_block(control_thread_signals);
 	if (apr_initialize() != APR_SUCCESS)
 		return kf_status_set(KF_ERR_IO, "cannot initialise APR");
 	curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/lib/net/metrics.c
+++ b/lib/net/metrics.c
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kf/udp.h"
+
 #include "metrics.h"
 
 enum {
@@ -188,11 +190,7 @@
 static kf_status_t
 metrics_listen(metrics_t *metrics, kf_addr_t addr)
 {
-	struct sockaddr_in sin = {
-		.sin_family = AF_INET,
-		.sin_port = htons(addr.port),
-		.sin_addr.s_addr = htonl(addr.ip),
-	};
+	struct sockaddr_in sin = kf_sockaddr(addr);
 	char text[KF_ADDR_TEXT_BYTES];
 
 	metrics->http =
--- a/lib/peering/codec.c
+++ b/lib/peering/codec.c
@@ -7,7 +7,7 @@
 
 uint8_t *
 kf_changes_encode(uint64_t revision, bool listing,
-    const kf_changes_item_t *items, size_t count, size_t *len)
+    const kf_item_change_t *items, size_t count, size_t *len)
 {
 	peering_changes changes = { .revision = revision, .listing = listing };
 	uint8_t *buf = NULL;
@@ -51,7 +51,7 @@
 kf_status_t
 kf_changes_decode(const uint8_t *data, size_t len,
     void (*begin)(void *ctx, uint64_t revision, bool listing),
-    kf_changes_fn *item, void *ctx)
+    kf_item_change_fn *item, void *ctx)
 {
 	peering_changes changes = { 0 };
 	bool_t decoded;
@@ -65,7 +65,7 @@
 		begin(ctx, changes.revision, changes.listing);
 		for (i = 0; i < changes.items.items_len; i++) {
 			const peering_item *from = &changes.items.items_val[i];
-			kf_changes_item_t to = {
+			kf_item_change_t to = {
 				.key = from->key,
 				.revision = from->revision,
 				.removed = from->removed,
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "kf/service_load.h"
 #include "kf/status.h"
 
 #ifdef __cplusplus
@@ -55,18 +56,12 @@
 	uint64_t random_seed;
 } kf_peering_config_t;
 
-/* Flows of a VM at the upstreams of a service. */
-typedef struct kf_peering_load {
-	uint64_t service; /* kf_name_key */
-	uint32_t flows;
-} kf_peering_load_t;
-
 /* What a VM says of itself. */
 typedef struct kf_peering_self {
 	uint64_t revision;
 	int64_t contact_us; /* with the store; INT64_MIN: never */
 	bool leaving;
-	kf_peering_load_t loads[KF_PEERING_MAX_LOADS];
+	kf_service_load_t loads[KF_PEERING_MAX_LOADS];
 	size_t load_count;
 } kf_peering_self_t;
 
@@ -98,7 +93,6 @@
  */
 size_t kf_peering_due(kf_peering_t *peering, bool news, int64_t now_us,
     uint32_t ips[KF_PEERING_MAX_TARGETS]);
-int64_t kf_peering_next_us(const kf_peering_t *peering);
 
 /*
  * Writes a beacon for a VM; returns its length, 0 on failure.  It tells of
--- a/lib/peering/include/kf/peering_codec.h
+++ b/lib/peering/include/kf/peering_codec.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "kf/status.h"
+#include "kf/replica.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -16,24 +16,14 @@
  *	kf_changes - changes of a replica between VMs, in XDR
  */
 
-typedef struct kf_changes_item {
-	const char *key;
-	uint64_t revision;
-	bool removed;
-	const uint8_t *value;
-	size_t len;
-} kf_changes_item_t;
-
-typedef void kf_changes_fn(void *ctx, const kf_changes_item_t *item);
-
 /* Returns a buffer that the caller frees, or NULL. */
 uint8_t *kf_changes_encode(uint64_t revision, bool listing,
-    const kf_changes_item_t *items, size_t count, size_t *len);
+    const kf_item_change_t *items, size_t count, size_t *len);
 
 /* begin is called once before the items. */
 kf_status_t kf_changes_decode(const uint8_t *data, size_t len,
     void (*begin)(void *ctx, uint64_t revision, bool listing),
-    kf_changes_fn *item, void *ctx);
+    kf_item_change_fn *item, void *ctx);
 
 #ifdef __cplusplus
 }
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "kf/peering.h"
+#include "kf/search.h"
 
 #include "peering_msg.h"
 
@@ -88,19 +89,20 @@
 	return z ^ (z >> 31);
 }
 
+static int
+ip_compare(const void *key, const void *element)
+{
+	uint32_t ip = *(const uint32_t *)key;
+	uint32_t other = ((const member_t *)element)->ip;
+
+	return (ip > other) - (ip < other);
+}
+
 static size_t
 position_of(const kf_peering_t *p, uint32_t ip)
 {
-	size_t low = 0, high = p->count, middle;
-
-	while (low < high) {
-		middle = low + (high - low) / 2;
-		if (p->members[middle].ip < ip)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
+	return kf_lower_bound(
+	    &ip, p->members, p->count, sizeof(*p->members), ip_compare);
 }
 
 static member_t *
@@ -365,12 +367,6 @@
 	return count;
 }
 
-int64_t
-kf_peering_next_us(const kf_peering_t *p)
-{
-	return p->next_us;
-}
-
 /* Latest contact that holds for what this VM has. */
 static int64_t
 contact_us(const kf_peering_t *p, const kf_peering_self_t *self)
--- a/lib/replica/include/kf/replica.h
+++ b/lib/replica/include/kf/replica.h
@@ -36,6 +36,17 @@
 	KF_SOURCE_COUNT
 } kf_source_t;
 
+/* A change as the store or another VM tells it. */
+typedef struct kf_item_change {
+	const char *key;
+	const uint8_t *value; /* NULL if removed */
+	size_t len;
+	uint64_t revision;
+	bool removed;
+} kf_item_change_t;
+
+typedef void kf_item_change_fn(void *ctx, const kf_item_change_t *change);
+
 typedef struct kf_item {
 	char *key;
 	uint8_t *value; /* followed by a NUL byte; NULL if removed */
@@ -64,6 +75,10 @@
 kf_status_t kf_replica_remove(
     kf_replica_t *replica, const char *key, uint64_t revision, int64_t now_us);
 
+/* Puts or removes. */
+kf_status_t kf_replica_apply(kf_replica_t *replica, kf_source_t source,
+    const kf_item_change_t *change, int64_t now_us);
+
 /* Every change up to revision has been put. */
 void kf_replica_advance(kf_replica_t *replica, uint64_t revision);
 
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "kf/replica.h"
+#include "kf/search.h"
 
 enum { FIRST_CAP = 64 };
 
@@ -56,21 +57,20 @@
 	return r->revision;
 }
 
+static int
+key_compare(const void *key, const void *element)
+{
+	return strcmp(key, (*(kf_item_t *const *)element)->key);
+}
+
 static size_t
 position_of(const kf_replica_t *r, const char *key)
 {
-	size_t low = 0, high = r->count, middle;
-
-	while (low < high) {
-		middle = low + (high - low) / 2;
-		if (strcmp(r->items[middle]->key, key) < 0)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
+	return kf_lower_bound(
+	    key, r->items, r->count, sizeof(kf_item_t *), key_compare);
 }
 
+/* Returns the item with this key, a new one with revision 0, or NULL. */
 static kf_item_t *
 find_or_add(kf_replica_t *r, const char *key)
 {
@@ -166,6 +166,16 @@
 	return KF_OK;
 }
 
+kf_status_t
+kf_replica_apply(kf_replica_t *r, kf_source_t source,
+    const kf_item_change_t *change, int64_t now_us)
+{
+	return change->removed
+	    ? kf_replica_remove(r, change->key, change->revision, now_us)
+	    : kf_replica_put(r, source, change->key, change->value, change->len,
+		  change->revision, now_us);
+}
+
 void
 kf_replica_advance(kf_replica_t *r, uint64_t revision)
 {
--- a/lib/sysio/clock.c
+++ b/lib/sysio/clock.c
@@ -14,3 +14,9 @@
 		.wall_ms = wall.tv_sec * 1000 + wall.tv_nsec / 1000000,
 	};
 }
+
+int64_t
+kf_age_ms(int64_t since_us, int64_t now_us)
+{
+	return since_us == INT64_MIN ? -1 : (now_us - since_us) / 1000;
+}
--- a/lib/sysio/include/kf/clock.h
+++ b/lib/sysio/include/kf/clock.h
@@ -18,6 +18,10 @@
  */
 kf_time_t kf_clock_now(void);
 
+/* Milliseconds since a time of the monotonic clock; -1 if it is INT64_MIN,
+ * which stands for never. */
+int64_t kf_age_ms(int64_t since_us, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/sysio/include/kf/udp.h
+++ b/lib/sysio/include/kf/udp.h
@@ -3,6 +3,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <netinet/in.h>
 #include <sys/types.h>
 
 #include "kf/addr.h"
@@ -22,6 +23,9 @@
 	KF_UDP_MAX_BYTES = 65536, /* larger than any datagram */
 };
 
+/* The address as the system takes it, for TCP as well. */
+struct sockaddr_in kf_sockaddr(kf_addr_t addr);
+
 kf_status_t kf_udp_open(kf_addr_t local, int flags, int *fd);
 
 /* A socket with a new source port, connected to remote. */
--- a/lib/sysio/udp.c
+++ b/lib/sysio/udp.c
@@ -14,8 +14,8 @@
 	DISCARD_MAX = 65536,
 };
 
-static struct sockaddr_in
-sockaddr_of(kf_addr_t addr)
+struct sockaddr_in
+kf_sockaddr(kf_addr_t addr)
 {
 	return (struct sockaddr_in){
 		.sin_family = AF_INET,
@@ -61,7 +61,7 @@
 kf_status_t
 kf_udp_open(kf_addr_t local, int flags, int *fd)
 {
-	struct sockaddr_in sin = sockaddr_of(local);
+	struct sockaddr_in sin = kf_sockaddr(local);
 	int on = 1;
 
 	*fd = udp_socket();
@@ -80,8 +80,8 @@
 kf_udp_connect(uint32_t local_ip, kf_addr_t remote, int *fd)
 {
 	kf_addr_t local = { .ip = local_ip };
-	struct sockaddr_in from = sockaddr_of(local);
-	struct sockaddr_in to = sockaddr_of(remote);
+	struct sockaddr_in from = kf_sockaddr(local);
+	struct sockaddr_in to = kf_sockaddr(remote);
 
 	*fd = udp_socket();
 	if (*fd < 0)
@@ -107,7 +107,7 @@
 void
 kf_udp_send(int fd, kf_addr_t to, const uint8_t *data, size_t len)
 {
-	struct sockaddr_in sin = sockaddr_of(to);
+	struct sockaddr_in sin = kf_sockaddr(to);
 
 	/*
 	 * With IP_RECVERR a pending error of an earlier datagram fails the
--- a/tests/process/packets-start.sh
+++ b/tests/process/packets-start.sh
@@ -23,7 +23,6 @@
 expect failed "$(value failed "$work/answer")" 0
 check_rules
 for vm in 1 2 3; do
-	expect "dropped without a configuration by v$vm" "$(curl -s \
-	    "http://$net.$vm:7720/metrics" |
-	    sed -n 's/^knapweed_reason_total{reason="no_config"} //p')" 0
+	expect "dropped without a configuration by v$vm" "$(metric "$vm" \
+	    'knapweed_reason_total{reason="no_config"}')" 0
 done
--- a/tests/process/packets-store-away.sh
+++ b/tests/process/packets-store-away.sh
@@ -5,18 +5,13 @@
 . tests/process/common.sh
 . tests/process/packets.inc
 
-config_of() { # VM
-	curl -s "http://$net.$1:7720/metrics" |
-	    sed -n 's/^knapweed_config_version //p'
-}
-
 wait_config() { # VERSION
 	for vm in 1 2 3; do
 		wait_left=200
-		until [ "$(config_of "$vm")" = "$1" ]; do
+		until [ "$(metric "$vm" knapweed_config_version)" = "$1" ]; do
 			wait_left=$((wait_left - 1))
 			[ "$wait_left" -gt 0 ] ||
-			    fail "v$vm has version $(config_of "$vm")"
+			    fail "v$vm has version $(metric "$vm" knapweed_config_version)"
 			sleep 0.1
 		done
 	done
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -276,7 +276,7 @@
 std::string taken;
 
 void
-Take(void *, const kf_platform_change_t *change)
+Take(void *, const kf_item_change_t *change)
 {
 	taken += std::string(change->key) + "@" +
 	    std::to_string(change->revision) + "=" +
@@ -301,7 +301,7 @@
 	taken.clear();
 	ASSERT_EQ(KF_OK,
 	    kf_platform_list_decode(
-		list.data(), list.size(), &answer, Take, nullptr));
+		list.data(), list.size(), &answer, nullptr, Take, nullptr));
 	EXPECT_EQ("a@412=node-1 ", taken);
 	EXPECT_TRUE(answer.more);
 	EXPECT_STREQ("a", answer.last_key);
@@ -336,8 +336,8 @@
 	for (const std::string &text : bad) {
 		taken.clear();
 		EXPECT_NE(KF_OK,
-		    kf_platform_list_decode(
-			text.data(), text.size(), &answer, Take, nullptr))
+		    kf_platform_list_decode(text.data(), text.size(), &answer,
+			nullptr, Take, nullptr))
 		    << text;
 		EXPECT_EQ("", taken) << text;
 	}
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -255,9 +255,9 @@
 /* Guards against changes that another VM reads differently. */
 TEST(Changes, SurviveTheCodec)
 {
-	const kf_changes_item_t items[] = {
-		{ "a", 7, false, (const uint8_t *)"x\0y", 3 },
-		{ "b", 9, true, nullptr, 0 },
+	const kf_item_change_t items[] = {
+		{ "a", (const uint8_t *)"x\0y", 3, 7, false },
+		{ "b", nullptr, 0, 9, true },
 	};
 	Decoded d;
 	size_t len;
@@ -266,7 +266,7 @@
 		static_cast<Decoded *>(ctx)->revision = revision;
 		static_cast<Decoded *>(ctx)->listing = listing;
 	};
-	auto item = [](void *ctx, const kf_changes_item_t *i) {
+	auto item = [](void *ctx, const kf_item_change_t *i) {
 		static_cast<Decoded *>(ctx)->items.push_back(
 		    std::string(i->key) + "@" + std::to_string(i->revision) +
 		    (i->removed ? " removed " : " " + std::to_string(i->len)));
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -3,17 +3,11 @@
 #include <string>
 
 #include "kf/settings.h"
+#include "support/settings_errors.h"
 
 namespace {
 
-std::string errors;
-
-void
-OnError(void *, const char *file, int line, const char *text)
-{
-	errors +=
-	    std::string(file) + ":" + std::to_string(line) + ": " + text + "\n";
-}
+using namespace kf_test;
 
 kf_settings_t *
 Parse(const std::string &text)
