Eject upstreams that answer requests late, on the evidence of the zone

One VM of 103 sees an upstream every 7 s, too seldom to judge it alone.

Change: a request of an open flow is late after four times the mean answer time of its service, by what the client acknowledges, sends again or does not send. VMs of a zone tell each other of late requests in their beacons. An upstream with three of them and twice the mean of the others with the same load gets no new flows for 6 s, doubled up to 24 s; a third of a service at most. lib/peering: members and reports in files of their own.

Tests: golden forwarder/outlier, Peering.ReportsReachTheZone (fails if reports are passed on in routine beacons only: 20 of 33 VMs).

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -157,6 +157,11 @@
 		pool->asked_us = old[i].asked_us;
 		pool->full_since_us = old[i].full_since_us;
 		pool->refused_us = old[i].refused_us;
+		pool->late_near = old[i].late_near;
+		pool->late_far = old[i].late_far;
+		pool->late_us = old[i].late_us;
+		pool->answer_mean_us = old[i].answer_mean_us;
+		pool->answers = old[i].answers;
 	}
 }
 
@@ -286,7 +291,7 @@
 	if (*change == KF_CHANGE_RESTARTED || target->info.id == 0 ||
 	    (*change == KF_CHANGE_ADDED &&
 		target->info.born_ms != info->born_ms))
-		kf_target_opened(target);
+		kf_target_reset(target);
 	target->info = *info;
 	target->listing = KF_LISTED;
 	target->warm_us = now_us + info->cold_left_us;
@@ -349,6 +354,12 @@
 		(void)reindex(d);
 }
 
+uint64_t
+kf_directory_zone(const kf_directory_t *d)
+{
+	return d->zone;
+}
+
 kf_target_t *
 kf_directory_find(const kf_directory_t *d, uint32_t token)
 {
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -11,6 +11,8 @@
 	[KF_FORWARD_DROPPED] = "packet_dropped",
 	[KF_FORWARD_EJECTED] = "upstream_ejected",
 	[KF_FORWARD_RETURNED] = "upstream_returned",
+	[KF_FORWARD_LATE] = "request_late",
+	[KF_FORWARD_OUTLIER] = "upstream_outlier",
 };
 
 const char *
@@ -142,6 +144,8 @@
 		connect_reset(f, flow, packet->token, now_us);
 	else if (flow->state == KF_FLOW_OPENING)
 		connect_opened(f, flow, packet->token, now_us);
+	if (flow->state == KF_FLOW_OPEN)
+		outlier_follow(f, flow, packet, now_us);
 	if (packet->fin || packet->rst) {
 		flow_close(f, flow);
 		return;
@@ -209,6 +213,10 @@
 {
 	if (f->due_us <= now_us)
 		run_openings(f, now_us);
+	if (f->outlier_us <= now_us) {
+		outlier_scan(f, now_us);
+		f->outlier_us = now_us + OUTLIER_INTERVAL_US;
+	}
 	if (f->expiry_us <= now_us) {
 		expire_idle(f, now_us);
 		f->expiry_us = now_us + EXPIRY_INTERVAL_US;
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -35,6 +35,13 @@
 	FLOOD_AFTER_US = 1500000,
 	FLOOD_MEMORY_US = 2000000,
 	DEMAND_MEMORY_US = 1000000,
+	OUTLIER_INTERVAL_US = 50000,
+	/* The shortest time that makes a request late: the client's data and
+	 * acknowledgements take 4 ms, and a lost one is sent again after
+	 * 200 ms. */
+	LATE_MIN_US = 100000,
+	/* Used until the time that answers take is known. */
+	LATE_UNKNOWN_US = 1000000,
 };
 
 struct kf_forwarder {
@@ -48,6 +55,9 @@
 	double opening_deviation_us;
 	int64_t due_us; /* earliest step of an opening flow */
 	int64_t expiry_us;
+	int64_t outlier_us;		      /* next look for late requests */
+	uint32_t late[KF_FORWARDER_MAX_LATE]; /* tokens, not yet taken */
+	size_t late_count;
 	kf_forwarder_stats_t stats;
 };
 
@@ -65,6 +75,12 @@
 bool admission_refuses(kf_forwarder_t *f, const kf_route_t *route,
     uint64_t service, int64_t now_us);
 
+/* Keeps the request in progress of an open flow in step with its packets. */
+void outlier_follow(kf_forwarder_t *f, kf_flow_t *flow,
+    const kf_packet_t *packet, int64_t now_us);
+/* Looks for late requests of flows whose clients send nothing. */
+void outlier_scan(kf_forwarder_t *f, int64_t now_us);
+
 /* Opening of flows. */
 void connect_syn(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
     const uint8_t *datagram, size_t len);
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -41,6 +41,11 @@
 	int64_t asked_us;	     /* of the last one */
 	int64_t full_since_us;	     /* 0: not full */
 	int64_t refused_us;	     /* last refusal of a flow */
+	double late_near;	     /* late requests of upstreams, fading */
+	double late_far;
+	int64_t late_us; /* of the last one */
+	double answer_mean_us;
+	uint32_t answers; /* seen, up to what the mean needs */
 } kf_pool_t;
 
 typedef struct kf_directory kf_directory_t;
@@ -74,6 +79,9 @@
 /* Forgets upstreams whose flows have ended; no pointer to them remains. */
 void kf_directory_expire(kf_directory_t *directory, int64_t now_us);
 
+/* Zone of the VM. */
+uint64_t kf_directory_zone(const kf_directory_t *directory);
+
 kf_target_t *kf_directory_find(const kf_directory_t *directory, uint32_t token);
 kf_pool_t *kf_directory_pool(kf_directory_t *directory, uint64_t service);
 
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -30,6 +30,9 @@
  *	A flow that does not open within the time that openings take goes to a
  *	second upstream as well, later to a third; it opens at the one whose
  *	answer the client takes.
+ *
+ *	An upstream with far more late requests than the others of its service
+ *	is an outlier and gets no new flows for some seconds.
  */
 
 typedef enum kf_forward_event {
@@ -41,6 +44,8 @@
 	KF_FORWARD_DROPPED,
 	KF_FORWARD_EJECTED, /* an upstream */
 	KF_FORWARD_RETURNED,
+	KF_FORWARD_LATE,    /* a request of an open flow */
+	KF_FORWARD_OUTLIER, /* an upstream was ejected for late requests */
 	KF_FORWARD_EVENT_COUNT
 } kf_forward_event_t;
 
@@ -133,6 +138,20 @@
 void kf_forwarder_set_others(
     kf_forwarder_t *forwarder, kf_others_flows_fn *flows, void *ctx);
 
+/* Late requests reported at once. */
+enum { KF_FORWARDER_MAX_LATE = 16 };
+
+/*
+ * Takes the tokens of upstreams of requests that have been late since the last
+ * call, KF_FORWARDER_MAX_LATE at most, for the other VMs of the zone.
+ */
+size_t kf_forwarder_take_late(
+    kf_forwarder_t *forwarder, uint32_t tokens[KF_FORWARDER_MAX_LATE]);
+
+/* Another VM of the zone reports a late request. */
+void kf_forwarder_late_elsewhere(
+    kf_forwarder_t *forwarder, uint32_t token, int64_t now_us);
+
 kf_position_t kf_forwarder_position(const kf_forwarder_t *forwarder);
 
 /* Time after which a second upstream is tried. */
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -18,7 +18,9 @@
  *	Answers do not pass through the balancer, so evidence comes from the
  *	client's packets: a flow that opens speaks for its upstream, an opening
  *	packet that stays unanswered while another upstream opens the flow, or
- *	until the client sends a copy, speaks against it.
+ *	until the client sends a copy, speaks against it.  So do requests of
+ *	open flows whose answers the client acknowledges late or never: an
+ *	upstream may accept flows and fail their requests.
  */
 
 enum {
@@ -79,7 +81,11 @@
 	uint32_t ejections;  /* in a row, sets the time of the next */
 	int64_t doubted_until_us;
 	int64_t ejected_until_us;
-	bool shadowed; /* another upstream has the same token */
+	double late;	 /* late requests in the zone, fading with time */
+	int64_t late_us; /* of the last one */
+	uint32_t outlier_ejections; /* in a row */
+	int64_t outlier_until_us;   /* ejected for late requests */
+	bool shadowed;		    /* another upstream has the same token */
 } kf_target_t;
 
 /* Folds an upstream's id; never KF_TOKEN_NONE. */
@@ -95,6 +101,9 @@
 
 void kf_target_opened(kf_target_t *target);
 
+/* Forgets all evidence: the upstream is another process. */
+void kf_target_reset(kf_target_t *target);
+
 /* Returns true if the failure ejects the upstream. */
 bool kf_target_unanswered(kf_target_t *target, int64_t now_us);
 
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -52,7 +52,8 @@
 kf_health_t
 kf_target_health(const kf_target_t *target, int64_t now_us)
 {
-	if (now_us < target->ejected_until_us)
+	if (now_us < target->ejected_until_us ||
+	    now_us < target->outlier_until_us)
 		return KF_HEALTH_EJECTED;
 	if (target->failures >= KF_TARGET_EJECT_FAILURES)
 		return target->opening == 0 ? KF_HEALTH_PROBE
@@ -70,6 +71,15 @@
 	target->ejected_until_us = 0;
 }
 
+void
+kf_target_reset(kf_target_t *target)
+{
+	kf_target_opened(target);
+	target->late = 0;
+	target->outlier_ejections = 0;
+	target->outlier_until_us = 0;
+}
+
 bool
 kf_target_unanswered(kf_target_t *target, int64_t now_us)
 {
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -25,6 +25,8 @@
 	 * page of the store is at most about 1 MB, in base64. */
 	MAX_BODY_BYTES = 64 << 20,
 	BEACON_BYTES = 2048,
+	/* Reports of late requests taken at once; others stay for the next. */
+	MAX_REPORTS = 64,
 	SETTINGS_INTERVAL_US = 1000000,
 	/* Beacons go out every 450 ms. */
 	LOADS_INTERVAL_US = 200000,
@@ -439,6 +441,24 @@
 	packet_thread_unlock(l->packets);
 }
 
+/* Exchanges reports of late requests between the forwarder and the zone. */
+static void
+exchange_reports(control_loop_t *l)
+{
+	uint32_t own[KF_FORWARDER_MAX_LATE], heard[MAX_REPORTS];
+	size_t i, own_count, heard_count;
+	kf_forwarder_t *forwarder;
+
+	heard_count = kf_peering_take_reports(l->peering, heard, MAX_REPORTS);
+	forwarder = packet_thread_lock(l->packets);
+	own_count = kf_forwarder_take_late(forwarder, own);
+	for (i = 0; i < heard_count; i++)
+		kf_forwarder_late_elsewhere(forwarder, heard[i], l->now_us);
+	packet_thread_unlock(l->packets);
+	for (i = 0; i < own_count; i++)
+		kf_peering_report_late(l->peering, own[i], l->now_us);
+}
+
 static void
 check_settings(control_loop_t *l)
 {
@@ -552,6 +572,7 @@
 	status = update_forwarding(l);
 	update_view(l);
 	update_loads(l);
+	exchange_reports(l);
 	store_sync_run(l->sync, &l->view, l->now_us);
 	revision = store_sync_revision(l->sync);
 	reason = revision == 0		   ? KF_PEERING_STARTING
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -63,9 +63,10 @@
 log_upstream(forward_log_t *l, const kf_forward_record_t *r)
 {
 	kf_eventlog_write(l->log, KF_LOG_WARN, kf_forward_event_name(r->event),
-	    "upstream=%s failures=%u ejections=%u open=%u",
+	    "upstream=%s failures=%u ejections=%u open=%u late=%.1f "
+	    "outlier_ejections=%u",
 	    r->target->info.name, r->target->failures, r->target->ejections,
-	    r->target->open);
+	    r->target->open, r->target->late, r->target->outlier_ejections);
 }
 
 static void
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -34,6 +34,9 @@
 	/* News: enough that nearly all of a zone hear in three steps. */
 	KF_PEERING_NEWS_NEAR = 4,
 	KF_PEERING_NEWS_FAR = 2,
+	/* New reports of late requests are passed on at once, this often at
+	 * most. */
+	KF_PEERING_REPORTS_INTERVAL_US = 200000,
 	/* Members in a beacon: 3 beacons of 260 bytes each 450 ms are
 	 * 1.7 KB/s, of the 2 KB/s that control may use. */
 	KF_PEERING_MEMBERS = 16,
@@ -121,6 +124,14 @@
 size_t kf_peering_take_lost(
     kf_peering_t *peering, uint32_t ips[KF_PEERING_MAX_LOST]);
 
+/* Tells the VMs of the zone of a late request at an upstream. */
+void kf_peering_report_late(
+    kf_peering_t *peering, uint32_t token, int64_t now_us);
+
+/* Takes the tokens of upstreams that other VMs of the zone have reported. */
+size_t kf_peering_take_reports(
+    kf_peering_t *peering, uint32_t *tokens, size_t max);
+
 /*
  * Flows of other VMs at a service's upstreams: what VMs have said lately, and
  * the same on average for those that have not been heard directly.
--- /dev/null
+++ b/lib/peering/members.c
@@ -0,0 +1,82 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/search.h"
+
+#include "members.h"
+
+enum {
+	FIRST_CAP = 16,
+	MAX_MEMBERS = 16384,
+};
+
+void
+members_free(members_t *m)
+{
+	free(m->list);
+}
+
+static int
+ip_compare(const void *key, const void *element)
+{
+	uint32_t ip = *(const uint32_t *)key;
+	uint32_t other = ((const member_t *)element)->ip;
+
+	return (ip > other) - (ip < other);
+}
+
+static size_t
+position_of(const members_t *m, uint32_t ip)
+{
+	return kf_lower_bound(
+	    &ip, m->list, m->count, sizeof(*m->list), ip_compare);
+}
+
+member_t *
+members_find(const members_t *m, uint32_t ip)
+{
+	size_t at = position_of(m, ip);
+
+	return at < m->count && m->list[at].ip == ip ? &m->list[at] : NULL;
+}
+
+member_t *
+members_add(members_t *m, uint32_t ip, uint64_t zone)
+{
+	size_t at = position_of(m, ip), cap;
+	member_t *grown;
+
+	if (m->count == MAX_MEMBERS)
+		return NULL;
+	if (m->count == m->cap) {
+		cap = m->cap == 0 ? FIRST_CAP : m->cap * 2;
+		grown = realloc(m->list, cap * sizeof(*grown));
+		if (grown == NULL)
+			return NULL;
+		m->list = grown;
+		m->cap = cap;
+	}
+	memmove(
+	    m->list + at + 1, m->list + at, (m->count - at) * sizeof(*m->list));
+	m->count++;
+	m->list[at] = (member_t){
+		.ip = ip,
+		.zone = zone,
+		.heard_us = INT64_MIN,
+		.contact_us = INT64_MIN,
+		.direct_us = INT64_MIN,
+	};
+	return &m->list[at];
+}
+
+void
+members_remove(members_t *m, uint32_t ip)
+{
+	size_t at = position_of(m, ip);
+
+	if (at == m->count || m->list[at].ip != ip)
+		return;
+	m->count--;
+	memmove(
+	    m->list + at, m->list + at + 1, (m->count - at) * sizeof(*m->list));
+}
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -2,13 +2,13 @@
 #include <string.h>
 
 #include "kf/peering.h"
-#include "kf/search.h"
 
+#include "members.h"
 #include "peering_msg.h"
+#include "reports.h"
 
 enum {
 	MAGIC = 0x6b666232, /* "kfb2" */
-	MAX_MEMBERS = 16384,
 	/* A beacon that was held up by a pause of its sender or a queue. */
 	MAX_AGE_MS = 600000,
 	/* VMs that know too few others answered in an interval. */
@@ -22,23 +22,12 @@
 	OTHER_ZONE_TURNS = 4,
 };
 
-typedef struct member {
-	uint32_t ip;
-	uint64_t zone;
-	int64_t heard_us;
-	uint64_t revision;  /* 0: only heard of */
-	int64_t contact_us; /* INT64_MIN: none */
-	peering_question asks;
-	int64_t direct_us; /* own beacon; INT64_MIN: none */
-	uint32_t load_count;
-	peering_load loads[KF_PEERING_MAX_LOADS];
-} member_t;
-
 struct kf_peering {
 	kf_peering_config_t config;
-	member_t *members; /* by ip; never this VM */
-	size_t count;
-	size_t cap;
+	members_t members; /* never this VM */
+	reports_t reports;
+	int64_t reports_us;   /* last beacons sent for them */
+	bool has_new_reports; /* own or heard since then */
 	int64_t next_us;
 	int64_t seed_us;
 	uint64_t random;
@@ -72,7 +61,7 @@
 {
 	if (p == NULL)
 		return;
-	free(p->members);
+	members_free(&p->members);
 	free(p);
 }
 
@@ -96,72 +85,6 @@
 	return z ^ (z >> 31);
 }
 
-static int
-ip_compare(const void *key, const void *element)
-{
-	uint32_t ip = *(const uint32_t *)key;
-	uint32_t other = ((const member_t *)element)->ip;
-
-	return (ip > other) - (ip < other);
-}
-
-static size_t
-position_of(const kf_peering_t *p, uint32_t ip)
-{
-	return kf_lower_bound(
-	    &ip, p->members, p->count, sizeof(*p->members), ip_compare);
-}
-
-static member_t *
-find_member(const kf_peering_t *p, uint32_t ip)
-{
-	size_t at = position_of(p, ip);
-
-	return at < p->count && p->members[at].ip == ip ? &p->members[at]
-							: NULL;
-}
-
-static member_t *
-add_member(kf_peering_t *p, uint32_t ip, uint64_t zone)
-{
-	size_t at = position_of(p, ip), cap;
-	member_t *grown;
-
-	if (p->count == MAX_MEMBERS)
-		return NULL;
-	if (p->count == p->cap) {
-		cap = p->cap == 0 ? 16 : p->cap * 2;
-		grown = realloc(p->members, cap * sizeof(*grown));
-		if (grown == NULL)
-			return NULL;
-		p->members = grown;
-		p->cap = cap;
-	}
-	memmove(p->members + at + 1, p->members + at,
-	    (p->count - at) * sizeof(*p->members));
-	p->count++;
-	p->members[at] = (member_t){
-		.ip = ip,
-		.zone = zone,
-		.heard_us = INT64_MIN,
-		.contact_us = INT64_MIN,
-		.direct_us = INT64_MIN,
-	};
-	return &p->members[at];
-}
-
-static void
-remove_member(kf_peering_t *p, uint32_t ip)
-{
-	size_t at = position_of(p, ip);
-
-	if (at == p->count || p->members[at].ip != ip)
-		return;
-	p->count--;
-	memmove(p->members + at, p->members + at + 1,
-	    (p->count - at) * sizeof(*p->members));
-}
-
 static void
 note_lost(kf_peering_t *p, const member_t *m)
 {
@@ -174,13 +97,13 @@
 {
 	size_t i, kept = 0;
 
-	for (i = 0; i < p->count; i++) {
-		if (now_us - p->members[i].heard_us < KF_PEERING_LIFE_US)
-			p->members[kept++] = p->members[i];
+	for (i = 0; i < p->members.count; i++) {
+		if (now_us - p->members.list[i].heard_us < KF_PEERING_LIFE_US)
+			p->members.list[kept++] = p->members.list[i];
 		else
-			note_lost(p, &p->members[i]);
+			note_lost(p, &p->members.list[i]);
 	}
-	p->count = kept;
+	p->members.count = kept;
 }
 
 size_t
@@ -204,9 +127,9 @@
 	if (said->ip == p->config.ip || said->ip == 0 ||
 	    now_us - heard_us >= KF_PEERING_LIFE_US)
 		return;
-	m = find_member(p, said->ip);
+	m = members_find(&p->members, said->ip);
 	if (m == NULL)
-		m = add_member(p, said->ip, zone);
+		m = members_add(&p->members, said->ip, zone);
 	if (m != NULL && heard_us > m->heard_us)
 		m->heard_us = heard_us;
 }
@@ -230,11 +153,11 @@
 static void
 hear_sender(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
 {
-	member_t *m = find_member(p, b->ip);
+	member_t *m = members_find(&p->members, b->ip);
 	uint32_t i;
 
 	if (m == NULL)
-		m = add_member(p, b->ip, b->zone);
+		m = members_add(&p->members, b->ip, b->zone);
 	if (m == NULL)
 		return;
 	m->asks = b->asks;
@@ -252,6 +175,18 @@
 	    : now_us - (int64_t)b->contact_age_ms * 1000;
 }
 
+/* New reports are passed on soon. */
+static void
+hear_reports(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
+{
+	u_int i;
+
+	for (i = 0; i < b->reports.reports_len; i++)
+		if (reports_hear(
+			&p->reports, &b->reports.reports_val[i], now_us))
+			p->has_new_reports = true;
+}
+
 kf_status_t
 kf_peering_receive(
     kf_peering_t *p, const uint8_t *data, size_t len, int64_t now_us)
@@ -270,9 +205,11 @@
 		status = kf_status_set(KF_ERR_INVALID, "malformed beacon");
 	else if (b.ip != p->config.ip) {
 		if (b.leaving)
-			remove_member(p, b.ip);
+			members_remove(&p->members, b.ip);
 		else
 			hear_sender(p, &b, now_us);
+		if (b.zone == p->config.zone)
+			hear_reports(p, &b, now_us);
 		for (i = 0; i < b.members.members_len; i++)
 			hear_of(p, b.members_zone, &b.members.members_val[i],
 			    now_us);
@@ -298,11 +235,12 @@
 {
 	size_t i, start;
 
-	if (p->count == 0 || count == KF_PEERING_MAX_TARGETS)
+	if (p->members.count == 0 || count == KF_PEERING_MAX_TARGETS)
 		return count;
-	start = next_random(p) % p->count;
-	for (i = 0; i < p->count; i++) {
-		const member_t *m = &p->members[(start + i) % p->count];
+	start = next_random(p) % p->members.count;
+	for (i = 0; i < p->members.count; i++) {
+		const member_t *m =
+		    &p->members.list[(start + i) % p->members.count];
 
 		if (near != (m->zone == p->config.zone) ||
 		    has_target(ips, count, m->ip))
@@ -340,12 +278,12 @@
 {
 	size_t i, near = 0;
 
-	for (i = 0; i < p->count; i++)
-		near += p->members[i].zone == p->config.zone;
+	for (i = 0; i < p->members.count; i++)
+		near += p->members.list[i].zone == p->config.zone;
 	if (near == 0)
 		return PEERING_ASKS_ZONE;
-	return p->count - near < FEW_OTHERS ? PEERING_ASKS_OTHERS
-					    : PEERING_ASKS_NOTHING;
+	return p->members.count - near < FEW_OTHERS ? PEERING_ASKS_OTHERS
+						    : PEERING_ASKS_NOTHING;
 }
 
 static size_t
@@ -385,6 +323,12 @@
 	if (reason == KF_PEERING_NEWS)
 		count = add_fanout(
 		    p, KF_PEERING_NEWS_NEAR, KF_PEERING_NEWS_FAR, ips, count);
+	if (p->has_new_reports &&
+	    now_us - p->reports_us >= KF_PEERING_REPORTS_INTERVAL_US) {
+		p->has_new_reports = false;
+		p->reports_us = now_us;
+		count = add_fanout(p, KF_PEERING_NEAR, 0, ips, count);
+	}
 	if (now_us < p->next_us)
 		return count;
 	expire_members(p, now_us);
@@ -414,8 +358,8 @@
 	int64_t latest_us = self->contact_us;
 	size_t i;
 
-	for (i = 0; i < p->count; i++) {
-		const member_t *m = &p->members[i];
+	for (i = 0; i < p->members.count; i++) {
+		const member_t *m = &p->members.list[i];
 
 		if (m->revision == self->revision && m->contact_us > latest_us)
 			latest_us = m->contact_us;
@@ -442,7 +386,7 @@
 static uint64_t
 zone_told(kf_peering_t *p, uint32_t to_ip)
 {
-	member_t *to = find_member(p, to_ip);
+	member_t *to = members_find(&p->members, to_ip);
 	peering_question asks;
 
 	if (to == NULL)
@@ -457,7 +401,7 @@
 		    : to->zone;
 	return asks == PEERING_ASKS_OTHERS ||
 		next_random(p) % OTHER_ZONE_TURNS == 0
-	    ? p->members[next_random(p) % p->count].zone
+	    ? p->members.list[next_random(p) % p->members.count].zone
 	    : p->config.zone;
 }
 
@@ -468,8 +412,9 @@
 {
 	size_t i, told = 0;
 
-	for (i = 0; i < p->count && told < KF_PEERING_MEMBERS; i++) {
-		const member_t *m = &p->members[p->cursor++ % p->count];
+	for (i = 0; i < p->members.count && told < KF_PEERING_MEMBERS; i++) {
+		const member_t *m =
+		    &p->members.list[p->cursor++ % p->members.count];
 
 		/* What is old by now would not be believed for long. */
 		if (m->zone != zone || m->ip == to_ip ||
@@ -489,6 +434,8 @@
 {
 	peering_member members[KF_PEERING_MEMBERS];
 	peering_load loads[KF_PEERING_MAX_LOADS];
+	peering_report reports[PEERING_MAX_REPORTS];
+	const member_t *to = members_find(&p->members, to_ip);
 	peering_beacon b = {
 		.magic = MAGIC,
 		.ip = p->config.ip,
@@ -499,6 +446,7 @@
 		.asks = question(p),
 		.loads.loads_len = (u_int)self->load_count,
 		.loads.loads_val = loads,
+		.reports.reports_val = reports,
 		.members.members_val = members,
 	};
 	size_t i, len;
@@ -509,6 +457,9 @@
 			.service = self->loads[i].service,
 			.flows = self->loads[i].flows,
 		};
+	if (to != NULL && to->zone == p->config.zone)
+		b.reports.reports_len =
+		    (u_int)reports_tell(&p->reports, reports, now_us);
 	b.members_zone = zone_told(p, to_ip);
 	b.members.members_len =
 	    (u_int)tell_members(p, b.members_zone, to_ip, now_us, members);
@@ -527,11 +478,12 @@
 {
 	size_t i, start;
 
-	if (p->count == 0)
+	if (p->members.count == 0)
 		return;
-	start = next_random(p) % p->count;
-	for (i = 0; i < p->count; i++) {
-		const member_t *m = &p->members[(start + i) % p->count];
+	start = next_random(p) % p->members.count;
+	for (i = 0; i < p->members.count; i++) {
+		const member_t *m =
+		    &p->members.list[(start + i) % p->members.count];
 
 		if (m->revision == 0)
 			continue;
@@ -550,10 +502,10 @@
 	size_t i;
 
 	expire_members(p, now_us);
-	view.vm_count = (uint32_t)p->count + 1;
+	view.vm_count = (uint32_t)p->members.count + 1;
 	view.contact_us = contact_us(p, self);
-	for (i = 0; i < p->count; i++) {
-		const member_t *m = &p->members[i];
+	for (i = 0; i < p->members.count; i++) {
+		const member_t *m = &p->members.list[i];
 		bool near = m->zone == p->config.zone;
 
 		if (near) {
@@ -576,6 +528,19 @@
 	return view;
 }
 
+void
+kf_peering_report_late(kf_peering_t *p, uint32_t token, int64_t now_us)
+{
+	reports_add_own(&p->reports, p->config.ip, token, now_us);
+	p->has_new_reports = true;
+}
+
+size_t
+kf_peering_take_reports(kf_peering_t *p, uint32_t *tokens, size_t max)
+{
+	return reports_take(&p->reports, tokens, max);
+}
+
 uint64_t
 kf_peering_others_flows(const kf_peering_t *p, uint64_t service, int64_t now_us)
 {
@@ -583,8 +548,8 @@
 	uint32_t k;
 	size_t i;
 
-	for (i = 0; i < p->count; i++) {
-		const member_t *m = &p->members[i];
+	for (i = 0; i < p->members.count; i++) {
+		const member_t *m = &p->members.list[i];
 
 		if (m->direct_us == INT64_MIN ||
 		    now_us - m->direct_us > KF_PEERING_LOAD_LIFE_US)
@@ -594,5 +559,5 @@
 			if (m->loads[k].service == service)
 				flows += m->loads[k].flows;
 	}
-	return heard == 0 ? 0 : flows * p->count / heard;
+	return heard == 0 ? 0 : flows * p->members.count / heard;
 }
--- a/lib/peering/peering_msg.x
+++ b/lib/peering/peering_msg.x
@@ -2,6 +2,7 @@
 
 const PEERING_MAX_MEMBERS = 24;
 const PEERING_MAX_LOADS = 4;
+const PEERING_MAX_REPORTS = 8;
 const PEERING_MAX_KEY = 200;
 const PEERING_MAX_VALUE = 1048576;
 const PEERING_MAX_ITEMS = 200000;
@@ -18,6 +19,14 @@
 	unsigned int flows;
 };
 
+/* A request that an upstream answered late or never. */
+struct peering_report {
+	unsigned int token;	/* of the upstream */
+	unsigned int origin;	/* address of the VM that saw it */
+	unsigned int number;	/* of that VM's reports */
+	unsigned int age_ms;
+};
+
 /* What the sender knows too few of. */
 enum peering_question {
 	PEERING_ASKS_NOTHING = 0,
@@ -34,6 +43,7 @@
 	bool leaving;
 	peering_question asks;
 	peering_load loads<PEERING_MAX_LOADS>;
+	peering_report reports<PEERING_MAX_REPORTS>;	/* within the zone */
 	unsigned hyper members_zone;
 	peering_member members<PEERING_MAX_MEMBERS>;
 };
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -20,9 +20,14 @@
  *	others SERVICE FLOWS	other VMs have flows at its upstreams
  *	syn CLIENT PORT [COPY]	an opening packet
  *	data|fin|rst CLIENT PORT NAME	a packet with the token of an upstream
+ *	ask CLIENT PORT NAME	the same, with data of a request
+ *	ack CLIENT PORT NAME	an acknowledgement of its answer
+ *	late NAME		another VM reports a late request
  *	run MS			let time pass
  *	spread FIRST COUNT PORT	upstreams that new flows get; they stay open
  *	shares FIRST COUNT PORT	the same, each ends at once
+ *	load FIRST COUNT PORT MS [NAME]	the same, with a request that is
+ *				answered after MS, or never by one upstream
  */
 namespace {
 
@@ -65,9 +70,13 @@
 			{ "data", &Session::Data },
 			{ "fin", &Session::Fin },
 			{ "rst", &Session::Rst },
+			{ "ask", &Session::Ask },
+			{ "ack", &Session::Ack },
+			{ "late", &Session::Late },
 			{ "run", &Session::RunFor },
 			{ "spread", &Session::Spread },
 			{ "shares", &Session::Shares },
+			{ "load", &Session::Load },
 		};
 
 		return handlers;
@@ -243,6 +252,29 @@
 		packet.rst = true;
 		w_->Packet(packet);
 	}
+	void Ask(std::istringstream &in)
+	{
+		kf_packet_t packet = Later(in);
+
+		packet.payload_bytes = 100;
+		packet.acknowledged = 1;
+		w_->Packet(packet);
+	}
+	void Ack(std::istringstream &in)
+	{
+		kf_packet_t packet = Later(in);
+
+		packet.acknowledged = 2;
+		w_->Packet(packet);
+	}
+	void Late(std::istringstream &in)
+	{
+		std::string name;
+
+		in >> name;
+		kf_forwarder_late_elsewhere(
+		    w_->forwarder, kf_token_of(IdOf(name)), w_->now_us);
+	}
 	void RunFor(std::istringstream &in)
 	{
 		int64_t ms;
@@ -289,6 +321,57 @@
 			    std::to_string(c.second) + "\n";
 	}
 
+	/* Counts upstreams of new flows, and keeps the ejections. */
+	void Load(std::istringstream &in)
+	{
+		std::map<std::string, int> counts;
+		std::string silent, ejections;
+		uint16_t first, count, port;
+		int64_t ms;
+
+		in >> first >> count >> port >> ms >> silent;
+		for (uint16_t i = 0; i < count; i++) {
+			kf_packet_t packet =
+			    MakePacket((uint16_t)(first + i), port);
+
+			packet.syn = true;
+			w_->sent.clear();
+			w_->Packet(packet);
+			std::string name =
+			    "u" + std::to_string(w_->sent[0].upstream);
+			counts[name]++;
+			packet.syn = false;
+			packet.token = w_->sent[0].token;
+			w_->Run(4000);
+			packet.acknowledged = 1;
+			packet.payload_bytes = 100;
+			w_->Packet(packet);
+			w_->Run(ms * 1000);
+			if (name == silent)
+				continue;
+			packet.acknowledged = 2;
+			packet.payload_bytes = 0;
+			packet.fin = true;
+			w_->Packet(packet);
+		}
+		ejections = OutlierLines(w_->log);
+		w_->log.clear();
+		for (const auto &c : counts)
+			w_->log += "  " + c.first + " " +
+			    std::to_string(c.second) + "\n";
+		w_->log += ejections;
+	}
+	static std::string OutlierLines(const std::string &log)
+	{
+		std::istringstream in(log);
+		std::string line, out;
+
+		while (std::getline(in, line))
+			if (line.find("upstream_outlier") != std::string::npos)
+				out += line + "\n";
+		return out;
+	}
+
 	std::unique_ptr<ForwarderWorld> w_;
 	std::map<std::string, kf_upstream_info_t> entries_;
 };
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -130,6 +130,18 @@
 		return kf_peering_others_flows(
 		    vms_[ip].peering, service, now_us_);
 	}
+	void Report(uint32_t ip, uint32_t token)
+	{
+		kf_peering_report_late(vms_[ip].peering, token, now_us_);
+	}
+	std::vector<uint32_t> Reports(uint32_t ip)
+	{
+		std::vector<uint32_t> tokens(64);
+
+		tokens.resize(kf_peering_take_reports(
+		    vms_[ip].peering, tokens.data(), tokens.size()));
+		return tokens;
+	}
 	uint64_t Bytes(uint32_t ip)
 	{
 		return vms_[ip].bytes;
@@ -334,6 +346,37 @@
 	EXPECT_EQ(0u, fleet.OthersFlows(1, 77));
 }
 
+/*
+ * Guards against evidence that stays with the VM that has it: reports of three
+ * VMs reach nearly all of a zone of 33 within a second, once each, and no
+ * other zone.
+ */
+TEST(Peering, ReportsReachTheZone)
+{
+	Fleet fleet(0.02);
+	size_t told = 0;
+
+	for (uint32_t ip = 1; ip <= 99; ip++)
+		fleet.Start(ip, ip % 3);
+	fleet.Run(5000);
+	for (uint32_t ip = 3; ip <= 9; ip += 3)
+		fleet.Report(ip, 77);
+	fleet.Run(1000);
+	for (uint32_t ip = 1; ip <= 99; ip++) {
+		std::vector<uint32_t> heard = fleet.Reports(ip);
+		size_t expected = ip % 3 != 0 ? 0 : ip <= 9 ? 2 : 3;
+
+		EXPECT_LE(heard.size(), expected) << "VM " << ip;
+		told += ip % 3 == 0 && heard.size() == expected;
+		for (uint32_t token : heard)
+			EXPECT_EQ(77u, token);
+	}
+	EXPECT_GE(told, 30u); /* of 33 */
+	fleet.Run(3000);
+	for (uint32_t ip = 1; ip <= 99; ip++)
+		EXPECT_LE(fleet.Reports(ip).size(), 3u) << "VM " << ip;
+}
+
 /* Guards against damaged and foreign datagrams. */
 TEST(Peering, RefusesMalformedBeacons)
 {
