--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -99,6 +99,24 @@
 	f->callbacks.record(f->callbacks.record_ctx, record);
 }
 
+kf_forward_record_t
+flow_record(const kf_forwarder_t *f, const kf_flow_t *flow,
+    kf_forward_event_t event, const kf_target_t *target, int64_t now_us)
+{
+	return (kf_forward_record_t){
+		.event = event,
+		.client = flow->client,
+		.address = flow->address,
+		.route = kf_route_table_find(f->routes, flow->address),
+		.target = target,
+		.flow_hash = flow->hash,
+		.copies = flow->copies,
+		.tries = flow->tries,
+		.since_us = now_us - flow->started_us,
+		.verdict = KF_NOT_RUN,
+	};
+}
+
 static void
 record_packet(kf_forwarder_t *f, const kf_packet_t *packet,
     kf_forward_event_t event, kf_reason_t reason)
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -63,6 +63,9 @@
 
 /* Counts and reports. */
 void forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record);
+/* What all records about a flow hold. */
+kf_forward_record_t flow_record(const kf_forwarder_t *f, const kf_flow_t *flow,
+    kf_forward_event_t event, const kf_target_t *target, int64_t now_us);
 void forwarder_drop(
     kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason);
 void forwarder_refuse(
--- a/lib/forwarder/include/kf/conntrack.h
+++ b/lib/forwarder/include/kf/conntrack.h
@@ -27,7 +27,7 @@
 	/* A SYN carries no data; a longer one is refused. */
 	KF_FLOW_SYN_BYTES = 64,
 	KF_FLOW_NONE = 0, /* index of no record */
-	/* 18 MB with the index; half of the smallest VM's 80 MB is for the
+	/* 30 MB with the index; half of the smallest VM's 80 MB is for the
 	 * process. */
 	KF_CONNTRACK_MAX = 131072,
 };
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -140,19 +140,11 @@
 report_late(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us)
 {
 	kf_target_t *target = kf_directory_find(f->directory, flow->token);
-	kf_forward_record_t record = {
-		.event = KF_FORWARD_LATE,
-		.client = flow->client,
-		.address = flow->address,
-		.route = kf_route_table_find(f->routes, flow->address),
-		.target = target,
-		.flow_hash = flow->hash,
-		.copies = flow->copies,
-		.tries = flow->tries,
-		.since_us = now_us - flow->asked_us,
-		.verdict = KF_MAY_HAVE_RUN,
-	};
+	kf_forward_record_t record =
+	    flow_record(f, flow, KF_FORWARD_LATE, target, now_us);
 
+	record.since_us = now_us - flow->asked_us;
+	record.verdict = KF_MAY_HAVE_RUN;
 	flow->late = true;
 	if (target == NULL)
 		return;
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -13,8 +13,8 @@
 	MAX_AGE_MS = 600000,
 	/* VMs that know too few others answered in an interval. */
 	MAX_ANSWERS = 8,
-	/* VMs without data answered in KF_PEERING_START_INTERVAL_US: each asks
-	 * for 25 KB at once, 20 ms on a link of 10 Mbit/s. */
+	/* VMs without data answered in KF_PEERING_START_INTERVAL_US: each may
+	 * take 15 KB at once, 12 ms on a link of 10 Mbit/s. */
 	MAX_START_ANSWERS = 4,
 	/* A VM that knows fewer VMs of other zones asks for some. */
 	FEW_OTHERS = 3,
--- a/lib/replica/include/kf/sync.h
+++ b/lib/replica/include/kf/sync.h
@@ -21,7 +21,7 @@
  *	A VM that starts takes what a peer has.  Seeds, and VMs that no peer
  *	has answered soon, list the store instead, with a read that may be
  *	stale, and ask for the changes since.  A listing of 400 KB takes 0.3 s
- *	on a link of 10 Mbit/s, a peer's compressed answer 20 ms, so a listing
+ *	on a link of 10 Mbit/s, a peer's compressed answer 12 ms, so a listing
  *	is given up when a peer has answered meanwhile.
  */
 
