--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -16,6 +16,8 @@
 	kf_pool_t *pools;
 	size_t pool_count;
 	kf_target_t **members; /* memory of the pools' arrays */
+	bool held;
+	bool outdated; /* the index lacks changes made while held */
 };
 
 static const char *const change_names[] = {
@@ -228,6 +230,32 @@
 	return index_services(d);
 }
 
+/* Builds the index now, or when the directory is released. */
+static kf_status_t
+index_change(kf_directory_t *d)
+{
+	if (!d->held)
+		return reindex(d);
+	d->outdated = true;
+	return KF_OK;
+}
+
+void
+kf_directory_hold(kf_directory_t *d)
+{
+	d->held = true;
+}
+
+kf_status_t
+kf_directory_release(kf_directory_t *d)
+{
+	d->held = false;
+	if (!d->outdated)
+		return KF_OK;
+	d->outdated = false;
+	return reindex(d);
+}
+
 static kf_target_t *
 directory_insert(kf_directory_t *d, uint64_t id)
 {
@@ -295,7 +323,7 @@
 	target->info = *info;
 	target->listing = KF_LISTED;
 	target->warm_us = now_us + info->cold_left_us;
-	return *change == KF_CHANGE_NONE ? KF_OK : reindex(d);
+	return *change == KF_CHANGE_NONE ? KF_OK : index_change(d);
 }
 
 kf_change_t
@@ -315,7 +343,7 @@
 	target->unlisted_us = now_us;
 	/* An index that cannot be rebuilt still holds the target, and
 	 * kf_target_eligible refuses it. */
-	(void)reindex(d);
+	(void)index_change(d);
 	return target->listing == KF_LISTING_GONE ? KF_CHANGE_GONE
 						  : KF_CHANGE_MISSING;
 }
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -76,6 +76,13 @@
 kf_change_t kf_directory_remove(
     kf_directory_t *directory, uint64_t id, bool lapsed, int64_t now_us);
 
+/*
+ * Between hold and release, changes are kept but not in force, and the index
+ * of all upstreams is built once for all of them.
+ */
+void kf_directory_hold(kf_directory_t *directory);
+kf_status_t kf_directory_release(kf_directory_t *directory);
+
 /* Forgets upstreams whose flows have ended; no pointer to them remains. */
 void kf_directory_expire(kf_directory_t *directory, int64_t now_us);
 
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -122,6 +122,26 @@
 	return a->routes == NULL ? 0 : a->routes->version;
 }
 
+void
+applier_hold(applier_t *a)
+{
+	kf_directory_hold(
+	    kf_forwarder_directory(packet_thread_lock(a->packets)));
+	packet_thread_unlock(a->packets);
+}
+
+void
+applier_release(applier_t *a)
+{
+	kf_status_t status = kf_directory_release(
+	    kf_forwarder_directory(packet_thread_lock(a->packets)));
+
+	packet_thread_unlock(a->packets);
+	if (status != KF_OK)
+		kf_eventlog_write(a->log, KF_LOG_ERROR, "upstreams_not_indexed",
+		    "reason=\"%s\"", kf_status_message());
+}
+
 void
 applier_changed(void *ctx, const kf_item_t *item, int64_t now_us)
 {
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -25,6 +25,10 @@
 	uint64_t refused;  /* items that could not be decoded */
 } applier_t;
 
+/* Upstreams that change between these calls are put in force together. */
+void applier_hold(applier_t *applier);
+void applier_release(applier_t *applier);
+
 /* A kf_replica callback; ctx is the applier_t. */
 void applier_changed(void *ctx, const kf_item_t *item, int64_t now_us);
 
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -150,9 +150,11 @@
 
 	(void)tag;
 	s->now_us = kf_clock_now().mono_us;
+	applier_hold(s->applier);
 	if (answer->status == HTTP_OK)
 		status = kf_platform_list_decode(answer->body, answer->len,
 		    &page, begin_page, take_change, s);
+	applier_release(s->applier);
 	note_store(s, KF_SYNC_LIST, answer, status == KF_OK);
 	if (status != KF_OK) {
 		finish(s, KF_SYNC_LIST, KF_SYNC_FAILED);
@@ -214,8 +216,10 @@
 	if (answer->status == HTTP_OK) {
 		/* An outage ends before its changes are taken. */
 		applier_contact(s->applier, s->now_us);
+		applier_hold(s->applier);
 		status = kf_platform_watch_decode(
 		    answer->body, answer->len, &changes, take_change, s);
+		applier_release(s->applier);
 	}
 	note_store(s, KF_SYNC_WATCH, answer, status == KF_OK);
 	if (status == KF_OK)
@@ -248,9 +252,11 @@
 
 	(void)tag;
 	s->now_us = kf_clock_now().mono_us;
+	applier_hold(s->applier);
 	if (answer->status == HTTP_OK)
 		status = kf_changes_decode((const uint8_t *)answer->body,
 		    answer->len, begin_pulled, take_pulled, s);
+	applier_release(s->applier);
 	if (status == KF_OK && s->pulled_listing &&
 	    kf_replica_listing_end(s->replica, KF_SOURCE_PEER, s->now_us) ==
 		KF_ERR_STALE)
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -15,6 +15,7 @@
  *	drain|restart NAME	the same entry, draining or born anew
  *	cold NAME MS		the same entry with a cold start left
  *	gone|lapse NAME		the entry is removed; the store was away
+ *	hold|release		entries between these come into force together
  *	routes VERSION PORT[@PRIORITY]=SERVICE[:WEIGHT][,SERVICE:WEIGHT] ...
  *	vms RANK COUNT		VMs have come or gone
  *	others SERVICE FLOWS	other VMs have flows at its upstreams
@@ -63,6 +64,8 @@
 			{ "cold", &Session::Cold },
 			{ "gone", &Session::Gone },
 			{ "lapse", &Session::Lapse },
+			{ "hold", &Session::Hold },
+			{ "release", &Session::Release },
 			{ "routes", &Session::Routes },
 			{ "vms", &Session::Vms },
 			{ "others", &Session::Others },
@@ -157,6 +160,16 @@
 	{
 		Unlist(in, true);
 	}
+	void Hold(std::istringstream &)
+	{
+		kf_directory_hold(kf_forwarder_directory(w_->forwarder));
+	}
+	void Release(std::istringstream &)
+	{
+		EXPECT_EQ(KF_OK,
+		    kf_directory_release(
+			kf_forwarder_directory(w_->forwarder)));
+	}
 	void Routes(std::istringstream &in)
 	{
 		std::vector<kf_route_t> routes;
