Find a service's upstreams by search, and carry its state over as a whole

Cause: on rereading, packets with a request in progress look up the pool of their service by a scan of all services; and what a pool keeps when upstreams change was copied field by field, a list that grew with each field.

Change: kf_directory_pool searches the array, which is sorted by service, with kf_lower_bound; carry_over copies the pool and clears its arrays. No change of behaviour.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -13,7 +13,7 @@
 	size_t cap;
 	kf_target_t **buckets; /* by token, linear probing */
 	size_t bucket_count;
-	kf_pool_t *pools;
+	kf_pool_t *pools; /* by service */
 	size_t pool_count;
 	kf_target_t **members; /* memory of the pools' arrays */
 	bool held;
@@ -146,25 +146,15 @@
 
 /* Keeps what is known of a service apart from its upstreams. */
 static void
-carry_over(kf_pool_t *pool, const kf_pool_t *old, size_t count)
+carry_over(kf_pool_t *pool, const kf_pool_t *old)
 {
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		if (old[i].service != pool->service)
-			continue;
-		pool->cursor = old[i].cursor;
-		pool->others_flows = old[i].others_flows;
-		memcpy(pool->asked, old[i].asked, sizeof(pool->asked));
-		pool->asked_us = old[i].asked_us;
-		pool->full_since_us = old[i].full_since_us;
-		pool->refused_us = old[i].refused_us;
-		pool->late_near = old[i].late_near;
-		pool->late_far = old[i].late_far;
-		pool->late_us = old[i].late_us;
-		pool->answer_mean_us = old[i].answer_mean_us;
-		pool->answers = old[i].answers;
-	}
+	if (old == NULL)
+		return;
+	*pool = *old;
+	pool->near = NULL;
+	pool->near_count = 0;
+	pool->far = NULL;
+	pool->far_count = 0;
 }
 
 static kf_status_t
@@ -193,7 +183,7 @@
 		kf_pool_t *pool = &pools[pool_count++];
 
 		pool->service = members[start]->info.service;
-		carry_over(pool, d->pools, d->pool_count);
+		carry_over(pool, kf_directory_pool(d, pool->service));
 		for (i = start;
 		     i < listed && members[i]->info.service == pool->service;
 		     i++)
@@ -394,15 +384,24 @@
 	return d->bucket_count == 0 ? NULL : *bucket_of(d, token);
 }
 
+static int
+service_compare(const void *key, const void *element)
+{
+	uint64_t service = *(const uint64_t *)key;
+	uint64_t other = ((const kf_pool_t *)element)->service;
+
+	return (service > other) - (service < other);
+}
+
 kf_pool_t *
 kf_directory_pool(kf_directory_t *d, uint64_t service)
 {
-	size_t i;
+	size_t at = kf_lower_bound(&service, d->pools, d->pool_count,
+	    sizeof(*d->pools), service_compare);
 
-	for (i = 0; i < d->pool_count; i++)
-		if (d->pools[i].service == service)
-			return &d->pools[i];
-	return NULL;
+	return at < d->pool_count && d->pools[at].service == service
+	    ? &d->pools[at]
+	    : NULL;
 }
 
 size_t
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -32,7 +32,7 @@
 	uint64_t pulled_revision;
 	bool pulled_listing;
 	/* The last answer that was a listing: VMs that start together ask for
-	 * the same, and compression takes 8 ms on a small VM. */
+	 * the same, and it need not be compressed for each. */
 	uint8_t *listing;
 	size_t listing_len;
 	uint64_t listing_revision;
