--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -515,19 +515,13 @@
 		l->now_us - l->packet_us >= STOP_IDLE_US);
 }
 
-/* Rounds up, so that nothing is looked for before it is due. */
-static int
-wait_ms(const control_loop_t *l)
+static int64_t
+next_due_us(const control_loop_t *l)
 {
-	int64_t due_us = store_sync_due_us(l->sync, l->now_us);
-	int64_t ms;
-
-	if (kf_peering_due_us(l->peering) < due_us)
-		due_us = kf_peering_due_us(l->peering);
-	if (due_us - l->now_us >= (int64_t)MAX_WAIT_MS * 1000)
-		return MAX_WAIT_MS;
-	ms = (due_us - l->now_us + 999) / 1000;
-	return ms < 0 ? 0 : (int)ms;
+	int64_t store_us = store_sync_due_us(l->sync, l->now_us);
+	int64_t beacon_us = kf_peering_due_us(l->peering);
+
+	return store_us < beacon_us ? store_us : beacon_us;
 }
 
 static void
@@ -543,8 +537,8 @@
 	};
 	int64_t before_us = l->now_us;
 
-	http_client_wait(
-	    l->client, fds, sizeof(fds) / sizeof(fds[0]), wait_ms(l));
+	http_client_wait(l->client, fds, sizeof(fds) / sizeof(fds[0]),
+	    kf_wait_ms(next_due_us(l), l->now_us, MAX_WAIT_MS));
 	l->now_us = kf_clock_now().mono_us;
 	if (l->now_us - before_us >= PAUSE_US) {
 		kf_eventlog_write(l->log, KF_LOG_WARN, "paused", "ms=%lld",
--- a/lib/fwdnet/packet_thread.c
+++ b/lib/fwdnet/packet_thread.c
@@ -160,18 +160,6 @@
 	return due_us;
 }
 
-/* Rounds up, so that a step is not looked for before it is due. */
-static int
-wait_ms(int64_t due_us, int64_t now_us)
-{
-	int64_t ms;
-
-	if (due_us - now_us >= (int64_t)MAX_WAIT_MS * 1000)
-		return MAX_WAIT_MS;
-	ms = (due_us - now_us + 999) / 1000;
-	return ms < 0 ? 0 : (int)ms;
-}
-
 static void *APR_THREAD_FUNC
 thread_main(apr_thread_t *thread, void *ctx)
 {
@@ -182,7 +170,8 @@
 	(void)thread;
 	while (!__atomic_load_n(&t->stopping, __ATOMIC_ACQUIRE)) {
 		due_us = run_once(t);
-		epoll_wait(t->epoll_fd, &event, 1, wait_ms(due_us, t->now_us));
+		epoll_wait(t->epoll_fd, &event, 1,
+		    kf_wait_ms(due_us, t->now_us, MAX_WAIT_MS));
 	}
 	return NULL;
 }
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -142,19 +142,14 @@
 }
 
 static void
-on_list(void *ctx, uint32_t tag, const http_answer_t *answer)
+take_page(store_sync_t *s, const http_answer_t *answer)
 {
-	store_sync_t *s = ctx;
 	kf_platform_answer_t page = { 0 };
 	kf_status_t status = KF_ERR_IO;
 
-	(void)tag;
-	s->now_us = kf_clock_now().mono_us;
-	applier_hold(s->applier);
 	if (answer->status == HTTP_OK)
 		status = kf_platform_list_decode(answer->body, answer->len,
 		    &page, begin_page, take_change, s);
-	applier_release(s->applier);
 	note_store(s, KF_SYNC_LIST, answer, status == KF_OK);
 	if (status != KF_OK) {
 		finish(s, KF_SYNC_LIST, KF_SYNC_FAILED);
@@ -173,6 +168,18 @@
 		: KF_SYNC_BEHIND);
 }
 
+static void
+on_list(void *ctx, uint32_t tag, const http_answer_t *answer)
+{
+	store_sync_t *s = ctx;
+
+	(void)tag;
+	s->now_us = kf_clock_now().mono_us;
+	applier_hold(s->applier);
+	take_page(s, answer);
+	applier_release(s->applier);
+}
+
 static void
 request(store_sync_t *s, kf_sync_call_t call, kf_addr_t host, const char *path,
     uint32_t timeout_ms, http_done_fn *done)
@@ -256,13 +263,13 @@
 	if (answer->status == HTTP_OK)
 		status = kf_changes_decode((const uint8_t *)answer->body,
 		    answer->len, begin_pulled, take_pulled, s);
-	applier_release(s->applier);
 	if (status == KF_OK && s->pulled_listing &&
 	    kf_replica_listing_end(s->replica, KF_SOURCE_PEER, s->now_us) ==
 		KF_ERR_STALE)
 		status = KF_OK; /* what is newer here stays */
 	else if (status == KF_OK)
 		kf_replica_advance(s->replica, s->pulled_revision);
+	applier_release(s->applier);
 	if (status != KF_OK) {
 		s->stats.failures[KF_SYNC_PULL]++;
 		kf_eventlog_write(s->log, KF_LOG_WARN, "pull_failed",
--- a/lib/sysio/clock.c
+++ b/lib/sysio/clock.c
@@ -20,3 +20,14 @@
 {
 	return since_us == INT64_MIN ? -1 : (now_us - since_us) / 1000;
 }
+
+int
+kf_wait_ms(int64_t due_us, int64_t now_us, int max_ms)
+{
+	int64_t ms;
+
+	if (due_us - now_us >= (int64_t)max_ms * 1000)
+		return max_ms;
+	ms = (due_us - now_us + 999) / 1000;
+	return ms < 0 ? 0 : (int)ms;
+}
--- a/lib/sysio/include/kf/clock.h
+++ b/lib/sysio/include/kf/clock.h
@@ -22,6 +22,10 @@
  * which stands for never. */
 int64_t kf_age_ms(int64_t since_us, int64_t now_us);
 
+/* Time to wait until due_us, 0 to max_ms; rounds up, so that nothing is looked
+ * for before it is due. */
+int kf_wait_ms(int64_t due_us, int64_t now_us, int max_ms);
+
 #ifdef __cplusplus
 }
 #endif
