Count requests instead of flows, and refuse a flood at once

Idle flows on the other hand counted as load. A flood was admitted whole for 1.5 s, and each flow admitted then brought requests for as long as it was open. Change: load is the number of requests in progress; a request on a flow without a record adds it again; demand counts requests on open flows; less urgent flows are refused at once while a service is full, or while its mean load is above limits that depend on whether flows are reused; a backlog is told by repeated SYNs and lasts until it is worked off. In a backlog a request is late after 1 s only.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -9,6 +9,15 @@
  * flows are a small part of the new ones. */
 static const double urgent_min_share = 0.005;
 static const double urgent_min_flows = 3;
+/* Share of repeated SYNs in the demand that shows a backlog, and the mean load
+ * at which a backlog ends. */
+static const double backlog_min_share = 0.05;
+static const double backlog_end_mean = 0.33;
+/* Means of the share of the flow limit in use from which flows are refused. */
+static const double mean_limit = 0.6;
+/* The same after a refusal, if most requests come on open flows: about one
+ * request for each slot. */
+static const double reuse_mean_limit = 0.33;
 
 static size_t
 priority_of(const kf_route_t *route)
@@ -17,38 +26,60 @@
 					       : KF_PRIORITIES - 1;
 }
 
-/* Returns the factor by which demand has decayed since its last update. */
+/* Returns the factor by which a value has decayed since its last update. */
+static double
+decay_factor(int64_t updated_us, int64_t now_us, int64_t time_constant_us)
+{
+	return exp(-(double)(now_us - updated_us) / (double)time_constant_us);
+}
+
 static double
 demand_decay_factor(const kf_pool_t *pool, int64_t now_us)
 {
-	return exp(
-	    -(double)(now_us - pool->demand_updated_us) / DEMAND_DECAY_US);
+	return decay_factor(pool->demand_updated_us, now_us, DEMAND_DECAY_US);
 }
 
-double
-admission_demand_per_s(const kf_pool_t *pool, int64_t now_us)
+static double
+sum_demand(const kf_pool_t *pool)
 {
 	double demand = 0;
 	size_t i;
 
 	for (i = 0; i < KF_PRIORITIES; i++)
 		demand += pool->demand[i];
-	return demand * demand_decay_factor(pool, now_us);
+	return demand;
+}
+
+double
+admission_demand_per_s(const kf_pool_t *pool, int64_t now_us)
+{
+	return sum_demand(pool) * demand_decay_factor(pool, now_us);
 }
 
-/* Decays the demand and adds a new flow. */
 static void
-add_demand(kf_pool_t *pool, size_t priority, int64_t now_us)
+decay_demand(kf_pool_t *pool, int64_t now_us)
 {
 	double factor = demand_decay_factor(pool, now_us);
 	size_t i;
 
 	for (i = 0; i < KF_PRIORITIES; i++)
 		pool->demand[i] *= factor;
-	pool->demand[priority] += 1;
+	pool->first_requests *= factor;
+	pool->later_requests *= factor;
+	pool->repeated_syns *= factor;
 	pool->demand_updated_us = now_us;
 }
 
+/* Adds a new flow, or a request on an open one. */
+static void
+add_demand(kf_pool_t *pool, size_t priority, int64_t now_us)
+{
+	if (pool->first_demand_us == 0)
+		pool->first_demand_us = now_us;
+	decay_demand(pool, now_us);
+	pool->demand[priority] += 1;
+}
+
 /* Returns true if the service has enough demand of a more urgent priority that
  * a flow of this one may be refused. */
 static bool
@@ -66,51 +97,136 @@
 }
 
 /*
- * Returns the number of flows that this VM may have at the upstreams.  Its
- * share of their capacity equals its share of the demand at all VMs.  The
- * current flows of other VMs are not used: they are known half a second late,
- * so that all VMs would refuse and then admit flows at the same time.  Demand
- * changes slowly.
+ * Returns this VM's share of the flows that all VMs may have at the upstreams.
+ * It equals the VM's share of the demand at all VMs, but leaves the VM at least
+ * one flow.  The current flows of other VMs are not used: they are known half a
+ * second late, so that all VMs would refuse and then admit flows at the same
+ * time.  Demand changes slowly.
  */
 static double
-flow_limit(
-    const kf_pool_t *pool, const kf_pool_usage_t *pool_usage, int64_t now_us)
+capacity_share(const kf_pool_t *pool, double all_flows, int64_t now_us)
 {
 	double demand = admission_demand_per_s(pool, now_us);
-	double limit = (double)pool_usage->slots * FULL_FLOWS_PER_SLOT *
-	    demand / (demand + pool->other_vms_demand_per_s);
+	double share = demand / (demand + pool->other_vms_demand_per_s);
 
-	return limit < 1 ? 1 : limit;
+	return share * all_flows < 1 ? 1 / all_flows : share;
 }
 
-/* Updates the time since which this VM has reached its flow limit. */
+/*
+ * Updates the flows of this VM and their mean as shares of its limit, and the
+ * time since which the limit is reached.
+ */
 static void
-update_full_since(kf_pool_t *pool, int64_t now_us)
+update_load(kf_pool_t *pool, int64_t now_us)
 {
 	kf_pool_usage_t pool_usage = kf_pool_get_usage(pool, now_us);
-	bool full = pool_usage.slots > 0 &&
-	    (double)pool_usage.flows >= flow_limit(pool, &pool_usage, now_us);
+	double all_flows = (double)pool_usage.slots * FULL_FLOWS_PER_SLOT;
+	kf_pool_load_t *load = &pool->load;
+	double flows;
+
+	if (pool_usage.slots == 0) {
+		*load = (kf_pool_load_t){ .updated_us = now_us };
+		return;
+	}
+	flows =
+	    (double)pool_usage.flows / capacity_share(pool, all_flows, now_us);
+	load->mean_flows = flows +
+	    (load->mean_flows - flows) *
+		decay_factor(load->updated_us, now_us, LOAD_MEAN_US);
+	load->updated_us = now_us;
+	load->current = flows / all_flows;
+	load->mean = load->mean_flows / all_flows;
+	if (load->current < 1)
+		load->full_since_us = 0;
+	else if (load->full_since_us == 0)
+		load->full_since_us = now_us;
+}
+
+/* Returns true if most requests come on flows that are open already. */
+static bool
+reuses_flows(const kf_pool_t *pool)
+{
+	return pool->later_requests > pool->first_requests;
+}
+
+/* Returns true if an event was seen and is at most this old. */
+static bool
+is_recent(int64_t event_us, int64_t now_us, int64_t age_us)
+{
+	return event_us != 0 && now_us - event_us < age_us;
+}
+
+/*
+ * Updates whether the flows are a backlog that the upstreams work off.  Clients
+ * send one after VMs or paths have failed, and SYNs are sent repeatedly then.
+ * In a flood upstreams answer SYNs at once, and few are repeated.  A backlog
+ * ends when the upstreams have worked it off.
+ */
+static void
+update_backlog(kf_pool_t *pool)
+{
+	if (pool->repeated_syns >= sum_demand(pool) * backlog_min_share)
+		pool->backlog = true;
+	else if (pool->load.mean < backlog_end_mean)
+		pool->backlog = false;
+}
 
-	if (!full)
-		pool->full_since_us = 0;
-	else if (pool->full_since_us == 0)
-		pool->full_since_us = now_us;
+/* Returns true if this VM has got its first flow of the service so recently
+ * that its share of the demand is not known. */
+static bool
+is_starting(const kf_pool_t *pool, int64_t now_us)
+{
+	return now_us - pool->first_demand_us < BACKLOG_FULL_US;
 }
 
 /*
- * Returns true if the upstreams have been full for longer than they take to
- * clear a backlog, such as the one after a restart of all VMs, which must not
- * cause refusals.  For OVERLOAD_REPEAT_US after a refusal, full upstreams count
- * as overloaded at once.
+ * Returns true if the upstreams have more requests than they can serve in time.
+ * A backlog, such as the one after a restart of all VMs, must not cause
+ * refusals.  Once flows have been refused, requests on open flows, which cannot
+ * be refused, must leave room before another flow is admitted, because it will
+ * bring further requests for as long as it is open.
  */
 static bool
 is_overloaded(const kf_pool_t *pool, int64_t now_us)
 {
-	if (pool->full_since_us == 0)
-		return false;
-	return now_us - pool->full_since_us >= OVERLOAD_AFTER_US ||
-	    (pool->refused_us != 0 &&
-		now_us - pool->refused_us < OVERLOAD_REPEAT_US);
+	const kf_pool_load_t *load = &pool->load;
+	bool refusing = is_recent(pool->refused_us, now_us, REFUSING_US);
+
+	if (pool->backlog || is_starting(pool, now_us))
+		return load->current >= 1 &&
+		    (refusing ||
+			now_us - load->full_since_us >= BACKLOG_FULL_US);
+	if (refusing && reuses_flows(pool) && load->mean >= reuse_mean_limit)
+		return true;
+	return load->current >= 1 || load->mean >= mean_limit;
+}
+
+void
+admission_add_repeated_syn(kf_forwarder_t *f, uint64_t service, int64_t now_us)
+{
+	kf_pool_t *pool = kf_directory_pool(f->directory, service);
+
+	if (pool == NULL)
+		return;
+	decay_demand(pool, now_us);
+	pool->repeated_syns += 1;
+}
+
+void
+admission_add_request(kf_forwarder_t *f, const kf_flow_t *flow, int64_t now_us)
+{
+	const kf_route_t *route = kf_route_table_find(f->routes, flow->address);
+	kf_pool_t *pool = kf_directory_pool(f->directory, flow->service);
+
+	if (route == NULL || pool == NULL)
+		return;
+	if (!flow->reused) {
+		decay_demand(pool, now_us);
+		pool->first_requests += 1;
+		return;
+	}
+	add_demand(pool, priority_of(route), now_us);
+	pool->later_requests += 1;
 }
 
 bool
@@ -123,9 +239,10 @@
 	if (pool == NULL)
 		return false;
 	add_demand(pool, priority, now_us);
-	update_full_since(pool, now_us);
-	if (!is_overloaded(pool, now_us) ||
-	    !has_more_urgent_demand(pool, priority))
+	update_load(pool, now_us);
+	update_backlog(pool);
+	if (!has_more_urgent_demand(pool, priority) ||
+	    !is_overloaded(pool, now_us))
 		return false;
 	pool->refused_us = now_us;
 	return true;
--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -43,7 +43,7 @@
     const kf_target_t *target, kf_position_t position, int64_t now_us)
 {
 	double slots = target->info.slots == 0 ? 1 : target->info.slots;
-	double flows = target->open + target->opening;
+	double flows = target->busy + target->opening;
 
 	if (now_us < target->cold_end_us)
 		slots *= cold_slot_factor;
@@ -104,7 +104,7 @@
 		if (!kf_target_eligible(target, now_us) ||
 		    kf_target_health(target, now_us) == KF_HEALTH_EJECTED)
 			continue;
-		pool_usage->flows += target->open + target->opening;
+		pool_usage->flows += target->busy + target->opening;
 		pool_usage->slots += target->info.slots;
 	}
 }
--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -102,6 +102,8 @@
 	};
 	if (flow->tries == 1)
 		flow->load_counted = true;
+	else
+		admission_add_repeated_syn(f, flow->service, now_us);
 	if (flow->load_counted)
 		choice.target->opening++;
 	send_syn(f, flow, choice.target);
@@ -134,6 +136,7 @@
     const kf_packet_t *packet, int64_t now_us)
 {
 	flow->copies = packet->acknowledged;
+	admission_add_repeated_syn(f, flow->service, now_us);
 	count_unanswered_tries(f, flow, now_us);
 	if (!try_next_upstream(f, flow, now_us))
 		resend_to_tried(f, flow, now_us);
@@ -160,6 +163,8 @@
 	    route, kf_flow_hash(packet->client, packet->address));
 	kf_flow_t *flow;
 
+	if (packet->acknowledged > 0)
+		admission_add_repeated_syn(f, service, now_us);
 	if (admission_refuses(f, route, service, now_us)) {
 		forwarder_refuse(f, packet, KF_REASON_OVERLOAD);
 		return;
@@ -305,6 +310,8 @@
 	target = kf_directory_find(f->directory, token);
 	if (target != NULL) {
 		target->open++;
+		/* The client sends a request as soon as its flow is open. */
+		flow_set_busy(f, flow);
 		if (target->failures >= KF_TARGET_EJECT_FAILURES)
 			record_target_event(f, target, KF_FORWARD_RETURNED);
 		kf_target_opened(target);
--- a/lib/forwarder/conntrack.c
+++ b/lib/forwarder/conntrack.c
@@ -171,6 +171,19 @@
 	return flow;
 }
 
+kf_flow_t *
+kf_conntrack_add_open(
+    kf_conntrack_t *t, kf_addr_t client, kf_addr_t address, uint32_t token)
+{
+	kf_flow_t *flow = kf_conntrack_add(t, client, address);
+
+	if (flow == NULL)
+		return NULL;
+	flow->token = token;
+	kf_conntrack_touch(t, flow);
+	return flow;
+}
+
 void
 kf_conntrack_touch(kf_conntrack_t *t, kf_flow_t *flow)
 {
--- a/lib/forwarder/expiry.c
+++ b/lib/forwarder/expiry.c
@@ -17,11 +17,35 @@
 	}
 }
 
+void
+flow_set_busy(kf_forwarder_t *f, kf_flow_t *flow)
+{
+	kf_target_t *target = kf_directory_find(f->directory, flow->token);
+
+	if (flow->busy || target == NULL)
+		return;
+	flow->busy = true;
+	target->busy++;
+}
+
+void
+flow_clear_busy(kf_forwarder_t *f, kf_flow_t *flow)
+{
+	kf_target_t *target = kf_directory_find(f->directory, flow->token);
+
+	if (!flow->busy)
+		return;
+	flow->busy = false;
+	if (target != NULL && target->busy > 0)
+		target->busy--;
+}
+
 void
 flow_close(kf_forwarder_t *f, kf_flow_t *flow)
 {
 	kf_target_t *target;
 
+	flow_clear_busy(f, flow);
 	if (flow->state == KF_FLOW_OPEN) {
 		target = kf_directory_find(f->directory, flow->token);
 		if (target != NULL && target->open > 0)
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -151,13 +151,40 @@
 	record_packet_event(f, packet, KF_FORWARD_REFUSED, reason);
 }
 
+/*
+ * Adds a record for a request on an open flow that this VM has no record of:
+ * the flow was idle for LOAD_IDLE_US, or opened at another VM.  Returns NULL
+ * for packets without data, which occupy no slot.
+ */
+static kf_flow_t *
+resume_flow(kf_forwarder_t *f, const kf_packet_t *packet, kf_target_t *target,
+    int64_t now_us)
+{
+	kf_flow_t *flow;
+
+	if (packet->payload_bytes == 0)
+		return NULL;
+	flow = kf_conntrack_add_open(
+	    f->flows, packet->client, packet->address, packet->token);
+	if (flow == NULL)
+		return NULL;
+	flow->service = target->info.service;
+	flow->started_us = now_us;
+	flow->reused = true;
+	target->open++;
+	return flow;
+}
+
 /* Updates the record of a flow with a packet from its client. */
 static void
-track_packet(kf_forwarder_t *f, const kf_packet_t *packet, int64_t now_us)
+track_packet(kf_forwarder_t *f, const kf_packet_t *packet, kf_target_t *target,
+    int64_t now_us)
 {
 	kf_flow_t *flow;
 
 	flow = kf_conntrack_find(f->flows, packet->client, packet->address);
+	if (flow == NULL)
+		flow = resume_flow(f, packet, target, now_us);
 	if (flow == NULL)
 		return;
 	if (flow->state == KF_FLOW_OPENING && packet->rst)
@@ -181,8 +208,7 @@
 {
 	const kf_route_t *route =
 	    kf_route_table_find(f->routes, packet->address);
-	const kf_target_t *target =
-	    kf_directory_find(f->directory, packet->token);
+	kf_target_t *target = kf_directory_find(f->directory, packet->token);
 
 	if (route != NULL && route->removed && !packet->rst) {
 		forwarder_refuse(f, packet, KF_REASON_NO_SERVICE);
@@ -194,7 +220,7 @@
 						   : KF_REASON_TOKEN_BAD);
 		return;
 	}
-	track_packet(f, packet, now_us);
+	track_packet(f, packet, target, now_us);
 	f->callbacks.send(
 	    f->callbacks.ctx, &target->info, packet->token, datagram, len);
 }
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -33,13 +33,14 @@
 	 * twice the time that a request takes.  Upstreams shed load at about
 	 * five. */
 	FULL_FLOWS_PER_SLOT = 3,
-	/* A service is overloaded when its upstreams have been full for this
-	 * time.  A backlog of 1.5 s of requests takes them about as long to
-	 * clear. */
-	OVERLOAD_AFTER_US = 1500000,
-	/* A service that is full again within this time after a refusal is
-	 * overloaded at once. */
-	OVERLOAD_REPEAT_US = 2000000,
+	/* During a backlog a service is overloaded only when its upstreams have
+	 * been full for this time.  A backlog of 1.5 s of requests takes about
+	 * as long to clear. */
+	BACKLOG_FULL_US = 1500000,
+	/* How long a refusal shows an overload. */
+	REFUSING_US = 2000000,
+	/* Time constant of the mean load of a service. */
+	LOAD_MEAN_US = 500000,
 	/* Time constant of the decay of a service's demand. */
 	DEMAND_DECAY_US = 1000000,
 	OUTLIER_INTERVAL_US = 50000,
@@ -48,7 +49,7 @@
 	 * after 200 ms. */
 	LATE_MIN_US = 100000,
 	/* Time after which a request is late while the mean answer time of the
-	 * service is not known. */
+	 * service is not known, or while a backlog is worked off. */
 	LATE_DEFAULT_US = 1000000,
 };
 
@@ -82,8 +83,15 @@
     kf_forwarder_t *f, const kf_packet_t *packet, kf_reason_t reason);
 
 /* Returns the new flows of a service per second at this VM, including refused
- * ones. */
+ * ones, and the requests on its open flows. */
 double admission_demand_per_s(const kf_pool_t *pool, int64_t now_us);
+/* Counts a SYN that the client or this VM sends another time. */
+void admission_add_repeated_syn(
+    kf_forwarder_t *f, uint64_t service, int64_t now_us);
+/* Counts a request on an open flow.  The first one of a flow was part of the
+ * demand when the flow opened. */
+void admission_add_request(
+    kf_forwarder_t *f, const kf_flow_t *flow, int64_t now_us);
 /*
  * Counts a new flow and returns true if it must be refused, to leave capacity
  * for more urgent flows of its service.  Flows of the most urgent route in use
@@ -114,6 +122,10 @@
  * flow if it has timed out. */
 void connect_step(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us);
 
+/* Count an open flow as one that occupies or awaits a slot of its upstream, and
+ * end the count. */
+void flow_set_busy(kf_forwarder_t *f, kf_flow_t *flow);
+void flow_clear_busy(kf_forwarder_t *f, kf_flow_t *flow);
 /* Removes the tries of an opening flow from the load of their upstreams. */
 void flow_release_tries(kf_forwarder_t *f, kf_flow_t *flow);
 /* Removes a flow, also from the load of its upstreams. */
--- a/lib/forwarder/include/kf/conntrack.h
+++ b/lib/forwarder/include/kf/conntrack.h
@@ -64,7 +64,9 @@
 	int64_t last_packet_us;
 	int64_t request_started_us; /* of the request in progress; 0: none */
 	uint32_t request_ack;	    /* acknowledgement number at its start */
+	bool busy;		    /* counts in its upstream's busy */
 	bool answering; /* the client has acknowledged a part of the answer */
+	bool reused;	/* has had a request before the current one */
 	bool failed;	/* the request in progress was reported as failed */
 	uint8_t syn[KF_FLOW_SYN_BYTES];
 	uint32_t next_in_bucket;
@@ -87,6 +89,11 @@
 kf_flow_t *kf_conntrack_add(
     kf_conntrack_t *table, kf_addr_t client, kf_addr_t address);
 
+/* Adds the record of a flow that has been open for some time, at the upstream
+ * with this token; returns NULL if the table is full. */
+kf_flow_t *kf_conntrack_add_open(
+    kf_conntrack_t *table, kf_addr_t client, kf_addr_t address, uint32_t token);
+
 /* Marks a flow as open and the most recently used one. */
 void kf_conntrack_touch(kf_conntrack_t *table, kf_flow_t *flow);
 void kf_conntrack_remove(kf_conntrack_t *table, kf_flow_t *flow);
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -29,6 +29,15 @@
 /* Number of priority levels; higher route priorities use the last one. */
 enum { KF_PRIORITIES = 8 };
 
+/* Flows that await an answer, estimated for all VMs from those of this VM. */
+typedef struct kf_pool_load {
+	double mean_flows;
+	double current; /* flows as a share of the limit */
+	double mean;	/* mean_flows as a share of the limit */
+	int64_t updated_us;
+	int64_t full_since_us; /* 0: the limit is not reached */
+} kf_pool_load_t;
+
 typedef struct kf_pool {
 	uint64_t service;
 	kf_target_t **own_zone; /* in this VM's zone, sorted by id */
@@ -37,10 +46,16 @@
 	size_t other_zones_count;
 	/* State of the service; kept when its upstreams change. */
 	uint32_t cursor;
-	uint32_t other_vms_demand_per_s; /* new flows at the other VMs */
-	double demand[KF_PRIORITIES];	 /* new flows by priority, decaying */
+	uint32_t other_vms_demand_per_s;
+	/* New flows and requests on open flows, by priority, decaying. */
+	double demand[KF_PRIORITIES];
 	int64_t demand_updated_us;
-	int64_t full_since_us;	/* 0: the flow limit is not reached */
+	double first_requests; /* of flows of this VM, decaying */
+	double later_requests; /* on flows that had one before, decaying */
+	kf_pool_load_t load;
+	double repeated_syns; /* by clients and by this VM, decaying */
+	bool backlog;
+	int64_t first_demand_us;
 	int64_t refused_us;	/* last refusal of a flow; 0: none */
 	double failed_own_zone; /* failed requests, decaying */
 	double failed_other_zones;
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -80,6 +80,7 @@
 	int64_t cold_end_us; /* of the cold start, when it is slower */
 	uint32_t opening;    /* SYNs of this VM without an outcome */
 	uint32_t open;	     /* open flows of this VM */
+	uint32_t busy;	     /* open flows of this VM that await an answer */
 	uint32_t failures;   /* consecutive unanswered SYNs */
 	uint32_t ejections;  /* consecutive; sets the length of the next */
 	int64_t doubtful_until_us;
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -41,7 +41,8 @@
 {
 	double us = late_factor * pool->answer_mean_us;
 
-	if (pool->answers < MEAN_ANSWERS)
+	/* In a backlog requests of sound upstreams are late, too. */
+	if (pool->answers < MEAN_ANSWERS || pool->backlog)
 		return LATE_DEFAULT_US;
 	return us < LATE_MIN_US ? LATE_MIN_US : (int64_t)us;
 }
@@ -199,6 +200,7 @@
 	if (pool != NULL)
 		update_answer_time(pool, now_us - flow->request_started_us);
 	flow->answering = true;
+	flow_clear_busy(f, flow);
 }
 
 /* Handles the end of an answer, which is known when the client ends the flow or
@@ -238,6 +240,9 @@
 		flow->request_started_us = now_us;
 		flow->request_ack = packet->acknowledged;
 		flow->failed = false;
+		admission_add_request(f, flow, now_us);
+		flow->reused = true;
+		flow_set_busy(f, flow);
 	}
 }
 
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -28,6 +28,10 @@
  *				or without a token if NAME is "-"
  *	ask CLIENT PORT NAME	send a request
  *	ack CLIENT PORT NAME	acknowledge its answer
+ *	askall|ackall FIRST COUNT PORT	the same for COUNT flows that "spread"
+ *				has opened, from client FIRST on
+ *	again FIRST COUNT PORT	open flows with copies of SYNs, as clients do
+ *				after a failure of VMs
  *	late NAME		another VM reports a failed request
  *	run MS			advance the time
  *	spread FIRST COUNT PORT	open COUNT flows, from client FIRST on, and
@@ -83,6 +87,9 @@
 			{ "rst", &Session::Rst },
 			{ "ask", &Session::Ask },
 			{ "ack", &Session::Ack },
+			{ "askall", &Session::AskAll },
+			{ "ackall", &Session::AckAll },
+			{ "again", &Session::Again },
 			{ "late", &Session::Late },
 			{ "run", &Session::RunFor },
 			{ "spread", &Session::Spread },
@@ -111,6 +118,7 @@
 			kf_forwarder_set_position(
 			    w_->forwarder, position, w_->now_us);
 		entries_.clear();
+		tokens_.clear();
 	}
 	void Put(const std::string &name)
 	{
@@ -289,6 +297,38 @@
 		packet.acknowledged = 2;
 		w_->Packet(packet);
 	}
+	void SendOnFlows(std::istringstream &in, uint32_t payload_bytes,
+	    uint32_t acknowledged)
+	{
+		uint16_t first, count, port;
+
+		in >> first >> count >> port;
+		for (uint16_t i = 0; i < count; i++) {
+			uint16_t client = (uint16_t)(first + i);
+			kf_packet_t packet = MakePacket(client, port);
+
+			ASSERT_TRUE(tokens_.count(client)) << client;
+			packet.token = tokens_[client];
+			packet.payload_bytes = payload_bytes;
+			packet.acknowledged = acknowledged;
+			w_->Packet(packet);
+		}
+		w_->log.clear();
+	}
+	void AskAll(std::istringstream &in)
+	{
+		SendOnFlows(in, 100, ++request_);
+	}
+	void AckAll(std::istringstream &in)
+	{
+		SendOnFlows(in, 0, request_ + 1);
+	}
+	void Again(std::istringstream &in)
+	{
+		copy_ = 1;
+		OpenFlows(in, false);
+		copy_ = 0;
+	}
 	void Late(std::istringstream &in)
 	{
 		std::string name;
@@ -319,12 +359,15 @@
 	std::string PlaceFlow(kf_packet_t &packet)
 	{
 		packet.syn = true;
+		packet.acknowledged = copy_;
 		w_->sent.clear();
 		w_->Packet(packet);
+		packet.acknowledged = 0;
 		if (w_->sent.empty())
 			return refused;
 		packet.syn = false;
 		packet.token = w_->sent[0].token;
+		tokens_[packet.client.port] = packet.token;
 		w_->Run(4000);
 		return "u" + std::to_string(w_->sent[0].upstream);
 	}
@@ -429,6 +472,9 @@
 	const std::string refused = "refused";
 	std::unique_ptr<ForwarderHarness> w_;
 	std::map<std::string, kf_upstream_info_t> entries_;
+	std::map<uint16_t, uint32_t> tokens_; /* by client */
+	uint32_t request_ = 0;
+	uint32_t copy_ = 0; /* of the SYNs that "spread" sends */
 };
 
 class ForwarderGolden : public ::testing::TestWithParam<std::string> {};
