Keep removed items removed when an older listing arrives

Cause: a VM that starts may list the store and pull a listing of another VM at the same time. A listing leaves no tombstones of items that were removed before it, so the older of the two restored them: an upstream that had left was used again until the next fresh listing. Change: the replica holds every item that existed at compacted_revision, so an older item that it lacks was removed, and an older listing does not add it.

--- a/lib/replica/include/kf/replica.h
+++ b/lib/replica/include/kf/replica.h
@@ -18,8 +18,8 @@
  * DESCRIPTION
  *	Takes listings and single changes, from the store or from another VM,
  *	in any order and more than once.  An item never returns to an older
- *	revision, and a change older than its removal does not restore a
- *	removed item.  All changes up to kf_replica_revision are in the
+ *	revision, and a change or listing older than its removal does not
+ *	restore a removed item, with or without a tombstone.  All changes up to kf_replica_revision are in the
  *	replica.
  */
 
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -70,6 +70,31 @@
 	    key, r->items, r->count, sizeof(kf_item_t *), key_compare);
 }
 
+/* Returns true if the replica has the item or its tombstone at this index. */
+static bool
+has_key_at(const kf_replica_t *r, size_t at, const char *key)
+{
+	return at < r->count && strcmp(r->items[at]->key, key) == 0;
+}
+
+/*
+ * Returns true if an item was removed although the replica has no tombstone of
+ * this revision.  The replica holds every item that existed at
+ * compacted_revision, so an older one that it lacks was removed by then.  A
+ * listing of the time before shows it nevertheless, for example one of a VM
+ * that is behind.
+ */
+static bool
+was_removed(const kf_replica_t *r, kf_source_t source, const char *key,
+    uint64_t revision)
+{
+	size_t at = position_of(r, key);
+
+	return revision <= r->compacted_revision &&
+	    r->listing_revision[source] <= r->compacted_revision &&
+	    (!has_key_at(r, at, key) || r->items[at]->removed);
+}
+
 /*
  * Returns the item with this key, adding one with revision 0 if there is none;
  * NULL if memory is short.
@@ -80,7 +105,7 @@
 	size_t at = position_of(r, key), cap;
 	kf_item_t *item, **grown;
 
-	if (at < r->count && strcmp(r->items[at]->key, key) == 0)
+	if (has_key_at(r, at, key))
 		return r->items[at];
 	if (r->count == r->cap) {
 		cap = r->cap == 0 ? FIRST_CAP : r->cap * 2;
@@ -116,6 +141,8 @@
 	if (strlen(key) > KF_KEY_MAX_BYTES)
 		return kf_status_set(KF_ERR_INVALID,
 		    "key '%.40s...' is longer than 200 bytes", key);
+	if (was_removed(r, source, key, revision))
+		return KF_OK;
 	item = find_or_add(r, key);
 	copy = item == NULL ? NULL : malloc(len + 1);
 	if (copy == NULL)
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -156,6 +156,52 @@
 	    KF_ERR_INVALID, kf_replica_remove(replica_, key.c_str(), 1, 0));
 }
 
+/*
+ * Guards against an upstream that has left and is used again after a restart.
+ * The VM has listed the store, and then gets the listing that it requested at
+ * its start from a VM that is behind.  No tombstone tells of the removal.
+ */
+TEST_F(Replica, OlderListingRestoresNothing)
+{
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	Put("kept", "1", 4);
+	EXPECT_EQ(
+	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 8);
+	Put("gone", "1", 3, KF_SOURCE_PEER);
+	Put("kept", "1", 4, KF_SOURCE_PEER);
+	EXPECT_EQ(KF_ERR_STALE,
+	    kf_replica_listing_end(replica_, KF_SOURCE_PEER, now_us_));
+	EXPECT_EQ(0u, observed_.items.count("gone"));
+	EXPECT_EQ(1u, observed_.items.count("kept"));
+}
+
+/* Guards against the same when the tombstone has expired. */
+TEST_F(Replica, ExpiredTombstoneRestoresNothing)
+{
+	Put("gone", "1", 3);
+	Remove("gone", 6);
+	kf_replica_advance(replica_, 6);
+	now_us_ += KF_REPLICA_TOMBSTONE_KEEP_US;
+	kf_replica_expire(replica_, now_us_);
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 5);
+	Put("gone", "1", 3, KF_SOURCE_PEER);
+	kf_replica_listing_end(replica_, KF_SOURCE_PEER, now_us_);
+	EXPECT_EQ(0u, observed_.items.count("gone"));
+}
+
+/* Guards against an item that a newer listing shows and that is not taken. */
+TEST_F(Replica, NewerListingAddsItsItems)
+{
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 20);
+	Put("unknown", "1", 3);
+	Put("new", "1", 15);
+	kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_);
+	EXPECT_EQ(2u, observed_.items.size());
+}
+
 /* A store with its whole history. */
 struct Store {
 	struct Event {
@@ -211,10 +257,29 @@
 	kf_replica_advance(replica, revision);
 }
 
+/* Returns true if the replica has each item as the store had it at the
+ * replica's revision; newer items may be there too. */
+bool
+HoldsNothingRemoved(
+    const Observed &observed, const Store &store, uint64_t revision)
+{
+	auto items = store.At(revision);
+
+	for (const auto &item : observed.items) {
+		uint64_t own_revision = 1 + std::stoull(item.second);
+
+		if (own_revision <= revision &&
+		    (items.count(item.first) == 0 ||
+			items[item.first].second != own_revision))
+			return false;
+	}
+	return true;
+}
+
 /*
  * Guards against any order of stale listings, listings of peers and changes
- * after which the replica differs from the store, or in which an item returns
- * to an older revision.
+ * after which the replica differs from the store, in which an item returns to
+ * an older revision, or in which a removed item returns.
  */
 TEST(ReplicaProperty, EndsEqualToTheStore)
 {
@@ -229,6 +294,7 @@
 			    std::to_string(i), *rc::gen::inRange(0, 3) == 0 });
 		}
 		Observed observed;
+		bool restored = false;
 		kf_replica_t *replica = kf_replica_new(OnChanged, &observed);
 		auto steps = *rc::gen::container<std::vector<int>>(
 		    rc::gen::inRange(0, 1000));
@@ -244,6 +310,9 @@
 				    replica, store, revision, KF_SOURCE_PEER);
 			else
 				ApplyChanges(replica, store, revision);
+			restored = restored ||
+			    !HoldsNothingRemoved(
+				observed, store, kf_replica_revision(replica));
 		}
 		ApplyListing(replica, store, count, KF_SOURCE_STORE);
 		std::map<std::string, std::string> want;
@@ -253,6 +322,7 @@
 		kf_replica_delete(replica);
 		RC_ASSERT(observed.items == want);
 		RC_ASSERT(!went_backwards);
+		RC_ASSERT(!restored);
 	}));
 }
 
