Give each HTTP request a connection of its own

Cause: HTTP/1.1 does not say which request an answer belongs to. A late second copy of an answer on a connection in use again was taken as the answer to the next request, and all later answers were off by one. Change: no connection to the store, to the platform or to another VM is used again. Connections that go silent no longer matter between requests either.

--- a/lib/fwdnet/http_client.c
+++ b/lib/fwdnet/http_client.c
@@ -135,6 +135,8 @@
 	curl_easy_setopt(r->easy, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(r->easy, CURLOPT_ERRORBUFFER, r->error);
 	curl_easy_setopt(r->easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	curl_easy_setopt(r->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(r->easy, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(r->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(r->easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(r->easy, CURLOPT_PROTOCOLS_STR, "http");
--- a/lib/fwdnet/include/kf/http_client.h
+++ b/lib/fwdnet/include/kf/http_client.h
@@ -15,8 +15,9 @@
  *
  * DESCRIPTION
  *	Runs on one thread, without blocking but in http_client_wait.
- *	Connections are kept open between requests.  A connection is closed if
- *	a request on it times out, because it may be dead.
+ *	Each request has a connection of its own.  HTTP/1.1 does not say which
+ *	request an answer belongs to, so that a late second copy of one would
+ *	be taken as the answer to the next request of the connection.
  */
 
 enum { HTTP_PATH_BYTES = 768 };
--- a/lib/net/fetch.c
+++ b/lib/net/fetch.c
@@ -164,6 +164,10 @@
 	curl_easy_setopt(tr->easy, CURLOPT_TIMEOUT_MS, tr->timeout_ms);
 	curl_easy_setopt(tr->easy, CURLOPT_CONNECTTIMEOUT_MS,
 	    (long)PLATFORM_CONNECT_TIMEOUT_MS);
+	/* On a connection that is used again, a late copy of an answer would be
+	 * taken as the answer to the next request. */
+	curl_easy_setopt(tr->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(tr->easy, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(tr->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(tr->easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(tr->easy, CURLOPT_PROTOCOLS_STR, "http");
