Read a store that is down with one VM after the other

From rank 10 on all VMs of a zone took over at the same time, 5.4 s after the last contact; and a contact counted only if its VM had the same revision, which is rare while the revision grows several times a second. Change: the delay grows with the rank without a limit, unless the VM hears no other VM of its zone; the contact of a VM with an older revision holds, as all that it has seen of the store is known. Peering.ContactHoldsForItsRevisionOnly is now ContactOfVmsAheadDoesNotHold, the same check under the name of the rule that remains; ContactOfVmsBehindHolds is new.

--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -308,6 +308,7 @@
 	kf_sync_peers_t peers = {
 		.rank = view->rank,
 		.contact_us = view->contact_us,
+		.heard_us = view->heard_us,
 		.ahead_revision = view->ahead_revision,
 		.ahead_ip = view->ahead_ip,
 	};
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -105,10 +105,12 @@
 	uint32_t zone_count; /* VMs of the zone, this one included */
 	uint32_t vm_count;
 	/*
-	 * Latest contact with the store of any VM that has the revision of this
-	 * VM; INT64_MIN: never.
+	 * Latest contact with the store of any VM whose changes this VM has
+	 * all; INT64_MIN: never.
 	 */
 	int64_t contact_us;
+	/* Latest beacon from a VM of the zone; INT64_MIN: none. */
+	int64_t heard_us;
 	/* A VM with a higher revision to pull from; ahead_ip 0: none. */
 	uint64_t ahead_revision;
 	uint32_t ahead_ip;
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -279,7 +279,10 @@
 	    : PEERING_ASKS_NOTHING;
 }
 
-/* Latest contact with the store of this VM or of one with the same revision. */
+/*
+ * Latest contact with the store of this VM, or of one whose changes this VM has
+ * all: what the store held at that contact is here too.
+ */
 static int64_t
 contact_us(const kf_peering_t *p, const kf_peering_self_t *self)
 {
@@ -289,7 +292,7 @@
 	for (i = 0; i < p->members.count; i++) {
 		const member_t *m = &p->members.list[i];
 
-		if (m->revision == self->revision && m->contact_us > latest_us)
+		if (m->revision <= self->revision && m->contact_us > latest_us)
 			latest_us = m->contact_us;
 	}
 	return latest_us;
@@ -468,7 +471,7 @@
 kf_peering_view_t
 kf_peering_view(kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us)
 {
-	kf_peering_view_t view = { .zone_count = 1 };
+	kf_peering_view_t view = { .zone_count = 1, .heard_us = INT64_MIN };
 	bool ahead_same_zone = false;
 	size_t i;
 
@@ -482,6 +485,8 @@
 		if (same_zone) {
 			view.zone_count++;
 			view.rank += m->ip < p->config.ip;
+			if (m->last_beacon_us > view.heard_us)
+				view.heard_us = m->last_beacon_us;
 		}
 		if (m->revision <= self->revision)
 			continue;
--- a/lib/replica/include/kf/sync.h
+++ b/lib/replica/include/kf/sync.h
@@ -70,9 +70,17 @@
 	 * the time until the answer is known to peers.
 	 */
 	KF_SYNC_TAKEOVER_US = 2400000,
-	/* Added for each rank, up to the maximum below. */
+	/*
+	 * Added for each rank, so that a zone of hundreds of VMs does not read
+	 * a store that is down with all of them.
+	 */
 	KF_SYNC_TAKEOVER_PER_RANK_US = 300000,
+	/* Most that is added at a VM that hears no other VM of its zone, which
+	 * may be the only one that reaches the store. */
 	KF_SYNC_TAKEOVER_RANK_MAX_US = 3000000,
+	/* A VM is alone if no beacon has arrived for this time; each VM gets
+	 * about two in 450 ms. */
+	KF_SYNC_ALONE_US = 2000000,
 };
 
 typedef enum kf_sync_call {
@@ -94,9 +102,10 @@
 /* State of the other VMs, from their beacons. */
 typedef struct kf_sync_peers {
 	uint32_t rank; /* of this VM in its zone, from 0 */
-	/* Latest time at which a VM that holds the same revision had contact
+	/* Latest time at which a VM whose changes this VM has all had contact
 	 * with the store; INT64_MIN: never. */
 	int64_t contact_us;
+	int64_t heard_us; /* latest beacon of the zone; INT64_MIN: none */
 	uint64_t ahead_revision; /* highest revision of another VM */
 	uint32_t ahead_ip;	 /* a VM that has it; 0: none */
 } kf_sync_peers_t;
--- a/lib/replica/sync.c
+++ b/lib/replica/sync.c
@@ -35,6 +35,7 @@
 reads_store(const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
 {
 	int64_t limit_us = (int64_t)peers->rank * KF_SYNC_TAKEOVER_PER_RANK_US;
+	bool alone = age_us(peers->heard_us, now_us) > KF_SYNC_ALONE_US;
 
 	if (!s->listed)
 		return !s->ask_peers ||
@@ -42,7 +43,7 @@
 			(s->peer_call_active ? KF_SYNC_START_PULL_DELAY_US : 0);
 	if (peers->rank == 0 || !s->caught_up)
 		return true;
-	if (limit_us > KF_SYNC_TAKEOVER_RANK_MAX_US)
+	if (alone && limit_us > KF_SYNC_TAKEOVER_RANK_MAX_US)
 		limit_us = KF_SYNC_TAKEOVER_RANK_MAX_US;
 	return age_us(peers->contact_us, now_us) >
 	    KF_SYNC_TAKEOVER_US + limit_us;
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -381,10 +381,10 @@
 }
 
 /*
- * Guards against a contact with the store that is taken from a VM with another
+ * Guards against a contact with the store that is taken from a VM with a newer
  * revision.
  */
-TEST(Peering, ContactHoldsForItsRevisionOnly)
+TEST(Peering, ContactOfVmsAheadDoesNotHold)
 {
 	Fleet fleet(0);
 
@@ -399,6 +399,32 @@
 	EXPECT_NE(INT64_MIN, fleet.View(2).contact_us);
 }
 
+/*
+ * Guards against VMs that read the store because they know of no contact while
+ * revisions grow faster than beacons arrive.  What a VM with an older revision
+ * has seen of the store is known here, so its contact holds.
+ */
+TEST(Peering, ContactOfVmsBehindHolds)
+{
+	kf_peering_config_t config = { 1, 7, {}, 0, 1 };
+	kf_peering_self_t watcher = { 5, 1000000, false, {}, 0 };
+	kf_peering_self_t self = { 6, INT64_MIN, false, {}, 0 };
+	uint8_t beacon[KF_PEERING_BEACON_MAX_BYTES];
+	kf_peering_t *from = kf_peering_new(&config);
+	config.ip = 2;
+	kf_peering_t *to = kf_peering_new(&config);
+	size_t len =
+	    kf_peering_encode_beacon(from, &watcher, 2, 1200000, beacon);
+
+	EXPECT_EQ(KF_OK, kf_peering_receive(to, beacon, len, 1200000));
+	EXPECT_EQ(1000000, kf_peering_view(to, &self, 1200000).contact_us);
+	EXPECT_EQ(1200000, kf_peering_view(to, &self, 1200000).heard_us);
+	self.revision = 4;
+	EXPECT_EQ(INT64_MIN, kf_peering_view(to, &self, 1200000).contact_us);
+	kf_peering_delete(from);
+	kf_peering_delete(to);
+}
+
 /*
  * Guards against an estimate of the demand at other VMs that is off by more
  * than half, so that a busy service would count as overloaded, and against
--- a/tests/unit/sync_golden_test.cc
+++ b/tests/unit/sync_golden_test.cc
@@ -11,9 +11,10 @@
  *
  *	new [peers]		start a VM that lists the store at once, or one
  *				that tries to pull from peers first
- *	peers RANK CONTACT_MS AHEAD	set the rank of this VM, the age of the
- *				latest contact that peers had with the store,
- *				"-" for none, and their highest revision
+ *	peers RANK CONTACT_MS AHEAD [HEARD_MS]	set the rank of this VM, the
+ *				age of the latest contact that peers had with
+ *				the store, "-" for none, their highest revision,
+ *				and the age of the latest beacon
  *	next			print the calls that are due
  *	done CALL OUTCOME REVISION	end a call
  *	due			print the time until a delayed call is due
@@ -67,8 +68,11 @@
 	void Peers(std::istringstream &in)
 	{
 		std::string contact;
+		int64_t heard_ms = 0;
 
-		in >> peers_.rank >> contact >> peers_.ahead_revision;
+		in >> peers_.rank >> contact >> peers_.ahead_revision >>
+		    heard_ms;
+		peers_.heard_us = now_us_ - heard_ms * 1000;
 		peers_.contact_us = contact == "-"
 		    ? INT64_MIN
 		    : now_us_ - std::stoll(contact) * 1000;
@@ -138,7 +142,7 @@
 	}
 
 	kf_sync_t sync_;
-	kf_sync_peers_t peers_ = { 0, INT64_MIN, 0, 0 };
+	kf_sync_peers_t peers_ = { 0, INT64_MIN, INT64_MIN, 0, 0 };
 	int64_t now_us_ = 1000000;
 };
 
