--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -11,6 +11,7 @@
 
 fail() {
 	echo "FAILED: $*" >&2
+	[ -z "${KF_TEST_LOGS:-}" ] || cp -r "$work" "$KF_TEST_LOGS"
 	for kf_log in "$work"/*.log; do
 		[ -f "$kf_log" ] || continue
 		echo "--- $(basename "$kf_log")" >&2
