--- a/lib/replica/include/kf/replica.h
+++ b/lib/replica/include/kf/replica.h
@@ -19,8 +19,8 @@
  *	Takes listings and single changes, from the store or from another VM,
  *	in any order and more than once.  An item never returns to an older
  *	revision, and a change or listing older than its removal does not
- *	restore a removed item, with or without a tombstone.  All changes up to kf_replica_revision are in the
- *	replica.
+ *	restore a removed item, with or without a tombstone.  All changes up to
+ *	kf_replica_revision are in the replica.
  */
 
 enum {
