Refuse floods of the most urgent route beyond the limit

Cause: flows of the most urgent route in use were never refused. Ruled out: the same rule for all urgent flows, which refused 31 of 2,817 registrations in a flood of board-feed. Change: the most urgent flows are refused at the limit if they are half of the demand or more and no backlog is worked off; the limit on reused flows is 45%; the mean does not grow above the limit; a backlog counts as ended 5 s after the last repeated SYNs.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -13,11 +13,13 @@
  * at which a backlog ends. */
 static const double backlog_min_share = 0.05;
 static const double backlog_end_mean = 0.33;
+/* Share of the demand from which flows of the most urgent route are a flood. */
+static const double flood_min_share = 0.5;
 /* Means of the share of the flow limit in use from which flows are refused. */
 static const double mean_limit = 0.6;
 /* The same after a refusal, if most requests come on open flows: about one
- * request for each slot. */
-static const double reuse_mean_limit = 0.33;
+ * request for each slot and those on their way. */
+static const double reuse_mean_limit = 0.45;
 
 static size_t
 priority_of(const kf_route_t *route)
@@ -80,20 +82,26 @@
 	pool->demand[priority] += 1;
 }
 
+static double
+more_urgent_demand(const kf_pool_t *pool, size_t priority)
+{
+	double demand = 0;
+	size_t i;
+
+	for (i = 0; i < priority; i++)
+		demand += pool->demand[i];
+	return demand;
+}
+
 /* Returns true if the service has enough demand of a more urgent priority that
  * a flow of this one may be refused. */
 static bool
 has_more_urgent_demand(const kf_pool_t *pool, size_t priority)
 {
-	double urgent = 0, all = 0;
-	size_t i;
+	double urgent = more_urgent_demand(pool, priority);
 
-	for (i = 0; i < KF_PRIORITIES; i++) {
-		all += pool->demand[i];
-		if (i < priority)
-			urgent += pool->demand[i];
-	}
-	return urgent >= urgent_min_flows && urgent >= all * urgent_min_share;
+	return urgent >= urgent_min_flows &&
+	    urgent >= sum_demand(pool) * urgent_min_share;
 }
 
 /*
@@ -122,7 +130,7 @@
 	kf_pool_usage_t pool_usage = kf_pool_get_usage(pool, now_us);
 	double all_flows = (double)pool_usage.slots * FULL_FLOWS_PER_SLOT;
 	kf_pool_load_t *load = &pool->load;
-	double flows;
+	double flows, counted;
 
 	if (pool_usage.slots == 0) {
 		*load = (kf_pool_load_t){ .updated_us = now_us };
@@ -130,8 +138,11 @@
 	}
 	flows =
 	    (double)pool_usage.flows / capacity_share(pool, all_flows, now_us);
-	load->mean_flows = flows +
-	    (load->mean_flows - flows) *
+	/* Above the limit the mean does not grow, so that the end of a flood
+	 * shows soon. */
+	counted = flows < all_flows ? flows : all_flows;
+	load->mean_flows = counted +
+	    (load->mean_flows - counted) *
 		decay_factor(load->updated_us, now_us, LOAD_MEAN_US);
 	load->updated_us = now_us;
 	load->current = flows / all_flows;
@@ -160,14 +171,16 @@
  * Updates whether the flows are a backlog that the upstreams work off.  Clients
  * send one after VMs or paths have failed, and SYNs are sent repeatedly then.
  * In a flood upstreams answer SYNs at once, and few are repeated.  A backlog
- * ends when the upstreams have worked it off.
+ * ends when the upstreams have worked it off, or must have.
  */
 static void
-update_backlog(kf_pool_t *pool)
+update_backlog(kf_pool_t *pool, int64_t now_us)
 {
-	if (pool->repeated_syns >= sum_demand(pool) * backlog_min_share)
+	if (pool->repeated_syns >= sum_demand(pool) * backlog_min_share) {
 		pool->backlog = true;
-	else if (pool->load.mean < backlog_end_mean)
+		pool->backlog_seen_us = now_us;
+	} else if (pool->load.mean < backlog_end_mean ||
+	    now_us - pool->backlog_seen_us >= BACKLOG_MAX_US)
 		pool->backlog = false;
 }
 
@@ -201,6 +214,19 @@
 	return load->current >= 1 || load->mean >= mean_limit;
 }
 
+/*
+ * Returns true if the most urgent flows in use are themselves the flood.  What
+ * the upstreams cannot serve in time would wait there, make the others late and
+ * be rejected after all.  Urgent flows are not refused for the flood of others.
+ */
+static bool
+is_flooded(const kf_pool_t *pool, size_t priority, int64_t now_us)
+{
+	return !pool->backlog && !is_starting(pool, now_us) &&
+	    pool->load.current >= 1 &&
+	    pool->demand[priority] >= sum_demand(pool) * flood_min_share;
+}
+
 void
 admission_add_repeated_syn(kf_forwarder_t *f, uint64_t service, int64_t now_us)
 {
@@ -240,9 +266,10 @@
 		return false;
 	add_demand(pool, priority, now_us);
 	update_load(pool, now_us);
-	update_backlog(pool);
-	if (!has_more_urgent_demand(pool, priority) ||
-	    !is_overloaded(pool, now_us))
+	update_backlog(pool, now_us);
+	if (!(has_more_urgent_demand(pool, priority)
+		    ? is_overloaded(pool, now_us)
+		    : is_flooded(pool, priority, now_us)))
 		return false;
 	pool->refused_us = now_us;
 	return true;
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -37,6 +37,9 @@
 	 * been full for this time.  A backlog of 1.5 s of requests takes about
 	 * as long to clear. */
 	BACKLOG_FULL_US = 1500000,
+	/* Longest time that the requests of a backlog wait: clients of all
+	 * deployments served give up after 1 to 5 s, but for downloads. */
+	BACKLOG_MAX_US = 5000000,
 	/* How long a refusal shows an overload. */
 	REFUSING_US = 2000000,
 	/* Time constant of the mean load of a service. */
@@ -95,7 +98,7 @@
 /*
  * Counts a new flow and returns true if it must be refused, to leave capacity
  * for more urgent flows of its service.  Flows of the most urgent route in use
- * are never refused here.
+ * are refused only if they are a flood themselves.
  */
 bool admission_refuses(kf_forwarder_t *f, const kf_route_t *route,
     uint64_t service, int64_t now_us);
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -55,6 +55,7 @@
 	kf_pool_load_t load;
 	double repeated_syns; /* by clients and by this VM, decaying */
 	bool backlog;
+	int64_t backlog_seen_us; /* last time that repeated SYNs showed it */
 	int64_t first_demand_us;
 	int64_t refused_us;	/* last refusal of a flow; 0: none */
 	double failed_own_zone; /* failed requests, decaying */
