Name what the flow counts hold since requests count

Cause: read as a newcomer, two notes still spoke of open flows. Change: comments and one local name.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -130,7 +130,7 @@
 	kf_pool_usage_t pool_usage = kf_pool_get_usage(pool, now_us);
 	double all_flows = (double)pool_usage.slots * FULL_FLOWS_PER_SLOT;
 	kf_pool_load_t *load = &pool->load;
-	double flows, counted;
+	double flows, capped;
 
 	if (pool_usage.slots == 0) {
 		*load = (kf_pool_load_t){ .updated_us = now_us };
@@ -140,9 +140,9 @@
 	    (double)pool_usage.flows / capacity_share(pool, all_flows, now_us);
 	/* Above the limit the mean does not grow, so that the end of a flood
 	 * shows soon. */
-	counted = flows < all_flows ? flows : all_flows;
-	load->mean_flows = counted +
-	    (load->mean_flows - counted) *
+	capped = flows < all_flows ? flows : all_flows;
+	load->mean_flows = capped +
+	    (load->mean_flows - capped) *
 		decay_factor(load->updated_us, now_us, LOAD_MEAN_US);
 	load->updated_us = now_us;
 	load->current = flows / all_flows;
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -40,7 +40,7 @@
 
 /* Flows and slots of a service's upstreams, as this VM knows them. */
 typedef struct kf_pool_usage {
-	uint64_t flows; /* opening and open, of this VM */
+	uint64_t flows; /* of this VM: opening, or awaiting an answer */
 	uint64_t slots; /* of upstreams that are not ejected */
 } kf_pool_usage_t;
 
--- a/lib/forwarder/include/kf/conntrack.h
+++ b/lib/forwarder/include/kf/conntrack.h
@@ -17,7 +17,8 @@
  *	Holds the flows that are being opened, each with a copy of its SYN, and
  *	the open flows, from which this VM knows its load on each upstream.
  *	A lost record only costs accuracy, because packets of an open flow carry
- *	a token that names its upstream.
+ *	a token that names its upstream.  An idle flow is removed, and added
+ *	again by its next request.
  *
  *	Records are kept in one array and linked by index, so that the array can
  *	be reallocated.
