Refuse no flood while routers move flows

Routers moved nearly all flows each time, and the flows that had left a VM counted there for another second, as their ends are not seen. Change: for 2.2 s after the number of VMs of the zone has changed, a service must be full for 1.5 s, as in a backlog.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -184,12 +184,25 @@
 		pool->backlog = false;
 }
 
-/* Returns true if this VM has got its first flow of the service so recently
- * that its share of the demand is not known. */
+/*
+ * Returns true if this VM knows its load.  It does not know its share of the
+ * demand shortly after its first flow of the service.  When the number of VMs
+ * changes, routers move flows, and the ends of those that have left are not
+ * seen here.
+ */
 static bool
-is_starting(const kf_pool_t *pool, int64_t now_us)
+is_load_known(const kf_forwarder_t *f, const kf_pool_t *pool, int64_t now_us)
 {
-	return now_us - pool->first_demand_us < BACKLOG_FULL_US;
+	return now_us - pool->first_demand_us >= BACKLOG_FULL_US &&
+	    !is_recent(f->vm_count_changed_us, now_us,
+		REROUTE_GUARD_US + LOAD_IDLE_US);
+}
+
+/* Returns true if a service that is full for a short time is not overloaded. */
+static bool
+is_tolerant(const kf_forwarder_t *f, const kf_pool_t *pool, int64_t now_us)
+{
+	return pool->backlog || !is_load_known(f, pool, now_us);
 }
 
 /*
@@ -200,12 +213,12 @@
  * bring further requests for as long as it is open.
  */
 static bool
-is_overloaded(const kf_pool_t *pool, int64_t now_us)
+is_overloaded(const kf_forwarder_t *f, const kf_pool_t *pool, int64_t now_us)
 {
 	const kf_pool_load_t *load = &pool->load;
 	bool refusing = is_recent(pool->refused_us, now_us, REFUSING_US);
 
-	if (pool->backlog || is_starting(pool, now_us))
+	if (is_tolerant(f, pool, now_us))
 		return load->current >= 1 &&
 		    (refusing ||
 			now_us - load->full_since_us >= BACKLOG_FULL_US);
@@ -220,10 +233,10 @@
  * be rejected after all.  Urgent flows are not refused for the flood of others.
  */
 static bool
-is_flooded(const kf_pool_t *pool, size_t priority, int64_t now_us)
+is_flooded(const kf_forwarder_t *f, const kf_pool_t *pool, size_t priority,
+    int64_t now_us)
 {
-	return !pool->backlog && !is_starting(pool, now_us) &&
-	    pool->load.current >= 1 &&
+	return !is_tolerant(f, pool, now_us) && pool->load.current >= 1 &&
 	    pool->demand[priority] >= sum_demand(pool) * flood_min_share;
 }
 
@@ -268,8 +281,8 @@
 	update_load(pool, now_us);
 	update_backlog(pool, now_us);
 	if (!(has_more_urgent_demand(pool, priority)
-		    ? is_overloaded(pool, now_us)
-		    : is_flooded(pool, priority, now_us)))
+		    ? is_overloaded(f, pool, now_us)
+		    : is_flooded(f, pool, priority, now_us)))
 		return false;
 	pool->refused_us = now_us;
 	return true;
