Refuse at once only where flows can be counted

Its clients hold flows for 1.5 s after an answer of one packet and acknowledge it with the next packet only, as the users' protocol allows. Ruled out: acknowledgements as the only evidence (clients need not send any); not counting flows that await a first request (these had sent it). Change: answers while the service has little load show how soon clients acknowledge them. Where this is longer than the route's goal, or not known, a service must be full for 1.5 s, and its most urgent route is not refused.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -188,21 +188,30 @@
  * Returns true if this VM knows its load.  It does not know its share of the
  * demand shortly after its first flow of the service.  When the number of VMs
  * changes, routers move flows, and the ends of those that have left are not
- * seen here.
+ * seen here.  Clients may acknowledge a short answer only with the flow's next
+ * packet; flows then seem to await it for longer than the route's goal, also
+ * while the service has little load.
  */
 static bool
-is_load_known(const kf_forwarder_t *f, const kf_pool_t *pool, int64_t now_us)
+is_load_known(const kf_forwarder_t *f, const kf_pool_t *pool,
+    const kf_route_t *route, int64_t now_us)
 {
+	int64_t goal_us = route->latency_goal_us > 0 ? route->latency_goal_us
+						     : LATE_DEFAULT_US;
+
 	return now_us - pool->first_demand_us >= BACKLOG_FULL_US &&
 	    !is_recent(f->vm_count_changed_us, now_us,
-		REROUTE_GUARD_US + LOAD_IDLE_US);
+		REROUTE_GUARD_US + LOAD_IDLE_US) &&
+	    pool->calm_answers >= MIN_CALM_ANSWERS &&
+	    pool->calm_answer_us <= (double)goal_us;
 }
 
 /* Returns true if a service that is full for a short time is not overloaded. */
 static bool
-is_tolerant(const kf_forwarder_t *f, const kf_pool_t *pool, int64_t now_us)
+is_tolerant(const kf_forwarder_t *f, const kf_pool_t *pool,
+    const kf_route_t *route, int64_t now_us)
 {
-	return pool->backlog || !is_load_known(f, pool, now_us);
+	return pool->backlog || !is_load_known(f, pool, route, now_us);
 }
 
 /*
@@ -213,12 +222,13 @@
  * bring further requests for as long as it is open.
  */
 static bool
-is_overloaded(const kf_forwarder_t *f, const kf_pool_t *pool, int64_t now_us)
+is_overloaded(const kf_forwarder_t *f, const kf_pool_t *pool,
+    const kf_route_t *route, int64_t now_us)
 {
 	const kf_pool_load_t *load = &pool->load;
 	bool refusing = is_recent(pool->refused_us, now_us, REFUSING_US);
 
-	if (is_tolerant(f, pool, now_us))
+	if (is_tolerant(f, pool, route, now_us))
 		return load->current >= 1 &&
 		    (refusing ||
 			now_us - load->full_since_us >= BACKLOG_FULL_US);
@@ -233,11 +243,13 @@
  * be rejected after all.  Urgent flows are not refused for the flood of others.
  */
 static bool
-is_flooded(const kf_forwarder_t *f, const kf_pool_t *pool, size_t priority,
-    int64_t now_us)
+is_flooded(const kf_forwarder_t *f, const kf_pool_t *pool,
+    const kf_route_t *route, int64_t now_us)
 {
-	return !is_tolerant(f, pool, now_us) && pool->load.current >= 1 &&
-	    pool->demand[priority] >= sum_demand(pool) * flood_min_share;
+	return !is_tolerant(f, pool, route, now_us) &&
+	    pool->load.current >= 1 &&
+	    pool->demand[priority_of(route)] >=
+	    sum_demand(pool) * flood_min_share;
 }
 
 void
@@ -281,8 +293,8 @@
 	update_load(pool, now_us);
 	update_backlog(pool, now_us);
 	if (!(has_more_urgent_demand(pool, priority)
-		    ? is_overloaded(f, pool, now_us)
-		    : is_flooded(f, pool, priority, now_us)))
+		    ? is_overloaded(f, pool, route, now_us)
+		    : is_flooded(f, pool, route, now_us)))
 		return false;
 	pool->refused_us = now_us;
 	return true;
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -40,6 +40,9 @@
 	/* Longest time that the requests of a backlog wait: clients of all
 	 * deployments served give up after 1 to 5 s, but for downloads. */
 	BACKLOG_MAX_US = 5000000,
+	/* Answers from which the time that clients take to acknowledge them is
+	 * known. */
+	MIN_CALM_ANSWERS = 4,
 	/* How long a refusal shows an overload. */
 	REFUSING_US = 2000000,
 	/* Time constant of the mean load of a service. */
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -63,6 +63,9 @@
 	int64_t last_failed_us;
 	double answer_mean_us;
 	uint32_t answers; /* in the mean; stops at MEAN_ANSWERS */
+	/* The same for answers while the service had little load. */
+	double calm_answer_us;
+	uint32_t calm_answers;
 } kf_pool_t;
 
 typedef struct kf_directory kf_directory_t;
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -24,6 +24,8 @@
 /* An answer time counts as at most this multiple of the mean, so that a few
  * slow upstreams do not dominate it. */
 static const double max_answer_factor = 2;
+/* A service has little load below this share of the flow limit. */
+static const double calm_load = 0.5;
 /* A request is late after this multiple of the mean.  Service times spread by a
  * factor of 1.6 and are at most 6 times their mean, so that about one request
  * in 800 is late at a healthy upstream. */
@@ -59,6 +61,19 @@
 	pool->answer_mean_us += (us - pool->answer_mean_us) / pool->answers;
 }
 
+/* Answers while the service has little load show how soon clients acknowledge
+ * them. */
+static void
+update_calm_answer_time(kf_pool_t *pool, int64_t took_us)
+{
+	if (pool->load.current >= calm_load)
+		return;
+	if (pool->calm_answers < MEAN_ANSWERS)
+		pool->calm_answers++;
+	pool->calm_answer_us +=
+	    ((double)took_us - pool->calm_answer_us) / pool->calm_answers;
+}
+
 static double
 decayed(double count, int64_t since_us, int64_t now_us)
 {
@@ -197,8 +212,11 @@
 {
 	kf_pool_t *pool = kf_directory_pool(f->directory, flow->service);
 
-	if (pool != NULL)
+	if (pool != NULL) {
+		update_calm_answer_time(
+		    pool, now_us - flow->request_started_us);
 		update_answer_time(pool, now_us - flow->request_started_us);
+	}
 	flow->answering = true;
 	flow_clear_busy(f, flow);
 }
