--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -23,6 +23,9 @@
 	uint16_t peer_port;
 	bool stale; /* the current listing may be stale */
 	char after_key[KF_PLATFORM_KEY_BYTES];
+	/* Of the current listing. */
+	uint32_t list_pages;
+	uint64_t newest_page_revision;
 	bool store_lost; /* store_lost was logged last */
 	int64_t next_expiry_us;
 	unsigned random_state;
@@ -131,14 +134,36 @@
 	apply_change(ctx, KF_SOURCE_STORE, change);
 }
 
-/* Begins a listing of the replica with the first page. */
 static void
 begin_list_page(void *ctx, uint64_t revision)
 {
 	store_sync_t *s = ctx;
 
-	if (s->after_key[0] == '\0')
+	if (s->list_pages++ == 0) {
+		s->newest_page_revision = revision;
 		kf_replica_listing_begin(s->replica, KF_SOURCE_STORE, revision);
+		return;
+	}
+	if (revision > s->newest_page_revision)
+		s->newest_page_revision = revision;
+	kf_replica_listing_page(s->replica, KF_SOURCE_STORE, revision);
+}
+
+static void
+end_listing(store_sync_t *s)
+{
+	kf_status_t status =
+	    kf_replica_listing_end(s->replica, KF_SOURCE_STORE, s->now_us);
+
+	kf_eventlog_write(s->log, KF_LOG_INFO, "listed",
+	    "pages=%u stale=%s oldest_page=%llu newest_page=%llu revision=%llu",
+	    s->list_pages, s->stale ? "yes" : "no",
+	    (unsigned long long)kf_replica_listing_revision(
+		s->replica, KF_SOURCE_STORE),
+	    (unsigned long long)s->newest_page_revision,
+	    (unsigned long long)kf_replica_revision(s->replica));
+	finish_call(
+	    s, KF_SYNC_LIST, status == KF_OK ? KF_SYNC_OK : KF_SYNC_BEHIND);
 }
 
 static void
@@ -161,11 +186,7 @@
 		request_list(s);
 		return;
 	}
-	finish_call(s, KF_SYNC_LIST,
-	    kf_replica_listing_end(s->replica, KF_SOURCE_STORE, s->now_us) ==
-		    KF_OK
-		? KF_SYNC_OK
-		: KF_SYNC_BEHIND);
+	end_listing(s);
 }
 
 static void
@@ -293,6 +314,7 @@
 	if (actions->call == KF_SYNC_LIST) {
 		s->stale = actions->stale;
 		s->after_key[0] = '\0';
+		s->list_pages = 0;
 		request_list(s);
 		return;
 	}
--- a/lib/replica/include/kf/replica.h
+++ b/lib/replica/include/kf/replica.h
@@ -91,13 +91,20 @@
 void kf_replica_advance(kf_replica_t *replica, uint64_t revision);
 
 /*
- * Bracket the items of a listing, which may come in pages: begin, put each
- * item, end.  The revision is that of the first page.  The end removes items
- * that are not in the listing and not newer than this revision; it returns
- * KF_ERR_STALE if the replica has a higher revision.
+ * Bracket the items of a listing: begin, put each item, end.  A listing may
+ * come in pages, which are no snapshot: begin takes the revision of the first
+ * page, and page comes before the items of each further one.  Changes after the
+ * oldest page may be missing, so the listing has that page's revision.  The end
+ * removes items that are not in the listing and not newer than this revision;
+ * it returns KF_ERR_STALE if the replica has a higher revision.
  */
 void kf_replica_listing_begin(
     kf_replica_t *replica, kf_source_t source, uint64_t revision);
+void kf_replica_listing_page(
+    kf_replica_t *replica, kf_source_t source, uint64_t revision);
+/* Revision of the listing in progress, or else of the last one. */
+uint64_t kf_replica_listing_revision(
+    const kf_replica_t *replica, kf_source_t source);
 kf_status_t kf_replica_listing_end(
     kf_replica_t *replica, kf_source_t source, int64_t now_us);
 
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -14,7 +14,9 @@
 	size_t cap;
 	uint64_t revision;
 	uint64_t compacted_revision; /* removals up to it may be missing */
-	uint64_t listing_revision[KF_SOURCE_COUNT];
+	/* Of the listing in progress, or else of the last one. */
+	uint64_t listing_revision[KF_SOURCE_COUNT]; /* of its oldest page */
+	uint64_t page_revision[KF_SOURCE_COUNT];    /* of its latest page */
 };
 
 kf_replica_t *
@@ -91,7 +93,7 @@
 	size_t at = position_of(r, key);
 
 	return revision <= r->compacted_revision &&
-	    r->listing_revision[source] <= r->compacted_revision &&
+	    r->page_revision[source] <= r->compacted_revision &&
 	    (!has_key_at(r, at, key) || r->items[at]->removed);
 }
 
@@ -221,6 +223,21 @@
 	for (i = 0; i < r->count; i++)
 		r->items[i]->listed[source] = false;
 	r->listing_revision[source] = revision;
+	r->page_revision[source] = revision;
+}
+
+void
+kf_replica_listing_page(kf_replica_t *r, kf_source_t source, uint64_t revision)
+{
+	if (revision < r->listing_revision[source])
+		r->listing_revision[source] = revision;
+	r->page_revision[source] = revision;
+}
+
+uint64_t
+kf_replica_listing_revision(const kf_replica_t *r, kf_source_t source)
+{
+	return r->listing_revision[source];
 }
 
 kf_status_t
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -190,6 +190,60 @@
 	EXPECT_EQ(0u, observed_.items.count("gone"));
 }
 
+/*
+ * Guards against changes that are lost between two pages of a listing.  The
+ * second page is older than the first: "drains" changed after it and is not on
+ * the first.  The listing has to count as the older page, so that the change is
+ * read from the history that follows.
+ */
+TEST_F(Replica, ListingIsAsOldAsItsOldestPage)
+{
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 20);
+	Put("a", "1", 15);
+	kf_replica_listing_page(replica_, KF_SOURCE_STORE, 10);
+	Put("drains", "ready", 3);
+	EXPECT_EQ(
+	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
+	EXPECT_EQ(10u, kf_replica_revision(replica_));
+	EXPECT_FALSE(kf_replica_has_changes_after(replica_, 9));
+	Put("drains", "draining", 17);
+	EXPECT_EQ("draining", observed_.items["drains"]);
+}
+
+/*
+ * Guards against the same with pages of which the first is older: an item
+ * newer than the listing must not be removed for being on no page.
+ */
+TEST_F(Replica, NewerPagesRemoveNothingNewer)
+{
+	Put("created", "1", 15);
+	Put("gone", "1", 5);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_page(replica_, KF_SOURCE_STORE, 20);
+	EXPECT_EQ(
+	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
+	EXPECT_EQ(10u, kf_replica_revision(replica_));
+	EXPECT_EQ(1u, observed_.items.count("created"));
+	EXPECT_EQ(0u, observed_.items.count("gone"));
+}
+
+/*
+ * Guards against an upstream that has left and returns with a page older than
+ * the removal, while the first page is newer and so was judged current.
+ */
+TEST_F(Replica, OlderPageRestoresNothing)
+{
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 12);
+	kf_replica_listing_end(replica_, KF_SOURCE_PEER, now_us_);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 20);
+	kf_replica_listing_page(replica_, KF_SOURCE_STORE, 8);
+	Put("gone", "1", 3);
+	EXPECT_EQ(KF_ERR_STALE,
+	    kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
+	EXPECT_EQ(0u, observed_.items.count("gone"));
+	EXPECT_EQ(12u, kf_replica_revision(replica_));
+}
+
 /* Guards against an item that a newer listing shows and that is not taken. */
 TEST_F(Replica, NewerListingAddsItsItems)
 {
@@ -239,6 +293,33 @@
 	kf_replica_listing_end(replica, source, 0);
 }
 
+/* Applies a listing of two pages, each of the store at another revision. */
+void
+ApplyPagedListing(
+    kf_replica_t *replica, const Store &store, uint64_t first, uint64_t second)
+{
+	const std::string first_of_second_page = "k3";
+
+	kf_replica_listing_begin(replica, KF_SOURCE_STORE, first);
+	for (uint64_t revision : { first, second }) {
+		if (revision == second && first != second)
+			kf_replica_listing_page(
+			    replica, KF_SOURCE_STORE, revision);
+		for (const auto &item : store.At(revision)) {
+			bool on_second = item.first >= first_of_second_page;
+
+			if (first != second &&
+			    on_second != (revision == second))
+				continue;
+			kf_replica_put(replica, KF_SOURCE_STORE,
+			    item.first.c_str(),
+			    (const uint8_t *)item.second.first.data(),
+			    item.second.first.size(), item.second.second, 0);
+		}
+	}
+	kf_replica_listing_end(replica, KF_SOURCE_STORE, 0);
+}
+
 void
 ApplyChanges(kf_replica_t *replica, const Store &store, uint64_t revision)
 {
@@ -257,14 +338,31 @@
 	kf_replica_advance(replica, revision);
 }
 
-/* Returns true if the replica has each item as the store had it at the
- * replica's revision; newer items may be there too. */
+/* Returns true if a key was removed after a revision. */
 bool
-HoldsNothingRemoved(
-    const Observed &observed, const Store &store, uint64_t revision)
+RemovedLater(const Store &store, const std::string &key, uint64_t revision)
+{
+	for (uint64_t r = revision + 1; r <= store.events.size(); r++)
+		if (store.events[r - 1].key == key &&
+		    store.events[r - 1].removed)
+			return true;
+	return false;
+}
+
+/*
+ * Returns true if the replica has each item as the store had it at the
+ * replica's revision, or newer, and no others but newer ones.  It may lack an
+ * item that a newer page of a listing did not show any more.
+ */
+bool
+HoldsAllChanges(const Observed &observed, const Store &store, uint64_t revision)
 {
 	auto items = store.At(revision);
 
+	for (const auto &item : items)
+		if (observed.items.count(item.first) == 0 &&
+		    !RemovedLater(store, item.first, revision))
+			return false;
 	for (const auto &item : observed.items) {
 		uint64_t own_revision = 1 + std::stoull(item.second);
 
@@ -277,9 +375,10 @@
 }
 
 /*
- * Guards against any order of stale listings, listings of peers and changes
- * after which the replica differs from the store, in which an item returns to
- * an older revision, or in which a removed item returns.
+ * Guards against any order of stale listings, also with pages of different
+ * age, listings of peers and changes after which the replica differs from the
+ * store, in which an item returns to an older revision, a removed item returns,
+ * or a change up to the replica's revision is missing.
  */
 TEST(ReplicaProperty, EndsEqualToTheStore)
 {
@@ -294,24 +393,28 @@
 			    std::to_string(i), *rc::gen::inRange(0, 3) == 0 });
 		}
 		Observed observed;
-		bool restored = false;
+		bool complete = true;
 		kf_replica_t *replica = kf_replica_new(OnChanged, &observed);
 		auto steps = *rc::gen::container<std::vector<int>>(
 		    rc::gen::inRange(0, 1000));
 
 		for (int step : steps) {
-			uint64_t revision = 1 + (uint64_t)step / 3 % count;
+			uint64_t revision = 1 + (uint64_t)step / 4 % count;
+			uint64_t other = 1 + (uint64_t)step * 7 / 4 % count;
 
-			if (step % 3 == 0)
+			if (step % 4 == 0)
 				ApplyListing(
 				    replica, store, revision, KF_SOURCE_STORE);
-			else if (step % 3 == 1)
+			else if (step % 4 == 1)
 				ApplyListing(
 				    replica, store, revision, KF_SOURCE_PEER);
+			else if (step % 4 == 2)
+				ApplyPagedListing(
+				    replica, store, revision, other);
 			else
 				ApplyChanges(replica, store, revision);
-			restored = restored ||
-			    !HoldsNothingRemoved(
+			complete = complete &&
+			    HoldsAllChanges(
 				observed, store, kf_replica_revision(replica));
 		}
 		ApplyListing(replica, store, count, KF_SOURCE_STORE);
@@ -322,7 +425,7 @@
 		kf_replica_delete(replica);
 		RC_ASSERT(observed.items == want);
 		RC_ASSERT(!went_backwards);
-		RC_ASSERT(!restored);
+		RC_ASSERT(complete);
 	}));
 }
 
