--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -147,6 +147,7 @@
 		.log_dropped = kf_eventlog_dropped(l->log),
 		.contact_age_ms = kf_age_ms(l->view.contact_us, l->now_us),
 		.vm_count = l->view.vm_count,
+		.late_beacons = l->view.late_beacons,
 		.ready = l->ready && !l->leaving,
 	};
 
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -91,6 +91,8 @@
 	    (long long)m->log_dropped);
 	write_value(
 	    out, "vms", "gauge", "VMs known, this one included", m->vm_count);
+	write_value(out, "beacons_late_total", "counter",
+	    "beacons of VMs that took over 1 s", (long long)m->late_beacons);
 	write_value(
 	    out, "ready", "gauge", "whether this VM takes new flows", m->ready);
 	write_decisions(out, &m->packets.forwarder);
--- a/lib/fwdnet/forward_metrics.h
+++ b/lib/fwdnet/forward_metrics.h
@@ -19,6 +19,7 @@
 	uint64_t log_dropped;
 	int64_t contact_age_ms; /* -1: no contact yet */
 	uint32_t vm_count;
+	uint64_t late_beacons;
 	bool ready;
 } forward_metrics_t;
 
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -253,8 +253,10 @@
 	record_store_result(s, KF_SYNC_WATCH, answer, status == KF_OK);
 	if (status == KF_OK)
 		kf_replica_advance(s->replica, changes.revision);
-	finish_call(
-	    s, KF_SYNC_WATCH, status == KF_OK ? KF_SYNC_OK : KF_SYNC_FAILED);
+	finish_call(s, KF_SYNC_WATCH,
+	    status != KF_OK	     ? KF_SYNC_FAILED
+		: changes.count == 0 ? KF_SYNC_UNCHANGED
+				     : KF_SYNC_OK);
 }
 
 static void
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -27,7 +27,14 @@
  *	that, so that groups of VMs that were partitioned from each other
  *	merge again.
  *
- *	The module does no I/O.  Times are those of a monotonic clock.
+ *	A beacon may be delayed for seconds, so the times of what it tells are
+ *	not taken from its arrival.  VMs echo the stamps of each other's
+ *	beacons, which bounds the time at which a beacon was sent.  Where a
+ *	time is not certain, information counts as older; a contact with the
+ *	store of unknown age does not count.
+ *
+ *	The module does no I/O.  Times are those of a monotonic clock that
+ *	counts suspension.
  */
 
 enum {
@@ -65,6 +72,7 @@
 	 */
 	KF_PEERING_MEMBER_TIMEOUT_US = 4000000,
 	KF_PEERING_MEMBER_TIMEOUT_PER_VM_US = 100000,
+	KF_PEERING_LATE_US = 1000000,
 	KF_PEERING_SEED_INTERVAL_US = 1500000,
 	KF_PEERING_MAX_SEEDS = 8,
 	KF_PEERING_MAX_TARGETS = 16,
@@ -106,11 +114,14 @@
 	uint32_t vm_count;
 	/*
 	 * Latest contact with the store of any VM whose changes this VM has
-	 * all; INT64_MIN: never.
+	 * all, at the earliest possible time; INT64_MIN: never.
 	 */
 	int64_t contact_us;
 	/* Latest beacon from a VM of the zone; INT64_MIN: none. */
 	int64_t heard_us;
+	/* Beacons older than KF_PEERING_LATE_US on their arrival, since the
+	 * start. */
+	uint64_t late_beacons;
 	/* A VM with a higher revision to pull from; ahead_ip 0: none. */
 	uint64_t ahead_revision;
 	uint32_t ahead_ip;
--- a/lib/peering/members.h
+++ b/lib/peering/members.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "kf/peering.h"
+#include "peer_clock.h"
 #include "peering_msg.h"
 
 /*
@@ -16,11 +17,14 @@
 typedef struct member {
 	uint32_t ip;
 	uint64_t zone;
-	int64_t last_heard_us;	/* from it or through another VM */
-	uint64_t revision;	/* 0: no data, or known only from other VMs */
-	int64_t contact_us;	/* of the VM with the store; INT64_MIN: none */
+	int64_t last_heard_us; /* from it or through another VM */
+	uint64_t revision;     /* 0: no data, or known only from other VMs */
+	/* Contact of the VM with the store, at the earliest; INT64_MIN: none,
+	 * or its time is not known. */
+	int64_t contact_us;
+	peer_clock_t clock;
 	peering_question asks;	/* not yet answered */
-	int64_t last_beacon_us; /* INT64_MIN: none */
+	int64_t last_beacon_us; /* sent at the earliest; INT64_MIN: none */
 	uint32_t demand_count;
 	peering_demand demands[KF_PEERING_MAX_DEMANDS];
 } member_t;
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -4,7 +4,7 @@
 #include "peering_internal.h"
 
 enum {
-	MAGIC = 0x6b666232, /* "kfb2" */
+	MAGIC = 0x6b666233, /* "kfb3" */
 	/*
 	 * Largest contact age in a beacon, with room for a suspended sender or
 	 * a long queue.  An older contact is sent as unknown, and a received
@@ -26,6 +26,17 @@
 	OTHER_ZONE_BEACON_PERIOD = 4,
 };
 
+/* splitmix64 */
+static uint64_t
+next_random(kf_peering_t *p)
+{
+	uint64_t z = p->random += UINT64_C(0x9e3779b97f4a7c15);
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
 kf_peering_t *
 kf_peering_new(const kf_peering_config_t *config)
 {
@@ -36,6 +47,8 @@
 		return NULL;
 	p->config = *config;
 	p->random = config->random_seed;
+	p->stamp_base_us = next_random(p);
+	p->contact_us = INT64_MIN;
 	p->start_interval_us = KF_PEERING_START_INTERVAL_US;
 	return p;
 }
@@ -58,17 +71,6 @@
 	p->config.seed_count = count;
 }
 
-/* splitmix64 */
-static uint64_t
-next_random(kf_peering_t *p)
-{
-	uint64_t z = p->random += UINT64_C(0x9e3779b97f4a7c15);
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
-}
-
 bool
 peering_reservoir_accepts(kf_peering_t *p, size_t seen)
 {
@@ -125,30 +127,31 @@
 	return count;
 }
 
+/* Ages in a beacon count from the time at which it was sent. */
 static int64_t
-entry_time_us(const peering_member *entry, int64_t now_us)
+entry_time_us(const peering_member *entry, int64_t sent_us)
 {
-	return now_us - (int64_t)entry->age_ms * 1000;
+	return sent_us - (int64_t)entry->age_ms * 1000;
 }
 
 /* True if an entry of a beacon names another VM and is recent enough. */
 static bool
-is_usable_entry(
-    const kf_peering_t *p, const peering_member *entry, int64_t now_us)
+is_usable_entry(const kf_peering_t *p, const peering_member *entry,
+    int64_t sent_us, int64_t now_us)
 {
 	return entry->ip != p->config.ip && entry->ip != 0 &&
-	    now_us - entry_time_us(entry, now_us) < member_timeout_us(p);
+	    now_us - entry_time_us(entry, sent_us) < member_timeout_us(p);
 }
 
 /* Processes an entry that says when a member was last heard from. */
 static void
-merge_member(
-    kf_peering_t *p, uint64_t zone, const peering_member *entry, int64_t now_us)
+merge_member(kf_peering_t *p, uint64_t zone, const peering_member *entry,
+    int64_t sent_us, int64_t now_us)
 {
-	int64_t last_heard_us = entry_time_us(entry, now_us);
+	int64_t last_heard_us = entry_time_us(entry, sent_us);
 	member_t *m;
 
-	if (!is_usable_entry(p, entry, now_us) ||
+	if (!is_usable_entry(p, entry, sent_us, now_us) ||
 	    members_has_left(&p->members, entry->ip, last_heard_us))
 		return;
 	m = members_find(&p->members, entry->ip);
@@ -164,14 +167,14 @@
  * pass it on.
  */
 static void
-merge_departure(
-    kf_peering_t *p, uint64_t zone, const peering_member *entry, int64_t now_us)
+merge_departure(kf_peering_t *p, uint64_t zone, const peering_member *entry,
+    int64_t sent_us, int64_t now_us)
 {
-	if (is_usable_entry(p, entry, now_us) &&
+	if (is_usable_entry(p, entry, sent_us, now_us) &&
 	    !members_has_left(
 		&p->members, entry->ip, now_us - member_timeout_us(p)))
-		members_mark_left(
-		    &p->members, entry->ip, zone, entry_time_us(entry, now_us));
+		members_mark_left(&p->members, entry->ip, zone,
+		    entry_time_us(entry, sent_us));
 }
 
 /*
@@ -195,42 +198,130 @@
 }
 
 static void
-update_sender(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
+add_waiting_for_echo(kf_peering_t *p, uint32_t ip)
 {
-	member_t *m = members_find(&p->members, b->ip);
+	size_t i;
+
+	for (i = 0; i < p->echo_count; i++)
+		if (p->echo_ips[i] == ip)
+			return;
+	if (p->echo_count < PEERING_MAX_ECHOES)
+		p->echo_ips[p->echo_count++] = ip;
+}
+
+uint32_t
+peering_take_echo(kf_peering_t *p, bool same_zone)
+{
+	size_t i;
+
+	for (i = 0; i < p->echo_count; i++) {
+		uint32_t ip = p->echo_ips[i];
+		const member_t *m = members_find(&p->members, ip);
+
+		if (m != NULL && (m->zone == p->config.zone) != same_zone)
+			continue;
+		p->echo_count--;
+		memmove(&p->echo_ips[i], &p->echo_ips[i + 1],
+		    (p->echo_count - i) * sizeof(*p->echo_ips));
+		return m == NULL ? 0 : ip;
+	}
+	return 0;
+}
+
+/* Takes the state of the sender; sent_us is INT64_MIN if it is not known. */
+static void
+update_sender(kf_peering_t *p, member_t *m, const peering_beacon *b,
+    int64_t sent_us, int64_t now_us)
+{
+	int64_t heard_us = sent_us == INT64_MIN ? now_us : sent_us;
 	uint32_t i;
 
-	if (m == NULL)
-		m = members_add(&p->members, b->ip, b->zone);
-	if (m == NULL)
-		return;
 	m->asks = b->asks;
 	if (should_reply(p, b, now_us))
 		p->reply_ips[p->reply_count++] = b->ip;
-	m->last_heard_us = now_us;
-	m->last_beacon_us = now_us;
+	else if (b->wants_echo)
+		add_waiting_for_echo(p, b->ip);
+	if (heard_us > m->last_heard_us)
+		m->last_heard_us = heard_us;
+	m->last_beacon_us = heard_us;
 	m->demand_count = b->demands.demands_len;
 	for (i = 0; i < m->demand_count; i++)
 		m->demands[i] = b->demands.demands_val[i];
 	m->zone = b->zone;
 	m->revision = b->revision;
-	m->contact_us = b->contact_age_ms < 0
+	m->contact_us = b->contact_age_ms < 0 || sent_us == INT64_MIN
 	    ? INT64_MIN
-	    : now_us - (int64_t)b->contact_age_ms * 1000;
+	    : sent_us - (int64_t)b->contact_age_ms * 1000;
+}
+
+static peer_times_t
+beacon_times(const kf_peering_t *p, const peering_beacon *b)
+{
+	return (peer_times_t){
+		.stamp = b->stamp_us,
+		.has_echo = b->has_echo,
+		.echo_us = (int64_t)(b->echo_us - p->stamp_base_us),
+		.held_us = b->echo_held_us,
+	};
+}
+
+/*
+ * Processes what a beacon says of its sender.  Returns the time at which it was
+ * sent at the earliest, or now_us if that is not known.
+ */
+static int64_t
+receive_sender(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
+{
+	peer_times_t times = beacon_times(p, b);
+	member_t *m = members_find(&p->members, b->ip);
+	int64_t sent_us = INT64_MIN;
+	bool is_latest = true;
+
+	if (m == NULL && !b->leaving)
+		m = members_add(&p->members, b->ip, b->zone);
+	if (m != NULL) {
+		is_latest = peer_clock_receive(&m->clock, &times, now_us);
+		sent_us = peer_clock_sent_us(&m->clock, b->stamp_us, now_us);
+	}
+	if (m != NULL && !b->leaving && is_latest)
+		update_sender(p, m, b, sent_us, now_us);
+	if (sent_us == INT64_MIN)
+		sent_us = now_us;
+	p->late_beacons += now_us - sent_us > KF_PEERING_LATE_US;
+	if (b->leaving && is_latest)
+		members_mark_left(&p->members, b->ip, b->zone, sent_us);
+	return sent_us;
 }
 
 /* Takes the reports of a beacon; new ones are due to be forwarded. */
 static void
-merge_reports(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
+merge_reports(
+    kf_peering_t *p, const peering_beacon *b, int64_t sent_us, int64_t now_us)
 {
 	u_int i;
 
 	for (i = 0; i < b->reports.reports_len; i++)
-		if (reports_receive(
-			&p->reports, &b->reports.reports_val[i], now_us))
+		if (reports_receive(&p->reports, &b->reports.reports_val[i],
+			sent_us, now_us))
 			p->has_new_reports = true;
 }
 
+static void
+merge_beacon(kf_peering_t *p, const peering_beacon *b, int64_t now_us)
+{
+	int64_t sent_us = receive_sender(p, b, now_us);
+	u_int i;
+
+	if (b->zone == p->config.zone)
+		merge_reports(p, b, sent_us, now_us);
+	for (i = 0; i < b->members.members_len; i++)
+		merge_member(p, b->members_zone, &b->members.members_val[i],
+		    sent_us, now_us);
+	for (i = 0; i < b->left.left_len; i++)
+		merge_departure(
+		    p, b->members_zone, &b->left.left_val[i], sent_us, now_us);
+}
+
 kf_status_t
 kf_peering_receive(
     kf_peering_t *p, const uint8_t *data, size_t len, int64_t now_us)
@@ -239,7 +330,6 @@
 	kf_status_t status = KF_OK;
 	bool_t decoded;
 	XDR xdr;
-	u_int i;
 
 	xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)len, XDR_DECODE);
 	decoded = xdr_peering_beacon(&xdr, &b);
@@ -247,20 +337,8 @@
 	if (!decoded || b.magic != MAGIC || b.ip == 0 ||
 	    b.contact_age_ms > MAX_AGE_MS)
 		status = kf_status_set(KF_ERR_INVALID, "malformed beacon");
-	else if (b.ip != p->config.ip) {
-		if (b.leaving)
-			members_mark_left(&p->members, b.ip, b.zone, now_us);
-		else
-			update_sender(p, &b, now_us);
-		if (b.zone == p->config.zone)
-			merge_reports(p, &b, now_us);
-		for (i = 0; i < b.members.members_len; i++)
-			merge_member(p, b.members_zone,
-			    &b.members.members_val[i], now_us);
-		for (i = 0; i < b.left.left_len; i++)
-			merge_departure(
-			    p, b.members_zone, &b.left.left_val[i], now_us);
-	}
+	else if (b.ip != p->config.ip)
+		merge_beacon(p, &b, now_us);
 	xdr_free((xdrproc_t)xdr_peering_beacon, (char *)&b);
 	return status;
 }
@@ -281,21 +359,23 @@
 
 /*
  * Latest contact with the store of this VM, or of one whose changes this VM has
- * all: what the store held at that contact is here too.
+ * all: what the store held at that contact is here too, and stays here.
  */
 static int64_t
-contact_us(const kf_peering_t *p, const kf_peering_self_t *self)
+update_contact(kf_peering_t *p, const kf_peering_self_t *self)
 {
-	int64_t latest_us = self->contact_us;
 	size_t i;
 
+	if (self->contact_us > p->contact_us)
+		p->contact_us = self->contact_us;
 	for (i = 0; i < p->members.count; i++) {
 		const member_t *m = &p->members.list[i];
 
-		if (m->revision <= self->revision && m->contact_us > latest_us)
-			latest_us = m->contact_us;
+		if (m->revision <= self->revision &&
+		    m->contact_us > p->contact_us)
+			p->contact_us = m->contact_us;
 	}
-	return latest_us;
+	return p->contact_us;
 }
 
 /* Returns -1 for never, for the future and for ages above MAX_AGE_MS. */
@@ -391,6 +471,18 @@
 	return written;
 }
 
+static void
+fill_echo(const peer_clock_t *clock, int64_t now_us, peering_beacon *b)
+{
+	int64_t held_us = now_us - clock->heard_us;
+
+	if (!clock->heard || held_us > UINT32_MAX)
+		return;
+	b->has_echo = true;
+	b->echo_us = clock->stamp;
+	b->echo_held_us = (u_int)held_us;
+}
+
 size_t
 kf_peering_encode_beacon(kf_peering_t *p, const kf_peering_self_t *self,
     uint32_t to_ip, int64_t now_us, uint8_t buf[KF_PEERING_BEACON_MAX_BYTES])
@@ -405,7 +497,9 @@
 		.ip = p->config.ip,
 		.zone = p->config.zone,
 		.revision = self->revision,
-		.contact_age_ms = age_ms(contact_us(p, self), now_us),
+		.contact_age_ms = age_ms(update_contact(p, self), now_us),
+		.stamp_us = p->stamp_base_us + (uint64_t)now_us,
+		.wants_echo = to == NULL || !to->clock.has_offset,
 		.leaving = self->leaving,
 		.asks = peering_missing_members(p),
 		.demands.demands_len = (u_int)self->demand_count,
@@ -422,6 +516,8 @@
 			.service = self->demands[i].service,
 			.asked_per_s = self->demands[i].asked_per_s,
 		};
+	if (to != NULL)
+		fill_echo(&to->clock, now_us, &b);
 	if (to != NULL && to->zone == p->config.zone)
 		b.reports.reports_len =
 		    (u_int)reports_fill(&p->reports, reports, now_us);
@@ -471,13 +567,17 @@
 kf_peering_view_t
 kf_peering_view(kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us)
 {
-	kf_peering_view_t view = { .zone_count = 1, .heard_us = INT64_MIN };
+	kf_peering_view_t view = {
+		.zone_count = 1,
+		.heard_us = INT64_MIN,
+		.late_beacons = p->late_beacons,
+	};
 	bool ahead_same_zone = false;
 	size_t i;
 
 	peering_expire(p, now_us);
 	view.vm_count = (uint32_t)p->members.count + 1;
-	view.contact_us = contact_us(p, self);
+	view.contact_us = update_contact(p, self);
 	for (i = 0; i < p->members.count; i++) {
 		const member_t *m = &p->members.list[i];
 		bool same_zone = m->zone == p->config.zone;
--- a/lib/peering/peering_internal.h
+++ b/lib/peering/peering_internal.h
@@ -10,6 +10,8 @@
 enum {
 	/* Replies in one interval to VMs that request members. */
 	PEERING_MAX_REPLIES = 8,
+	/* VMs that may wait for an echo. */
+	PEERING_MAX_ECHOES = 16,
 };
 
 struct kf_peering {
@@ -29,6 +31,13 @@
 	/* VMs to send a beacon to at once. */
 	uint32_t reply_ips[PEERING_MAX_REPLIES];
 	size_t reply_count;
+	/* VMs that wait for an echo, in the next periodic beacons. */
+	uint32_t echo_ips[PEERING_MAX_ECHOES];
+	size_t echo_count;
+	uint64_t late_beacons;
+	uint64_t stamp_base_us; /* of the stamps in own beacons */
+	/* Latest contact with the store that held for this VM's data. */
+	int64_t contact_us;
 	size_t replies_in_interval; /* to VMs that request members */
 	int64_t starting_replies_since_us;
 	size_t starting_replies; /* since starting_replies_since_us */
@@ -44,6 +53,12 @@
  */
 bool peering_reservoir_accepts(kf_peering_t *p, size_t seen);
 
+/*
+ * Takes a VM of the own zone, or of another one, that waits for an echo; 0 if
+ * there is none.
+ */
+uint32_t peering_take_echo(kf_peering_t *p, bool same_zone);
+
 /* Removes members whose timeout has passed. */
 void peering_expire(kf_peering_t *p, int64_t now_us);
 
--- a/lib/peering/peering_msg.x
+++ b/lib/peering/peering_msg.x
@@ -42,6 +42,12 @@
 	unsigned hyper revision;
 	/* Since contact with the store at this revision; -1: never. */
 	int contact_age_ms;
+	unsigned hyper stamp_us;	/* of the sender's clock */
+	/* Stamp of the receiver's latest beacon, and the time since. */
+	bool has_echo;
+	unsigned hyper echo_us;
+	unsigned int echo_held_us;
+	bool wants_echo;	/* the sender knows no bound of the receiver's clock */
 	bool leaving;
 	peering_question asks;
 	peering_demand demands<PEERING_MAX_DEMANDS>;
--- a/lib/peering/reports.c
+++ b/lib/peering/reports.c
@@ -41,9 +41,10 @@
 }
 
 bool
-reports_receive(reports_t *r, const peering_report *wire, int64_t now_us)
+reports_receive(
+    reports_t *r, const peering_report *wire, int64_t sent_us, int64_t now_us)
 {
-	int64_t seen_us = now_us - (int64_t)wire->age_ms * 1000;
+	int64_t seen_us = sent_us - (int64_t)wire->age_ms * 1000;
 
 	if (now_us - seen_us >= REPORT_MAX_AGE_US || wire->origin == 0 ||
 	    is_known(r, wire))
--- a/lib/peering/reports.h
+++ b/lib/peering/reports.h
@@ -53,9 +53,12 @@
 /* Adds a report of this VM, up to MAX_OWN_REPORTS_PER_S. */
 void reports_add_own(
     reports_t *reports, uint32_t ip, uint32_t token, int64_t now_us);
-/* Adds a report from another VM; returns true if it is recent and new. */
-bool reports_receive(
-    reports_t *reports, const peering_report *wire, int64_t now_us);
+/*
+ * Adds a report from a beacon that was sent at sent_us; returns true if it is
+ * recent and new.
+ */
+bool reports_receive(reports_t *reports, const peering_report *wire,
+    int64_t sent_us, int64_t now_us);
 
 /*
  * Fills in the reports to send next, those sent least often first; returns
--- a/lib/peering/targets.c
+++ b/lib/peering/targets.c
@@ -48,6 +48,30 @@
 	return count;
 }
 
+/*
+ * Adds the targets of a periodic beacon.  VMs that wait for an echo take the
+ * place of random ones, at most every second time, so that no more bytes are
+ * sent and news still spreads at random.
+ */
+static size_t
+add_periodic(kf_peering_t *p, uint32_t *ips, size_t count)
+{
+	size_t same_zone = KF_PEERING_FANOUT_SAME_ZONE;
+	size_t other_zones = KF_PEERING_FANOUT_OTHER_ZONES;
+	uint32_t ip = peering_take_echo(p, true);
+
+	if (ip != 0 && !has_target(ips, count, ip)) {
+		ips[count++] = ip;
+		same_zone--;
+	}
+	ip = peering_reservoir_accepts(p, 2) ? peering_take_echo(p, false) : 0;
+	if (ip != 0 && !has_target(ips, count, ip)) {
+		ips[count++] = ip;
+		other_zones--;
+	}
+	return add_fanout(p, same_zone, other_zones, ips, count);
+}
+
 /* Adds the VMs to reply to at once. */
 static size_t
 add_replies(kf_peering_t *p, uint32_t *ips)
@@ -109,8 +133,7 @@
 	p->next_beacon_us = now_us + beacon_interval_us(p, has_data);
 	p->replies_in_interval = 0;
 	if (reason != KF_PEERING_UPDATE)
-		count = add_fanout(p, KF_PEERING_FANOUT_SAME_ZONE,
-		    KF_PEERING_FANOUT_OTHER_ZONES, ips, count);
+		count = add_periodic(p, ips, count);
 	if (!has_data || peering_missing_members(p) == PEERING_ASKS_ZONE ||
 	    now_us >= p->next_seed_beacons_us) {
 		p->next_seed_beacons_us = now_us + KF_PEERING_SEED_INTERVAL_US;
--- a/lib/replica/include/kf/sync.h
+++ b/lib/replica/include/kf/sync.h
@@ -26,6 +26,11 @@
  *	takes 0.3 s on a link of 10 Mbit/s, a compressed answer of a peer 12
  *	ms; so a listing is cancelled if a peer has answered meanwhile.
  *
+ *	An answer may be late, or wait while the process is frozen, so the
+ *	time at which it is processed says nothing of its age.  An answer
+ *	holds as of the time at which the call was made, and that of a watch
+ *	without changes as of the end of its wait.
+ *
  *	The module does no I/O: kf_sync_start_due_calls says which calls to
  *	make, and kf_sync_call_done takes their outcomes.
  */
@@ -62,6 +67,9 @@
 	 * once.
 	 */
 	KF_SYNC_WATCH_GAP_US = 50000,
+	/* Usual age of the contact when a watch begins: the pause between
+	 * watches, and the time that the answer before took. */
+	KF_SYNC_WATCH_AGE_US = KF_SYNC_WATCH_GAP_US + 50000,
 	KF_SYNC_RETRY_MIN_US = 100000,
 	KF_SYNC_RETRY_MAX_US = 800000,
 	/*
@@ -94,6 +102,7 @@
 
 typedef enum kf_sync_outcome {
 	KF_SYNC_OK = 0,
+	KF_SYNC_UNCHANGED, /* a watch has ended without changes */
 	KF_SYNC_FAILED,
 	KF_SYNC_HISTORY_GONE, /* the store no longer has these changes */
 	KF_SYNC_BEHIND,	      /* the listing is older than the replica */
@@ -118,10 +127,16 @@
 	int64_t listed_us;
 	bool fresh_list_needed; /* after the store dropped changes */
 	bool caught_up;		/* has the changes after the first listing */
-	/* Own last contact with the store; INT64_MIN: never. */
+	/*
+	 * Own last contact with the store: a time up to which the replica holds
+	 * all that the store had acknowledged.  INT64_MIN: never.
+	 */
 	int64_t contact_us;
 	bool store_call_active;
-	kf_sync_call_t store_call; /* valid while store_call_active */
+	/* Valid while store_call_active. */
+	kf_sync_call_t store_call;
+	int64_t store_call_us; /* when it was made */
+	uint32_t store_wait_ms;
 	bool peer_call_active;
 	uint32_t store_failures; /* in a row */
 	int64_t store_not_before_us;
--- a/lib/replica/sync.c
+++ b/lib/replica/sync.c
@@ -63,6 +63,23 @@
 	    now_us - s->listed_us >= KF_SYNC_CATCH_UP_TIMEOUT_US;
 }
 
+/*
+ * A watch that brings changes early confirms the data only as of its start, so
+ * the next one is shorter by the age that the contact has then.
+ */
+static uint32_t
+watch_wait_ms(const kf_sync_t *s, int64_t now_us)
+{
+	int64_t age_ms =
+	    (age_us(s->contact_us, now_us) - KF_SYNC_WATCH_AGE_US) / 1000;
+
+	/* The first watch only fetches what the listing may have missed. */
+	if (!s->caught_up || age_ms >= KF_SYNC_WATCH_WAIT_MS)
+		return 0;
+	return age_ms <= 0 ? KF_SYNC_WATCH_WAIT_MS
+			   : KF_SYNC_WATCH_WAIT_MS - (uint32_t)age_ms;
+}
+
 kf_sync_actions_t
 kf_sync_start_due_calls(
     kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
@@ -83,10 +100,11 @@
 	s->store_call_active = true;
 	actions.call =
 	    s->listed && !s->fresh_list_needed ? KF_SYNC_WATCH : KF_SYNC_LIST;
-	s->store_call = actions.call;
 	actions.stale = !s->fresh_list_needed;
-	/* The first watch only fetches what the listing may have missed. */
-	actions.wait_ms = s->caught_up ? KF_SYNC_WATCH_WAIT_MS : 0;
+	actions.wait_ms = watch_wait_ms(s, now_us);
+	s->store_call = actions.call;
+	s->store_call_us = now_us;
+	s->store_wait_ms = actions.wait_ms;
 	return actions;
 }
 
@@ -128,6 +146,21 @@
 	s->listed = true;
 }
 
+/*
+ * Time as of which the store has confirmed the data.  A watch that is answered
+ * without changes before its wait is over was not held open for all of it.
+ */
+static int64_t
+confirmed_us(const kf_sync_t *s, kf_sync_outcome_t outcome, int64_t now_us)
+{
+	int64_t wait_end_us =
+	    s->store_call_us + (int64_t)s->store_wait_ms * 1000;
+
+	return outcome == KF_SYNC_UNCHANGED && wait_end_us <= now_us
+	    ? wait_end_us
+	    : s->store_call_us;
+}
+
 static void
 store_call_done(kf_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome,
     double jitter, int64_t now_us)
@@ -143,19 +176,19 @@
 		return;
 	}
 	s->store_failures = 0;
-	if (outcome != KF_SYNC_OK) {
+	if (outcome == KF_SYNC_HISTORY_GONE) {
 		s->fresh_list_needed = true;
 		return;
 	}
 	if (call == KF_SYNC_LIST) {
 		/* A stale listing does not show the store's present state. */
 		if (s->fresh_list_needed)
-			s->contact_us = now_us;
+			s->contact_us = s->store_call_us;
 		mark_listed(s, now_us);
 		s->fresh_list_needed = false;
 		return;
 	}
-	s->contact_us = now_us;
+	s->contact_us = confirmed_us(s, outcome, now_us);
 	s->caught_up = true;
 	s->store_not_before_us = now_us + KF_SYNC_WATCH_GAP_US;
 }
--- a/tests/unit/sync_golden_test.cc
+++ b/tests/unit/sync_golden_test.cc
@@ -19,6 +19,7 @@
  *	done CALL OUTCOME REVISION	end a call
  *	due			print the time until a delayed call is due
  *	pause			the process was suspended, calls were aborted
+ *	contact			print the age of the VM's contact with the store
  *	run MS			advance the time
  */
 namespace {
@@ -45,6 +46,8 @@
 			return Next();
 		else if (name == "due")
 			return Due();
+		else if (name == "contact")
+			return Contact();
 		else if (name == "done")
 			return Done(in);
 		else if (name == "pause")
@@ -107,6 +110,13 @@
 					   : "  " +
 			std::to_string((due_us - now_us_) / 1000) + " ms\n";
 	}
+	std::string Contact()
+	{
+		return sync_.contact_us == INT64_MIN ? "  never\n"
+						     : "  " +
+			std::to_string((now_us_ - sync_.contact_us) / 1000) +
+			" ms\n";
+	}
 	std::string Done(std::istringstream &in)
 	{
 		static const std::map<std::string, kf_sync_call_t> calls = {
@@ -117,6 +127,7 @@
 		static const std::map<std::string, kf_sync_outcome_t>
 		    outcomes = {
 			    { "ok", KF_SYNC_OK },
+			    { "unchanged", KF_SYNC_UNCHANGED },
 			    { "failed", KF_SYNC_FAILED },
 			    { "gone", KF_SYNC_HISTORY_GONE },
 			    { "behind", KF_SYNC_BEHIND },
