--- a/bin/knapweed-forwarder/main.c
+++ b/bin/knapweed-forwarder/main.c
@@ -6,7 +6,8 @@
 const char *argp_program_version = "knapweed-forwarder 0.1.0";
 
 static void *
-load(const char *path, kf_error_fn *on_error, void *ctx)
+load(const char *path, const kf_overrides_t *overrides, kf_error_fn *on_error,
+    void *ctx)
 {
 	kf_forwarder_settings_t *settings;
 
@@ -15,17 +16,17 @@
 		on_error(ctx, path, 0, "out of memory");
 		return NULL;
 	}
-	if (kf_settings_table_load(&kf_forwarder_settings_table, path, on_error,
-		ctx, settings) == KF_OK)
+	if (kf_settings_table_load(&kf_forwarder_settings_table, path,
+		overrides, on_error, ctx, settings) == KF_OK)
 		return settings;
 	free(settings);
 	return NULL;
 }
 
 static kf_status_t
-run(const char *path, const void *settings)
+run(const char *path, const kf_overrides_t *overrides, const void *settings)
 {
-	return kf_forwarder_daemon_run(path, settings);
+	return kf_forwarder_daemon_run(path, overrides, settings);
 }
 
 int
--- a/bin/knapweedd/main.c
+++ b/bin/knapweedd/main.c
@@ -4,15 +4,17 @@
 const char *argp_program_version = "knapweedd 0.1.0";
 
 static void *
-load(const char *path, kf_error_fn *on_error, void *ctx)
+load(const char *path, const kf_overrides_t *overrides, kf_error_fn *on_error,
+    void *ctx)
 {
-	return kf_settings_load(path, on_error, ctx);
+	return kf_settings_load(path, overrides, on_error, ctx);
 }
 
 static kf_status_t
-run(const char *path, const void *settings)
+run(const char *path, const kf_overrides_t *overrides, const void *settings)
 {
 	(void)path;
+	(void)overrides;
 	return kf_daemon_run(settings);
 }
 
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -243,6 +243,12 @@
 		.zone = kf_name_key(s->zone),
 		.random_seed = (uint64_t)l->now_us ^ s->peer_address.ip,
 	};
+	store_sync_config_t sync = {
+		.store = s->store_address,
+		.peer_port = s->peer_address.port,
+		.ask_peers = has_other_seeds(s),
+		.bound_us = kf_forwarder_shortest_bound_us(s),
+	};
 
 	if (kf_signals_open(control_loop_signals, &l->signal_fd) != KF_OK ||
 	    kf_udp_open(s->peer_address, 0, &l->beacon_fd) != KF_OK)
@@ -250,8 +256,7 @@
 	l->client = http_client_new(MAX_BODY_BYTES);
 	if (l->client == NULL)
 		return KF_ERR_NO_MEMORY;
-	l->sync = store_sync_new(l->client, &l->applier, l->log,
-	    s->store_address, s->peer_address.port, has_other_seeds(s));
+	l->sync = store_sync_new(l->client, &l->applier, l->log, &sync);
 	l->peering = kf_peering_new(&peering);
 	if (l->sync == NULL || l->peering == NULL)
 		return kf_status_set(KF_ERR_NO_MEMORY, "out of memory");
@@ -263,7 +268,7 @@
 }
 
 control_loop_t *
-control_loop_new(const char *settings_path,
+control_loop_new(const char *settings_path, const kf_overrides_t *overrides,
     const kf_forwarder_settings_t *settings, packet_thread_t *packets,
     forward_log_t *forward_log, kf_eventlog_t *log)
 {
@@ -272,7 +277,7 @@
 	l = calloc(1, sizeof(*l));
 	if (l == NULL)
 		return NULL;
-	settings_watch_init(&l->watch, settings_path, settings, log);
+	settings_watch_init(&l->watch, settings_path, overrides, settings, log);
 	l->packets = packets;
 	l->forward_log = forward_log;
 	l->log = log;
@@ -485,6 +490,8 @@
 	if (!settings_watch_check(&l->watch))
 		return;
 	store_sync_set_store(l->sync, l->watch.settings.store_address);
+	store_sync_set_bound(
+	    l->sync, kf_forwarder_shortest_bound_us(&l->watch.settings));
 	set_seeds(l);
 }
 
--- a/lib/fwdnet/control_loop.h
+++ b/lib/fwdnet/control_loop.h
@@ -24,8 +24,8 @@
 extern const int control_loop_signals[];
 
 control_loop_t *control_loop_new(const char *settings_path,
-    const kf_forwarder_settings_t *settings, packet_thread_t *packets,
-    forward_log_t *forward_log, kf_eventlog_t *log);
+    const kf_overrides_t *overrides, const kf_forwarder_settings_t *settings,
+    packet_thread_t *packets, forward_log_t *forward_log, kf_eventlog_t *log);
 void control_loop_delete(control_loop_t *loop);
 
 /*
--- a/lib/fwdnet/daemon.c
+++ b/lib/fwdnet/daemon.c
@@ -8,8 +8,9 @@
 #include "control_loop.h"
 
 static kf_status_t
-run_threads(const char *path, const kf_forwarder_settings_t *settings,
-    kf_eventlog_t *log, apr_pool_t *pool)
+run_threads(const char *path, const kf_overrides_t *overrides,
+    const kf_forwarder_settings_t *settings, kf_eventlog_t *log,
+    apr_pool_t *pool)
 {
 	kf_status_t status = KF_ERR_IO;
 	control_loop_t *loop = NULL;
@@ -22,7 +23,7 @@
 	    kf_name_key(settings->zone), &forward_log, pool);
 	if (packets != NULL)
 		loop = control_loop_new(
-		    path, settings, packets, &forward_log, log);
+		    path, overrides, settings, packets, &forward_log, log);
 	if (loop != NULL) {
 		kf_eventlog_write(
 		    log, KF_LOG_INFO, "started", "zone=%s", settings->zone);
@@ -36,8 +37,8 @@
 }
 
 kf_status_t
-kf_forwarder_daemon_run(
-    const char *path, const kf_forwarder_settings_t *settings)
+kf_forwarder_daemon_run(const char *path, const kf_overrides_t *overrides,
+    const kf_forwarder_settings_t *settings)
 {
 	kf_eventlog_t *log;
 	apr_pool_t *pool;
@@ -55,7 +56,7 @@
 	    settings->name, settings->log_level, settings->log_file);
 	if (log == NULL)
 		return KF_ERR_IO;
-	status = run_threads(path, settings, log, pool);
+	status = run_threads(path, overrides, settings, log, pool);
 	if (status != KF_OK)
 		kf_eventlog_write(log, KF_LOG_ERROR, "start_failed",
 		    "reason=\"%s\"", kf_status_message());
--- a/lib/fwdnet/include/kf/forwarder_daemon.h
+++ b/lib/fwdnet/include/kf/forwarder_daemon.h
@@ -17,8 +17,9 @@
  *	shutdown.
  */
 
-kf_status_t kf_forwarder_daemon_run(
-    const char *settings_path, const kf_forwarder_settings_t *settings);
+/* overrides apply again when the settings file has changed. */
+kf_status_t kf_forwarder_daemon_run(const char *settings_path,
+    const kf_overrides_t *overrides, const kf_forwarder_settings_t *settings);
 
 #ifdef __cplusplus
 }
--- a/lib/fwdnet/settings_watch.c
+++ b/lib/fwdnet/settings_watch.c
@@ -7,10 +7,12 @@
 
 void
 settings_watch_init(settings_watch_t *w, const char *path,
-    const kf_forwarder_settings_t *settings, kf_eventlog_t *log)
+    const kf_overrides_t *overrides, const kf_forwarder_settings_t *settings,
+    kf_eventlog_t *log)
 {
 	*w = (settings_watch_t){
 		.path = path,
+		.overrides = overrides,
 		.log = log,
 		.settings = *settings,
 	};
@@ -54,7 +56,9 @@
 	bool restart;
 
 	if (kf_settings_table_parse(&kf_forwarder_settings_table, w->path, text,
-		len, on_error, w, &read) != KF_OK) {
+		len, on_error, w, &read) != KF_OK ||
+	    kf_settings_table_override(&kf_forwarder_settings_table,
+		w->overrides, on_error, w, &read) != KF_OK) {
 		kf_eventlog_write(w->log, KF_LOG_ERROR, "reload",
 		    "outcome=refused reason=\"%s\"", kf_status_message());
 		return false;
@@ -64,6 +68,8 @@
 	memcpy(w->settings.seeds, read.seeds, sizeof(read.seeds));
 	w->settings.seed_count = read.seed_count;
 	w->settings.grace_ms = read.grace_ms;
+	w->settings.drain_bound_ms = read.drain_bound_ms;
+	w->settings.apply_bound_ms = read.apply_bound_ms;
 	memcpy(
 	    w->settings.ready_path, read.ready_path, sizeof(read.ready_path));
 	kf_eventlog_write(w->log, restart ? KF_LOG_WARN : KF_LOG_INFO, "reload",
--- a/lib/fwdnet/settings_watch.h
+++ b/lib/fwdnet/settings_watch.h
@@ -16,13 +16,15 @@
 
 typedef struct settings_watch {
 	const char *path;
+	const kf_overrides_t *overrides;
 	kf_eventlog_t *log;
 	kf_forwarder_settings_t settings; /* in use */
 	char *text; /* contents of the file when last read */
 } settings_watch_t;
 
 void settings_watch_init(settings_watch_t *watch, const char *path,
-    const kf_forwarder_settings_t *settings, kf_eventlog_t *log);
+    const kf_overrides_t *overrides, const kf_forwarder_settings_t *settings,
+    kf_eventlog_t *log);
 void settings_watch_free(settings_watch_t *watch);
 
 /* Reads the file; returns true if it has changed and was applied. */
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -26,7 +26,8 @@
 	/* Of the current listing. */
 	uint32_t list_pages;
 	uint64_t newest_page_revision;
-	bool store_lost; /* store_lost was logged last */
+	bool reads_itself; /* the latest contact that is known is an own one */
+	bool store_lost;   /* store_lost was logged last */
 	int64_t next_expiry_us;
 	unsigned random_state;
 	store_sync_stats_t stats;
@@ -51,7 +52,7 @@
 
 store_sync_t *
 store_sync_new(http_client_t *client, applier_t *applier, kf_eventlog_t *log,
-    kf_addr_t store, uint16_t peer_port, bool ask_peers)
+    const store_sync_config_t *config)
 {
 	store_sync_t *s;
 
@@ -61,15 +62,16 @@
 	s->client = client;
 	s->applier = applier;
 	s->log = log;
-	s->store = store;
-	s->peer_port = peer_port;
+	s->store = config->store;
+	s->peer_port = config->peer_port;
 	s->random_state = (unsigned)kf_clock_now().mono_us;
 	s->replica = kf_replica_new(applier_apply, applier);
 	if (s->replica == NULL) {
 		free(s);
 		return NULL;
 	}
-	kf_sync_init(&s->sync, ask_peers, jitter(s), kf_clock_now().mono_us);
+	kf_sync_init(&s->sync, config->bound_us, config->ask_peers, jitter(s),
+	    kf_clock_now().mono_us);
 	return s;
 }
 
@@ -89,6 +91,12 @@
 	s->store = store;
 }
 
+void
+store_sync_set_bound(store_sync_t *s, int64_t bound_us)
+{
+	kf_sync_set_bound(&s->sync, bound_us);
+}
+
 static void
 finish_call(store_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome)
 {
@@ -322,8 +330,28 @@
 	}
 	kf_platform_watch_path(
 	    path, kf_replica_revision(s->replica), actions->wait_ms);
-	request(s, KF_SYNC_WATCH, s->store, path,
-	    actions->wait_ms + KF_SYNC_WATCH_MARGIN_MS, on_watch);
+	request(
+	    s, KF_SYNC_WATCH, s->store, path, actions->timeout_ms, on_watch);
+}
+
+/*
+ * Logs the first of a series of reads by a VM that does not watch the store: no
+ * VM has told it of a contact recent enough.
+ */
+static void
+log_own_read(store_sync_t *s, const kf_peering_view_t *view, int64_t now_us)
+{
+	bool was_own = view->contact_us <= s->sync.contact_us;
+
+	if (view->rank == 0 || !s->sync.caught_up ||
+	    (was_own && s->reads_itself))
+		return;
+	s->reads_itself = true;
+	kf_eventlog_write(s->log, KF_LOG_INFO, "reads_store",
+	    "rank=%u contact_age_ms=%lld revision=%llu ahead_revision=%llu",
+	    view->rank, (long long)kf_age_ms(view->contact_us, now_us),
+	    (unsigned long long)kf_replica_revision(s->replica),
+	    (unsigned long long)view->ahead_revision);
 }
 
 void
@@ -350,8 +378,10 @@
 		request(s, KF_SYNC_PULL, peer, path, KF_SYNC_PULL_TIMEOUT_MS,
 		    on_pull);
 	}
-	if (actions.store)
+	if (actions.store) {
+		log_own_read(s, view, now_us);
 		start_store_call(s, &actions);
+	}
 	if (now_us >= s->next_expiry_us) {
 		kf_replica_expire(s->replica, now_us);
 		s->next_expiry_us = now_us + EXPIRY_INTERVAL_US;
--- a/lib/fwdnet/store_sync.h
+++ b/lib/fwdnet/store_sync.h
@@ -25,12 +25,19 @@
 	uint64_t failures[KF_SYNC_CALL_COUNT];
 } store_sync_stats_t;
 
-/* ask_peers: ask other VMs at start-up before listing the store. */
+typedef struct store_sync_config {
+	kf_addr_t store;
+	uint16_t peer_port;
+	bool ask_peers;	  /* at start-up, before listing the store */
+	int64_t bound_us; /* how long data may be used after a contact */
+} store_sync_config_t;
+
 store_sync_t *store_sync_new(http_client_t *client, applier_t *applier,
-    kf_eventlog_t *log, kf_addr_t store, uint16_t peer_port, bool ask_peers);
+    kf_eventlog_t *log, const store_sync_config_t *config);
 void store_sync_delete(store_sync_t *sync);
 
 void store_sync_set_store(store_sync_t *sync, kf_addr_t store);
+void store_sync_set_bound(store_sync_t *sync, int64_t bound_us);
 
 /* Starts the calls that are due. */
 void store_sync_run(
--- a/lib/program/include/kf/program.h
+++ b/lib/program/include/kf/program.h
@@ -1,8 +1,7 @@
 #ifndef KF_PROGRAM_H
 #define KF_PROGRAM_H
 
-#include "kf/declaration.h"
-#include "kf/status.h"
+#include "kf/settings_table.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -13,8 +12,8 @@
  *	kf_program_main - command line of a daemon
  *
  * DESCRIPTION
- *	Parses --config and --check, loads the settings and runs the daemon.
- *	Returns the exit status: 0 on success, 1 if the daemon could not run,
+ *	Parses --config, --set and --check, loads the settings and runs the
+ *daemon. Returns the exit status: 0 on success, 1 if the daemon could not run,
  *	2 if the settings were refused.  Exits with 2 on wrong usage.
  */
 
@@ -22,8 +21,10 @@
 	const char *name;
 	const char *doc; /* summary line of --help */
 	/* Returns the settings, or NULL after reporting every error. */
-	void *(*load)(const char *path, kf_error_fn *on_error, void *ctx);
-	kf_status_t (*run)(const char *path, const void *settings);
+	void *(*load)(const char *path, const kf_overrides_t *overrides,
+	    kf_error_fn *on_error, void *ctx);
+	kf_status_t (*run)(const char *path, const kf_overrides_t *overrides,
+	    const void *settings);
 	void (*unload)(void *settings);
 } kf_program_t;
 
--- a/lib/program/program.c
+++ b/lib/program/program.c
@@ -11,15 +11,31 @@
 
 typedef struct arguments {
 	const char *config;
+	kf_overrides_t overrides;
 	int check_only;
 } arguments_t;
 
 static const struct argp_option options[] = {
 	{ "config", 'c', "FILE", 0, "settings of this process (required)", 0 },
+	{ "set", 's', "SECTION.KEY=VALUE", 0,
+	    "use this value and not that of the settings file; an empty VALUE "
+	    "changes nothing",
+	    0 },
 	{ "check", 'n', NULL, 0, "check the settings and exit", 0 },
 	{ 0 },
 };
 
+static void
+add_override(
+    kf_overrides_t *overrides, const char *text, struct argp_state *state)
+{
+	if (overrides->count == KF_MAX_OVERRIDES)
+		argp_error(state, "--set is given more than %d times",
+		    KF_MAX_OVERRIDES);
+	else
+		overrides->texts[overrides->count++] = text;
+}
+
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
 {
@@ -29,6 +45,9 @@
 	case 'c':
 		arguments->config = arg;
 		return 0;
+	case 's':
+		add_override(&arguments->overrides, arg, state);
+		return 0;
 	case 'n':
 		arguments->check_only = 1;
 		return 0;
@@ -65,11 +84,13 @@
 
 	argp_err_exit_status = EXIT_SETTINGS_REFUSED;
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
-	settings = program->load(arguments.config, print_error, NULL);
+	settings = program->load(
+	    arguments.config, &arguments.overrides, print_error, NULL);
 	if (settings == NULL)
 		return EXIT_SETTINGS_REFUSED;
 	if (!arguments.check_only)
-		status = program->run(arguments.config, settings);
+		status = program->run(
+		    arguments.config, &arguments.overrides, settings);
 	if (status != KF_OK)
 		fprintf(stderr, "%s: %s\n", program->name, kf_status_message());
 	program->unload(settings);
--- a/lib/replica/include/kf/sync.h
+++ b/lib/replica/include/kf/sync.h
@@ -17,8 +17,12 @@
  *	Reads of the store are limited and cost money.  Therefore only one VM
  *	of each zone watches the store, the one of rank 0, and the others
  *	pull its changes.  When a VM knows of no recent contact with the
- *	store, it starts to watch the store itself; VMs with a low rank do so
- *	first.
+ *	store, it reads the store itself; VMs with a low rank do so first.
+ *
+ *	What a VM knows may be used for bound_us after a contact, the time
+ *	within which changes have to be in force.  Whatever its rank, a VM
+ *	reads the store early enough before that for a read, its timeout and
+ *	a retry.  After that the ranks only spread further reads.
  *
  *	A starting VM pulls the replica of a peer.  Seeds, and VMs that no
  *	peer answers in time, list the store instead, with a read that may be
@@ -46,6 +50,14 @@
 	KF_SYNC_WATCH_MARGIN_MS = 800,
 	KF_SYNC_LIST_TIMEOUT_MS = 1500,
 	KF_SYNC_PULL_TIMEOUT_MS = 500,
+	/*
+	 * A read that is to be in force within the bound fails after this part
+	 * of it.  The second retry and those after it have the margin of a
+	 * watch, for a store that is slow.
+	 */
+	KF_SYNC_READ_TIMEOUT_DIVISOR = 10,
+	/* Time for the pause before the retry, and for the loop of the VM. */
+	KF_SYNC_READ_RESERVE_US = 250000,
 	/*
 	 * Time that a starting VM allows for the first beacon of a peer, which
 	 * takes 2 to 3 ms, before it lists the store, plus a random part.  It
@@ -72,10 +84,16 @@
 	KF_SYNC_WATCH_AGE_US = KF_SYNC_WATCH_GAP_US + 50000,
 	KF_SYNC_RETRY_MIN_US = 100000,
 	KF_SYNC_RETRY_MAX_US = 800000,
+	/*
+	 * Added to the longest pause for each rank, up to a limit, so that a
+	 * store that is down is not read by hundreds of VMs each second.
+	 */
+	KF_SYNC_RETRY_PER_RANK_US = 100000,
+	KF_SYNC_RETRY_RANK_MAX_US = 2500000,
 	/*
 	 * Age of the last known contact with the store at which another VM of
-	 * the zone starts to watch the store: wait and margin of a watch, and
-	 * the time until the answer is known to peers.
+	 * the zone reads the store, if the bound allows: wait and margin of a
+	 * watch, and the time until the answer is known to peers.
 	 */
 	KF_SYNC_TAKEOVER_US = 2400000,
 	/*
@@ -120,6 +138,8 @@
 } kf_sync_peers_t;
 
 typedef struct kf_sync {
+	int64_t bound_us;	    /* see DESCRIPTION */
+	uint32_t rank;		    /* as of the last call to the store */
 	bool ask_peers;		    /* pull first, list only after a delay */
 	int64_t list_not_before_us; /* applies if ask_peers */
 	uint64_t revision;	    /* of the replica */
@@ -148,15 +168,19 @@
 	kf_sync_call_t call; /* LIST or WATCH */
 	bool stale;	     /* a listing may be seconds old */
 	uint32_t wait_ms;    /* of the watch */
+	uint32_t timeout_ms; /* of the call */
 	bool pull;	     /* pull from the VM ahead_ip */
 } kf_sync_actions_t;
 
 /*
+ * bound_us: how long after a contact with the store its data may be used.
  * ask_peers: other VMs are likely to have data; the first listing is delayed to
  * allow for their answers.  jitter, 0 to 1, spreads the first listings of VMs.
  */
-void kf_sync_init(
-    kf_sync_t *sync, bool ask_peers, double jitter, int64_t now_us);
+void kf_sync_init(kf_sync_t *sync, int64_t bound_us, bool ask_peers,
+    double jitter, int64_t now_us);
+
+void kf_sync_set_bound(kf_sync_t *sync, int64_t bound_us);
 
 /* Returns the calls that are due and marks them as in progress. */
 kf_sync_actions_t kf_sync_start_due_calls(
--- a/lib/replica/sync.c
+++ b/lib/replica/sync.c
@@ -14,9 +14,11 @@
 }
 
 void
-kf_sync_init(kf_sync_t *s, bool ask_peers, double jitter, int64_t now_us)
+kf_sync_init(kf_sync_t *s, int64_t bound_us, bool ask_peers, double jitter,
+    int64_t now_us)
 {
 	*s = (kf_sync_t){
+		.bound_us = bound_us,
 		.contact_us = INT64_MIN,
 		.ask_peers = ask_peers,
 		.list_not_before_us = now_us + KF_SYNC_START_LIST_DELAY_US +
@@ -24,12 +26,55 @@
 	};
 }
 
+void
+kf_sync_set_bound(kf_sync_t *s, int64_t bound_us)
+{
+	s->bound_us = bound_us;
+}
+
 static int64_t
 age_us(int64_t since_us, int64_t now_us)
 {
 	return since_us == INT64_MIN ? INT64_MAX : now_us - since_us;
 }
 
+static int64_t
+smaller(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t
+read_timeout_us(const kf_sync_t *s)
+{
+	return smaller(s->bound_us / KF_SYNC_READ_TIMEOUT_DIVISOR,
+	    (int64_t)KF_SYNC_WATCH_MARGIN_MS * 1000);
+}
+
+/*
+ * Age of the contact at which a read has to begin: two reads, of which the
+ * first gets no answer, then end within the bound.
+ */
+static int64_t
+latest_read_age_us(const kf_sync_t *s)
+{
+	return s->bound_us - 2 * read_timeout_us(s) - KF_SYNC_READ_RESERVE_US;
+}
+
+/* Age of the contact at which this VM reads the store. */
+static int64_t
+takeover_age_us(const kf_sync_t *s, int64_t added_us)
+{
+	return smaller(KF_SYNC_TAKEOVER_US + added_us, latest_read_age_us(s));
+}
+
+/* Wait or margin of a watch: a watch that gets no answer ends in time, too. */
+static uint32_t
+watch_part_ms(const kf_sync_t *s, uint32_t usual_ms)
+{
+	return (uint32_t)smaller(usual_ms, latest_read_age_us(s) / 2000);
+}
+
 /* True if this VM reads the store itself. */
 static bool
 reads_store(const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
@@ -45,8 +90,7 @@
 		return true;
 	if (alone && limit_us > KF_SYNC_TAKEOVER_RANK_MAX_US)
 		limit_us = KF_SYNC_TAKEOVER_RANK_MAX_US;
-	return age_us(peers->contact_us, now_us) >
-	    KF_SYNC_TAKEOVER_US + limit_us;
+	return age_us(peers->contact_us, now_us) > takeover_age_us(s, limit_us);
 }
 
 /*
@@ -59,7 +103,7 @@
     const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
 {
 	return (peers->ahead_revision <= s->revision &&
-		   age_us(peers->contact_us, now_us) < KF_SYNC_TAKEOVER_US) ||
+		   age_us(peers->contact_us, now_us) < takeover_age_us(s, 0)) ||
 	    now_us - s->listed_us >= KF_SYNC_CATCH_UP_TIMEOUT_US;
 }
 
@@ -72,12 +116,25 @@
 {
 	int64_t age_ms =
 	    (age_us(s->contact_us, now_us) - KF_SYNC_WATCH_AGE_US) / 1000;
+	int64_t longest_ms = watch_part_ms(s, KF_SYNC_WATCH_WAIT_MS);
 
 	/* The first watch only fetches what the listing may have missed. */
-	if (!s->caught_up || age_ms >= KF_SYNC_WATCH_WAIT_MS)
+	if (!s->caught_up || age_ms >= longest_ms)
 		return 0;
-	return age_ms <= 0 ? KF_SYNC_WATCH_WAIT_MS
-			   : KF_SYNC_WATCH_WAIT_MS - (uint32_t)age_ms;
+	return (uint32_t)(age_ms <= 0 ? longest_ms : longest_ms - age_ms);
+}
+
+static uint32_t
+store_timeout_ms(const kf_sync_t *s, const kf_sync_actions_t *actions)
+{
+	if (actions->call == KF_SYNC_LIST)
+		return KF_SYNC_LIST_TIMEOUT_MS;
+	if (actions->wait_ms > 0)
+		return actions->wait_ms +
+		    watch_part_ms(s, KF_SYNC_WATCH_MARGIN_MS);
+	/* A read and its retry; a store that answers neither may be slow. */
+	return s->store_failures < 2 ? (uint32_t)(read_timeout_us(s) / 1000)
+				     : KF_SYNC_WATCH_MARGIN_MS;
 }
 
 kf_sync_actions_t
@@ -102,6 +159,8 @@
 	    s->listed && !s->fresh_list_needed ? KF_SYNC_WATCH : KF_SYNC_LIST;
 	actions.stale = !s->fresh_list_needed;
 	actions.wait_ms = watch_wait_ms(s, now_us);
+	actions.timeout_ms = store_timeout_ms(s, &actions);
+	s->rank = peers->rank;
 	s->store_call = actions.call;
 	s->store_call_us = now_us;
 	s->store_wait_ms = actions.wait_ms;
@@ -132,9 +191,13 @@
 retry_us(const kf_sync_t *s, double jitter)
 {
 	uint32_t again = s->store_failures > 0 ? s->store_failures - 1 : 0;
-	int64_t us =
-	    kf_backoff_us(KF_SYNC_RETRY_MIN_US, KF_SYNC_RETRY_MAX_US, again);
+	int64_t longest_us =
+	    KF_SYNC_RETRY_MAX_US + (int64_t)s->rank * KF_SYNC_RETRY_PER_RANK_US;
+	int64_t us;
 
+	if (longest_us > KF_SYNC_RETRY_RANK_MAX_US)
+		longest_us = KF_SYNC_RETRY_RANK_MAX_US;
+	us = kf_backoff_us(KF_SYNC_RETRY_MIN_US, longest_us, again);
 	return us / 2 + (int64_t)((double)us * jitter);
 }
 
--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -5,6 +5,10 @@
 enum {
 	GRACE_MIN_MS = 1000,
 	GRACE_MAX_MS = 600000,
+	/* A read of the store and its retry take up to a fifth of it, and some
+	 * pauses. */
+	BOUND_MIN_MS = 1000,
+	BOUND_MAX_MS = 600000,
 	MAX_DECISIONS_PER_S = 1000000,
 	MAX_SAMPLE = 1000000,
 };
@@ -55,6 +59,15 @@
 	{ "platform", "seeds", KF_FIELD_CUSTOM, .set = set_seeds,
 	    .unit = "ip:port ...", .default_value = "",
 	    .text = "VMs that may know others; the ports are not used" },
+	{ "bounds", "drain_ms", KF_FIELD_I64, MEMBER_OFFSET(drain_bound_ms),
+	    .unit = "ms", .min = BOUND_MIN_MS, .max = BOUND_MAX_MS,
+	    .default_value = "3000",
+	    .text = "time within which an upstream that drains gets no new "
+		    "flows" },
+	{ "bounds", "apply_ms", KF_FIELD_I64, MEMBER_OFFSET(apply_bound_ms),
+	    .unit = "ms", .min = BOUND_MIN_MS, .max = BOUND_MAX_MS,
+	    .default_value = "3000",
+	    .text = "time within which a new configuration is in force" },
 	{ "stop", "grace_ms", KF_FIELD_I64, MEMBER_OFFSET(grace_ms),
 	    .unit = "ms", .min = GRACE_MIN_MS, .max = GRACE_MAX_MS,
 	    .default_value = "6000",
@@ -88,6 +101,14 @@
 		    "vm: ready_address and peer_address are the same");
 }
 
+int64_t
+kf_forwarder_shortest_bound_us(const kf_forwarder_settings_t *s)
+{
+	return 1000 *
+	    (s->drain_bound_ms < s->apply_bound_ms ? s->drain_bound_ms
+						   : s->apply_bound_ms);
+}
+
 const kf_settings_table_t kf_forwarder_settings_table = {
 	.fields = fields,
 	.count = sizeof(fields) / sizeof(fields[0]),
--- a/lib/settings/include/kf/forwarder_settings.h
+++ b/lib/settings/include/kf/forwarder_settings.h
@@ -34,6 +34,10 @@
 	kf_addr_t seeds[KF_FORWARDER_MAX_SEEDS];
 	uint32_t seed_count;
 
+	/* [bounds] */
+	int64_t drain_bound_ms;
+	int64_t apply_bound_ms;
+
 	/* [stop] */
 	int64_t grace_ms;
 
@@ -46,6 +50,12 @@
 
 extern const kf_settings_table_t kf_forwarder_settings_table;
 
+/*
+ * How long after a contact with the store its data may be used: the shortest
+ * time within which a change has to be in force.
+ */
+int64_t kf_forwarder_shortest_bound_us(const kf_forwarder_settings_t *settings);
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/settings/include/kf/settings.h
+++ b/lib/settings/include/kf/settings.h
@@ -3,7 +3,7 @@
 
 #include "kf/declaration.h"
 #include "kf/eventlog.h"
-#include "kf/field.h"
+#include "kf/settings_table.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -71,9 +71,9 @@
 /* Returns NULL if the text has errors, after reporting all of them. */
 kf_settings_t *kf_settings_parse(const char *file, const char *text, size_t len,
     kf_error_fn *on_error, void *ctx);
-/* Like kf_settings_parse, but reads the text from a file. */
-kf_settings_t *kf_settings_load(
-    const char *path, kf_error_fn *on_error, void *ctx);
+/* Reads the text from a file and applies the overrides. */
+kf_settings_t *kf_settings_load(const char *path,
+    const kf_overrides_t *overrides, kf_error_fn *on_error, void *ctx);
 void kf_settings_delete(kf_settings_t *settings);
 
 /* The table of descriptors, ordered by section. */
--- a/lib/settings/include/kf/settings_table.h
+++ b/lib/settings/include/kf/settings_table.h
@@ -25,14 +25,31 @@
 	void (*check)(const void *settings, kf_reader_t *reader);
 } kf_settings_table_t;
 
+enum { KF_MAX_OVERRIDES = 16 };
+
+/* Settings from the command line, as "SECTION.KEY=VALUE". */
+typedef struct kf_overrides {
+	const char *texts[KF_MAX_OVERRIDES];
+	size_t count;
+} kf_overrides_t;
+
 /* Fills *settings, which the caller sets to zero first. */
 kf_status_t kf_settings_table_parse(const kf_settings_table_t *table,
     const char *file, const char *text, size_t len, kf_error_fn *on_error,
     void *ctx, void *settings);
 
-/* Like kf_settings_table_parse, but reads the text from a file. */
+/*
+ * Sets what the command line gives in place of the values of the file.  An
+ * empty VALUE leaves a setting as it is.
+ */
+kf_status_t kf_settings_table_override(const kf_settings_table_t *table,
+    const kf_overrides_t *overrides, kf_error_fn *on_error, void *ctx,
+    void *settings);
+
+/* Reads the text from a file and applies the overrides. */
 kf_status_t kf_settings_table_load(const kf_settings_table_t *table,
-    const char *path, kf_error_fn *on_error, void *ctx, void *settings);
+    const char *path, const kf_overrides_t *overrides, kf_error_fn *on_error,
+    void *ctx, void *settings);
 
 /*
  * Parses addresses "ip:port" separated by blanks or commas.  Returns
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -224,14 +224,16 @@
 }
 
 kf_settings_t *
-kf_settings_load(const char *path, kf_error_fn *on_error, void *ctx)
+kf_settings_load(const char *path, const kf_overrides_t *overrides,
+    kf_error_fn *on_error, void *ctx)
 {
 	kf_settings_t *settings = settings_new(path, on_error, ctx);
 
-	return settings == NULL ? NULL
-				: settings_finish(settings,
-				      kf_settings_table_load(&settings_table,
-					  path, on_error, ctx, settings));
+	return settings == NULL
+	    ? NULL
+	    : settings_finish(settings,
+		  kf_settings_table_load(&settings_table, path, overrides,
+		      on_error, ctx, settings));
 }
 
 void
--- a/lib/settings/settings_table.c
+++ b/lib/settings/settings_table.c
@@ -57,9 +57,70 @@
 		  KF_ERR_INVALID, "%s: %zu errors", file, reader.error_count);
 }
 
+/* Returns the field that SECTION.KEY= at the start of text names, or NULL. */
+static const kf_field_t *
+find_field(const kf_settings_table_t *table, const char *text, size_t name_len)
+{
+	size_t i, section_len;
+
+	for (i = 0; i < table->count; i++) {
+		const kf_field_t *field = &table->fields[i];
+
+		section_len = strlen(field->section);
+		if (name_len == section_len + 1 + strlen(field->key) &&
+		    strncmp(text, field->section, section_len) == 0 &&
+		    text[section_len] == '.' &&
+		    strncmp(text + section_len + 1, field->key,
+			strlen(field->key)) == 0)
+			return field;
+	}
+	return NULL;
+}
+
+static kf_status_t
+override_one(const kf_settings_table_t *table, const char *text, void *settings)
+{
+	const char *equal = strchr(text, '=');
+	const kf_field_t *field;
+
+	if (equal == NULL)
+		return kf_status_set(
+		    KF_ERR_INVALID, "'%.80s' is not SECTION.KEY=VALUE", text);
+	field = find_field(table, text, (size_t)(equal - text));
+	if (field == NULL)
+		return kf_status_set(
+		    KF_ERR_NOT_FOUND, "'%.80s' names no setting", text);
+	return equal[1] == '\0' ? KF_OK
+				: kf_field_parse(field, settings, equal + 1);
+}
+
+kf_status_t
+kf_settings_table_override(const kf_settings_table_t *table,
+    const kf_overrides_t *overrides, kf_error_fn *on_error, void *ctx,
+    void *settings)
+{
+	kf_reader_t reader = {
+		.file = "--set",
+		.on_error = on_error,
+		.ctx = ctx,
+	};
+	size_t i;
+
+	for (i = 0; i < overrides->count; i++)
+		if (override_one(table, overrides->texts[i], settings) != KF_OK)
+			kf_reader_error(&reader, 0, "%s", kf_status_message());
+	if (reader.error_count == 0 && table->check != NULL)
+		table->check(settings, &reader);
+	return reader.error_count == 0
+	    ? KF_OK
+	    : kf_status_set(
+		  KF_ERR_INVALID, "--set: %zu errors", reader.error_count);
+}
+
 kf_status_t
 kf_settings_table_load(const kf_settings_table_t *table, const char *path,
-    kf_error_fn *on_error, void *ctx, void *settings)
+    const kf_overrides_t *overrides, kf_error_fn *on_error, void *ctx,
+    void *settings)
 {
 	kf_status_t status;
 	char *text;
@@ -73,7 +134,9 @@
 	status = kf_settings_table_parse(
 	    table, path, text, len, on_error, ctx, settings);
 	free(text);
-	return status;
+	return status != KF_OK ? status
+			       : kf_settings_table_override(
+				     table, overrides, on_error, ctx, settings);
 }
 
 static kf_status_t
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -45,6 +45,66 @@
 	EXPECT_EQ(128u, s.sample);
 }
 
+kf_status_t
+Override(std::initializer_list<const char *> texts, kf_forwarder_settings_t *s)
+{
+	kf_overrides_t overrides = {};
+
+	EXPECT_EQ(KF_OK, Parse(kText, s)) << errors;
+	for (const char *text : texts)
+		overrides.texts[overrides.count++] = text;
+	return kf_settings_table_override(
+	    &kf_forwarder_settings_table, &overrides, OnError, nullptr, s);
+}
+
+TEST(ForwarderSettings, ShortestBoundCounts)
+{
+	kf_forwarder_settings_t s;
+
+	ASSERT_EQ(KF_OK, Parse(kText, &s)) << errors;
+	EXPECT_EQ(3000000, kf_forwarder_shortest_bound_us(&s));
+	ASSERT_EQ(KF_OK,
+	    Parse(kText + "[bounds]\ndrain_ms = 6000\napply_ms = 5000\n", &s))
+	    << errors;
+	EXPECT_EQ(5000000, kf_forwarder_shortest_bound_us(&s));
+	EXPECT_EQ(
+	    KF_ERR_INVALID, Parse(kText + "[bounds]\ndrain_ms = 0\n", &s));
+	EXPECT_EQ(
+	    "s:10: bounds: drain_ms: 0 is not in 1000 to 600000\n", errors);
+}
+
+/* Guards against a bound that the platform does not give and that is 0. */
+TEST(ForwarderSettings, CommandLineWinsUnlessEmpty)
+{
+	kf_forwarder_settings_t s;
+
+	EXPECT_EQ(KF_OK,
+	    Override({ "bounds.drain_ms=6000", "bounds.apply_ms=" }, &s));
+	EXPECT_EQ(6000, s.drain_bound_ms);
+	EXPECT_EQ(3000, s.apply_bound_ms);
+	EXPECT_EQ(KF_OK, Override({ "vm.name=other" }, &s));
+	EXPECT_STREQ("other", s.name);
+}
+
+TEST(ForwarderSettings, RefusesWrongOverrides)
+{
+	kf_forwarder_settings_t s;
+
+	EXPECT_EQ(KF_ERR_INVALID,
+	    Override({ "bounds.drain_ms", "bounds.drain=1", "bound.drain_ms=1",
+			 "bounds.drain_ms=soon" },
+		&s));
+	EXPECT_EQ("--set:0: 'bounds.drain_ms' is not SECTION.KEY=VALUE\n"
+		  "--set:0: 'bounds.drain=1' names no setting\n"
+		  "--set:0: 'bound.drain_ms=1' names no setting\n"
+		  "--set:0: 'soon' is not a whole number\n",
+	    errors);
+	EXPECT_EQ(
+	    KF_ERR_INVALID, Override({ "vm.peer_address=127.0.0.1:8172" }, &s));
+	EXPECT_EQ("--set:0: vm: packet_address and peer_address are the same\n",
+	    errors);
+}
+
 /*
  * Guards against a start with invalid settings, and against reporting only the
  * first error of a file.
--- a/tests/unit/sync_golden_test.cc
+++ b/tests/unit/sync_golden_test.cc
@@ -9,8 +9,9 @@
  * Golden sessions in tests/golden/sync: which calls to the store and to peers
  * a VM makes, and when.
  *
- *	new [peers]		start a VM that lists the store at once, or one
- *				that tries to pull from peers first
+ *	new [peers] [BOUND_MS]	start a VM that lists the store at once, or one
+ *				that tries to pull from peers first; its data
+ *				may be used for BOUND_MS, else for a minute
  *	peers RANK CONTACT_MS AHEAD [HEARD_MS]	set the rank of this VM, the
  *				age of the latest contact that peers had with
  *				the store, "-" for none, their highest revision,
@@ -30,7 +31,7 @@
       public:
 	Session()
 	{
-		kf_sync_init(&sync_, false, 0.5, now_us_);
+		kf_sync_init(&sync_, bound_us_, false, 0.5, now_us_);
 	}
 	std::string Run(const std::string &line)
 	{
@@ -62,11 +63,16 @@
       private:
 	void New(std::istringstream &in)
 	{
+		bool ask_peers = false;
 		std::string word;
 
 		*this = Session();
-		if (in >> word)
-			kf_sync_init(&sync_, word == "peers", 0.5, now_us_);
+		while (in >> word)
+			if (word == "peers")
+				ask_peers = true;
+			else
+				bound_us_ = std::stoll(word) * 1000;
+		kf_sync_init(&sync_, bound_us_, ask_peers, 0.5, now_us_);
 	}
 	void Peers(std::istringstream &in)
 	{
@@ -96,7 +102,8 @@
 		if (actions.store && actions.call == KF_SYNC_LIST)
 			out += actions.stale ? " stale" : " fresh";
 		if (actions.store && actions.call == KF_SYNC_WATCH)
-			out += " wait_ms=" + std::to_string(actions.wait_ms);
+			out += " wait_ms=" + std::to_string(actions.wait_ms) +
+			    " timeout_ms=" + std::to_string(actions.timeout_ms);
 		if (out.empty())
 			out = " nothing";
 		return " " + out + (kf_sync_ready(&sync_) ? ", ready" : "") +
@@ -152,6 +159,7 @@
 		now_us_ += ms * 1000;
 	}
 
+	int64_t bound_us_ = 60000000;
 	kf_sync_t sync_;
 	kf_sync_peers_t peers_ = { 0, INT64_MIN, INT64_MIN, 0, 0 };
 	int64_t now_us_ = 1000000;
