--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -29,8 +29,10 @@
 	/* Of the current listing. */
 	uint32_t list_pages;
 	uint64_t newest_page_revision;
-	bool reads_itself; /* the latest contact that is known is an own one */
-	bool store_lost;   /* store_lost was logged last */
+	bool store_lost; /* store_lost was logged last */
+	/* Of the line reads_store logged last. */
+	bool own_read_logged;
+	int64_t logged_contact_us;
 	int64_t next_expiry_us;
 	unsigned random_state;
 	store_sync_stats_t stats;
@@ -355,12 +357,14 @@
 static void
 log_own_read(store_sync_t *s, const kf_peering_view_t *view, int64_t now_us)
 {
-	bool was_own = view->contact_us <= s->sync.contact_us;
+	bool is_own = view->contact_us <= s->sync.contact_us;
 
 	if (view->rank == 0 || !s->sync.caught_up ||
-	    (was_own && s->reads_itself))
+	    (s->own_read_logged &&
+		(is_own || view->contact_us == s->logged_contact_us)))
 		return;
-	s->reads_itself = true;
+	s->own_read_logged = true;
+	s->logged_contact_us = view->contact_us;
 	kf_eventlog_write(s->log, KF_LOG_INFO, "reads_store",
 	    "rank=%u contact_age_ms=%lld revision=%llu ahead_revision=%llu",
 	    view->rank, (long long)kf_age_ms(view->contact_us, now_us),
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -197,37 +197,6 @@
 	return p->starting_replies++ < MAX_STARTING_REPLIES;
 }
 
-static void
-add_waiting_for_echo(kf_peering_t *p, uint32_t ip)
-{
-	size_t i;
-
-	for (i = 0; i < p->echo_count; i++)
-		if (p->echo_ips[i] == ip)
-			return;
-	if (p->echo_count < PEERING_MAX_ECHOES)
-		p->echo_ips[p->echo_count++] = ip;
-}
-
-uint32_t
-peering_take_echo(kf_peering_t *p, bool same_zone)
-{
-	size_t i;
-
-	for (i = 0; i < p->echo_count; i++) {
-		uint32_t ip = p->echo_ips[i];
-		const member_t *m = members_find(&p->members, ip);
-
-		if (m != NULL && (m->zone == p->config.zone) != same_zone)
-			continue;
-		p->echo_count--;
-		memmove(&p->echo_ips[i], &p->echo_ips[i + 1],
-		    (p->echo_count - i) * sizeof(*p->echo_ips));
-		return m == NULL ? 0 : ip;
-	}
-	return 0;
-}
-
 /* Takes the state of the sender; sent_us is INT64_MIN if it is not known. */
 static void
 update_sender(kf_peering_t *p, member_t *m, const peering_beacon *b,
@@ -240,7 +209,7 @@
 	if (should_reply(p, b, now_us))
 		p->reply_ips[p->reply_count++] = b->ip;
 	else if (b->wants_echo)
-		add_waiting_for_echo(p, b->ip);
+		peering_add_echo(p, b->ip);
 	if (heard_us > m->last_heard_us)
 		m->last_heard_us = heard_us;
 	m->last_beacon_us = heard_us;
@@ -533,67 +502,6 @@
 	return len;
 }
 
-static bool
-is_avoided(const member_t *m, int64_t now_us)
-{
-	return m->pull_failed_us != INT64_MIN &&
-	    now_us - m->pull_failed_us < KF_PEERING_SOURCE_AVOID_US;
-}
-
-/*
- * Returns a positive number if a is a better source than b, 0 if they are
- * alike.  A source that has just failed comes last whatever it announces: it
- * may have frozen before it could serve that.  A VM without data takes any, so
- * that VMs that start together do not all pull from the same one.
- */
-static int
-source_compare(const kf_peering_t *p, const kf_peering_self_t *self,
-    const member_t *a, const member_t *b, int64_t now_us)
-{
-	bool avoid_a = is_avoided(a, now_us), avoid_b = is_avoided(b, now_us);
-
-	if (avoid_a != avoid_b)
-		return avoid_a ? -1 : 1;
-	if (avoid_a && a->pull_failed_us != b->pull_failed_us)
-		return a->pull_failed_us < b->pull_failed_us ? 1 : -1;
-	if (self->revision != 0 && a->revision != b->revision)
-		return a->revision > b->revision ? 1 : -1;
-	return (a->zone == p->config.zone) - (b->zone == p->config.zone);
-}
-
-/* Chooses the VM to pull from, a random one among those that are alike. */
-static const member_t *
-choose_source(kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us)
-{
-	const member_t *chosen = NULL;
-	size_t i, alike = 0;
-	int order;
-
-	for (i = 0; i < p->members.count; i++) {
-		const member_t *m = &p->members.list[i];
-
-		if (m->revision <= self->revision)
-			continue;
-		order = chosen == NULL
-		    ? 1
-		    : source_compare(p, self, m, chosen, now_us);
-		if (order > 0)
-			alike = 0;
-		if (order >= 0 && peering_reservoir_accepts(p, ++alike))
-			chosen = m;
-	}
-	return chosen;
-}
-
-void
-kf_peering_avoid_source(kf_peering_t *p, uint32_t ip, int64_t now_us)
-{
-	member_t *m = members_find(&p->members, ip);
-
-	if (m != NULL)
-		m->pull_failed_us = now_us;
-}
-
 kf_peering_view_t
 kf_peering_view(kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us)
 {
@@ -619,7 +527,7 @@
 				view.heard_us = m->last_beacon_us;
 		}
 	}
-	source = choose_source(p, self, now_us);
+	source = peering_choose_source(p, self, now_us);
 	if (source != NULL) {
 		view.ahead_revision = source->revision;
 		view.ahead_ip = source->ip;
--- a/lib/peering/peering_internal.h
+++ b/lib/peering/peering_internal.h
@@ -53,11 +53,15 @@
  */
 bool peering_reservoir_accepts(kf_peering_t *p, size_t seen);
 
+/* Sends the VM an echo with one of the next periodic beacons. */
+void peering_add_echo(kf_peering_t *p, uint32_t ip);
+
 /*
- * Takes a VM of the own zone, or of another one, that waits for an echo; 0 if
- * there is none.
+ * Chooses the VM to pull from, a random one among those that are alike; NULL if
+ * none has a newer revision.
  */
-uint32_t peering_take_echo(kf_peering_t *p, bool same_zone);
+const member_t *peering_choose_source(
+    kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us);
 
 /* Removes members whose timeout has passed. */
 void peering_expire(kf_peering_t *p, int64_t now_us);
--- a/lib/peering/targets.c
+++ b/lib/peering/targets.c
@@ -48,6 +48,41 @@
 	return count;
 }
 
+void
+peering_add_echo(kf_peering_t *p, uint32_t ip)
+{
+	size_t i;
+
+	for (i = 0; i < p->echo_count; i++)
+		if (p->echo_ips[i] == ip)
+			return;
+	if (p->echo_count < PEERING_MAX_ECHOES)
+		p->echo_ips[p->echo_count++] = ip;
+}
+
+/*
+ * Takes a VM of the own zone, or of another one, that waits for an echo; 0 if
+ * there is none.
+ */
+static uint32_t
+take_echo(kf_peering_t *p, bool same_zone)
+{
+	size_t i;
+
+	for (i = 0; i < p->echo_count; i++) {
+		uint32_t ip = p->echo_ips[i];
+		const member_t *m = members_find(&p->members, ip);
+
+		if (m != NULL && (m->zone == p->config.zone) != same_zone)
+			continue;
+		p->echo_count--;
+		memmove(&p->echo_ips[i], &p->echo_ips[i + 1],
+		    (p->echo_count - i) * sizeof(*p->echo_ips));
+		return m == NULL ? 0 : ip;
+	}
+	return 0;
+}
+
 /*
  * Adds the targets of a periodic beacon.  VMs that wait for an echo take the
  * place of random ones, at most every second time, so that no more bytes are
@@ -58,13 +93,13 @@
 {
 	size_t same_zone = KF_PEERING_FANOUT_SAME_ZONE;
 	size_t other_zones = KF_PEERING_FANOUT_OTHER_ZONES;
-	uint32_t ip = peering_take_echo(p, true);
+	uint32_t ip = take_echo(p, true);
 
 	if (ip != 0 && !has_target(ips, count, ip)) {
 		ips[count++] = ip;
 		same_zone--;
 	}
-	ip = peering_reservoir_accepts(p, 2) ? peering_take_echo(p, false) : 0;
+	ip = peering_reservoir_accepts(p, 2) ? take_echo(p, false) : 0;
 	if (ip != 0 && !has_target(ips, count, ip)) {
 		ips[count++] = ip;
 		other_zones--;
