--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -59,7 +59,7 @@
 	 */
 	KF_PEERING_REPORTS_INTERVAL_US = 200000,
 	/*
-	 * 3 beacons of 260 bytes every 450 ms are 1.7 KB/s; the budget for
+	 * 3 beacons of 290 bytes every 450 ms are 1.9 KB/s; the budget for
 	 * control traffic is 2 KB/s.
 	 */
 	KF_PEERING_MAX_BEACON_MEMBERS = 16,
