Let times in beacons wrap where they are added and compared

An echo may have any value: that of an earlier process of the VM is relative to another random start, and a datagram may hold anything. peer_clock added and subtracted such times as signed numbers, which is undefined when they overflow; a sanitizer build ends there. Found by reading the change again.

TwoVms.ExtremeEchoesAreNotUsed aborted under UBSan before (overflow in is_plausible) and passes; peering_test passes in the plain and the ASan build. Times that do not overflow give the same results.

--- a/lib/peering/peer_clock.c
+++ b/lib/peering/peer_clock.c
@@ -11,37 +11,48 @@
 	MAX_DELAY_US = 60000000,
 };
 
-/* The offset, less what the clocks may have drifted apart since. */
+/* Times in a beacon may have any value.  Unsigned arithmetic wraps. */
 static int64_t
-offset_at(const peer_clock_t *c, int64_t now_us)
+wrapped_sum(int64_t a, int64_t b)
+{
+	return (int64_t)((uint64_t)a + (uint64_t)b);
+}
+
+static int64_t
+wrapped_difference(int64_t a, int64_t b)
 {
-	return c->offset_us - (now_us - c->measured_us) / DRIFT_DIVISOR;
+	return (int64_t)((uint64_t)a - (uint64_t)b);
 }
 
-/* Unsigned arithmetic wraps, as stamps do. */
+/* The offset, less what the clocks may have drifted apart since. */
 static int64_t
-stamp_time_us(uint64_t stamp, int64_t offset_us)
+offset_at(const peer_clock_t *c, int64_t now_us)
 {
-	return (int64_t)(stamp + (uint64_t)offset_us);
+	return wrapped_difference(
+	    c->offset_us, (now_us - c->measured_us) / DRIFT_DIVISOR);
 }
 
+/* False for times too far back, and in the future by more than drift. */
 static bool
 is_plausible(int64_t sent_us, int64_t now_us)
 {
-	return sent_us <= now_us + MAX_DELAY_US / DRIFT_DIVISOR &&
-	    now_us - sent_us < MAX_DELAY_US;
+	int64_t delay_us = wrapped_difference(now_us, sent_us);
+
+	return delay_us >= -MAX_DELAY_US / DRIFT_DIVISOR &&
+	    delay_us < MAX_DELAY_US;
 }
 
 static void
 measure_offset(peer_clock_t *c, const peer_times_t *times, int64_t now_us)
 {
 	int64_t held_us = times->held_us - times->held_us / DRIFT_DIVISOR;
-	int64_t sent_us = times->echo_us + held_us, offset_us;
+	int64_t sent_us = wrapped_sum(times->echo_us, held_us), offset_us;
 
 	if (!is_plausible(sent_us, now_us))
 		return;
-	offset_us = (int64_t)((uint64_t)sent_us - times->stamp);
-	if (c->has_offset && offset_us <= offset_at(c, now_us))
+	offset_us = wrapped_difference(sent_us, (int64_t)times->stamp);
+	if (c->has_offset &&
+	    wrapped_difference(offset_us, offset_at(c, now_us)) <= 0)
 		return;
 	c->has_offset = true;
 	c->offset_us = offset_us;
@@ -56,7 +67,8 @@
 
 	if (c->has_offset &&
 	    !is_plausible(
-		stamp_time_us(times->stamp, offset_at(c, now_us)), now_us))
+		wrapped_sum((int64_t)times->stamp, offset_at(c, now_us)),
+		now_us))
 		c->has_offset = false;
 	if (times->has_echo)
 		measure_offset(c, times, now_us);
@@ -75,6 +87,6 @@
 
 	if (!c->has_offset)
 		return INT64_MIN;
-	sent_us = stamp_time_us(stamp, offset_at(c, now_us));
+	sent_us = wrapped_sum((int64_t)stamp, offset_at(c, now_us));
 	return sent_us < now_us ? sent_us : now_us;
 }
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -604,6 +604,38 @@
 	EXPECT_EQ(2900000, View(3200000).contact_us);
 }
 
+/*
+ * Guards against arithmetic that overflows on times that another process, or an
+ * earlier one of this VM, has put into a beacon.
+ */
+TEST_F(TwoVms, ExtremeEchoesAreNotUsed)
+{
+	/* Places in a beacon: magic, ip, zone, revision and age come before. */
+	const size_t stamp_at = 28, echo_at = 40;
+	auto get = [](const std::vector<uint8_t> &beacon, size_t at) {
+		uint64_t value = 0;
+
+		for (size_t i = 0; i < 8; i++)
+			value = value << 8 | beacon[at + i];
+		return value;
+	};
+	uint64_t base = get(Encode(to_, self_, 1, 1000000), stamp_at) - 1000000;
+
+	SetContact(1000000);
+	for (int64_t echo_us : { INT64_MIN, INT64_MIN + 1, INT64_MIN + 1300000,
+		 INT64_MAX - 1, INT64_MAX }) {
+		SendBack(1200000);
+		std::vector<uint8_t> beacon = BeaconAt(1300000);
+		uint64_t echo = base + (uint64_t)echo_us;
+
+		ASSERT_EQ(base + 1200000, get(beacon, echo_at));
+		for (size_t i = 0; i < 8; i++)
+			beacon[echo_at + i] = (uint8_t)(echo >> (56 - 8 * i));
+		Receive(beacon, 1300000);
+		EXPECT_EQ(INT64_MIN, View(1300000).contact_us) << echo_us;
+	}
+}
+
 /* Guards against an old state of a VM that replaces a newer one. */
 TEST_F(TwoVms, LateBeaconChangesNothing)
 {
