--- a/lib/replica/sync.c
+++ b/lib/replica/sync.c
@@ -79,7 +79,7 @@
 static bool
 reads_store(const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
 {
-	int64_t limit_us = (int64_t)peers->rank * KF_SYNC_TAKEOVER_PER_RANK_US;
+	int64_t added_us = (int64_t)peers->rank * KF_SYNC_TAKEOVER_PER_RANK_US;
 	bool alone = age_us(peers->heard_us, now_us) > KF_SYNC_ALONE_US;
 
 	if (!s->listed)
@@ -88,9 +88,9 @@
 			(s->peer_call_active ? KF_SYNC_START_PULL_DELAY_US : 0);
 	if (peers->rank == 0 || !s->caught_up)
 		return true;
-	if (alone && limit_us > KF_SYNC_TAKEOVER_RANK_MAX_US)
-		limit_us = KF_SYNC_TAKEOVER_RANK_MAX_US;
-	return age_us(peers->contact_us, now_us) > takeover_age_us(s, limit_us);
+	if (alone)
+		added_us = smaller(added_us, KF_SYNC_TAKEOVER_RANK_MAX_US);
+	return age_us(peers->contact_us, now_us) > takeover_age_us(s, added_us);
 }
 
 /*
@@ -191,13 +191,11 @@
 retry_us(const kf_sync_t *s, double jitter)
 {
 	uint32_t again = s->store_failures > 0 ? s->store_failures - 1 : 0;
-	int64_t longest_us =
-	    KF_SYNC_RETRY_MAX_US + (int64_t)s->rank * KF_SYNC_RETRY_PER_RANK_US;
-	int64_t us;
+	int64_t longest_us = smaller(
+	    KF_SYNC_RETRY_MAX_US + (int64_t)s->rank * KF_SYNC_RETRY_PER_RANK_US,
+	    KF_SYNC_RETRY_RANK_MAX_US);
+	int64_t us = kf_backoff_us(KF_SYNC_RETRY_MIN_US, longest_us, again);
 
-	if (longest_us > KF_SYNC_RETRY_RANK_MAX_US)
-		longest_us = KF_SYNC_RETRY_RANK_MAX_US;
-	us = kf_backoff_us(KF_SYNC_RETRY_MIN_US, longest_us, again);
 	return us / 2 + (int64_t)((double)us * jitter);
 }
 
