Send no new flows to an evacuated availability zone

The keys are part of what every VM holds. Upstreams of an evacuated zone are not eligible for new flows, second tries and copies of SYNs; open flows stay. bounds.evacuate_ms joins the bounds within which a VM reads the store itself.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -8,6 +8,8 @@
 
 struct kf_directory {
 	uint64_t zone;
+	uint64_t evacuated[KF_DIRECTORY_MAX_EVACUATED]; /* zones */
+	size_t evacuated_count;
 	kf_target_t **targets; /* sorted by id */
 	size_t count;
 	size_t cap;
@@ -277,6 +279,42 @@
 	return target;
 }
 
+/* Returns the index of a zone among the evacuated ones, or their number. */
+static size_t
+evacuated_index(const kf_directory_t *d, uint64_t zone)
+{
+	size_t i;
+
+	for (i = 0; i < d->evacuated_count && d->evacuated[i] != zone; i++)
+		;
+	return i;
+}
+
+kf_status_t
+kf_directory_set_evacuated(kf_directory_t *d, uint64_t zone, bool evacuated)
+{
+	size_t i, at = evacuated_index(d, zone);
+
+	if (evacuated && at == KF_DIRECTORY_MAX_EVACUATED)
+		return kf_status_set(KF_ERR_FULL,
+		    "more than %d zones are evacuated",
+		    KF_DIRECTORY_MAX_EVACUATED);
+	if (evacuated && at == d->evacuated_count)
+		d->evacuated[d->evacuated_count++] = zone;
+	else if (!evacuated && at < d->evacuated_count)
+		d->evacuated[at] = d->evacuated[--d->evacuated_count];
+	for (i = 0; i < d->count; i++)
+		if (d->targets[i]->info.zone == zone)
+			d->targets[i]->evacuated = evacuated;
+	return KF_OK;
+}
+
+size_t
+kf_directory_evacuated_count(const kf_directory_t *d)
+{
+	return d->evacuated_count;
+}
+
 static kf_change_t
 classify_change(const kf_target_t *target, const kf_upstream_info_t *info)
 {
@@ -313,6 +351,7 @@
 		target->info.born_ms != info->born_ms))
 		kf_target_reset(target);
 	target->info = *info;
+	target->evacuated = evacuated_index(d, info->zone) < d->evacuated_count;
 	target->listing = KF_LISTED;
 	target->cold_end_us = now_us + info->cold_left_us;
 	return *change == KF_CHANGE_NONE ? KF_OK : request_reindex(d);
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -24,6 +24,9 @@
 	/* Longer than the maximum lifetime of a flow, which is 60 s on the
 	 * supported deployments. */
 	KF_DIRECTORY_KEEP_US = 90000000,
+	/* More zones than any deployment has; limits what a faulty writer of
+	 * the store can add. */
+	KF_DIRECTORY_MAX_EVACUATED = 64,
 };
 
 /* Number of priority levels; higher route priorities use the last one. */
@@ -96,6 +99,17 @@
 kf_change_t kf_directory_remove(
     kf_directory_t *directory, uint64_t id, bool lapsed, int64_t now_us);
 
+/*
+ * Sets whether a zone is evacuated.  Upstreams of an evacuated zone, also ones
+ * that are published later, get no new flows; their open flows continue.
+ * KF_ERR_FULL if KF_DIRECTORY_MAX_EVACUATED zones are evacuated already.
+ */
+kf_status_t kf_directory_set_evacuated(
+    kf_directory_t *directory, uint64_t zone, bool evacuated);
+
+/* Returns the number of evacuated zones. */
+size_t kf_directory_evacuated_count(const kf_directory_t *directory);
+
 /*
  * Begin and end a batch of updates, which rebuilds the index of all upstreams
  * only once, at its end.  Until then an added upstream gets no flows; an
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -90,6 +90,8 @@
 	uint32_t outlier_ejections; /* consecutive */
 	int64_t outlier_until_us;   /* end of ejection for failed requests */
 	bool token_conflict;	    /* another upstream owns its token */
+	bool evacuated; /* its zone is; gets no new flows until the zone returns
+			 */
 } kf_target_t;
 
 /* Derives the token from an upstream's id; never KF_TOKEN_NONE. */
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -38,7 +38,8 @@
 bool
 kf_target_eligible(const kf_target_t *target, int64_t now_us)
 {
-	if (target->info.draining || target->token_conflict)
+	if (target->info.draining || target->token_conflict ||
+	    target->evacuated)
 		return false;
 	switch (target->listing) {
 	case KF_LISTED:
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -119,6 +119,34 @@
 	    (unsigned long long)item->revision);
 }
 
+/* The key of an evacuation names the zone; the item's presence evacuates it. */
+static void
+set_evacuated(applier_t *a, const kf_item_t *item)
+{
+	const char *zone = kf_platform_evacuated_zone(item->key);
+	kf_forwarder_t *forwarder;
+	kf_status_t status;
+
+	if (zone == NULL) {
+		log_refused(a, item);
+		return;
+	}
+	if (!item->removed &&
+	    kf_platform_evacuation_check(item->value, item->len) != KF_OK)
+		log_refused(a, item);
+	forwarder = packet_thread_lock(a->packets);
+	status = kf_directory_set_evacuated(kf_forwarder_directory(forwarder),
+	    kf_name_key(zone), !item->removed);
+	packet_thread_unlock(a->packets);
+	if (status != KF_OK) {
+		log_refused(a, item);
+		return;
+	}
+	kf_eventlog_write(a->log, KF_LOG_WARN,
+	    item->removed ? "zone_returned" : "zone_evacuated",
+	    "zone=%s revision=%llu", zone, (unsigned long long)item->revision);
+}
+
 uint64_t
 applier_config_version(const applier_t *a)
 {
@@ -163,6 +191,9 @@
 		if (!item->removed)
 			put_routes(a, item);
 		break;
+	case KF_PUBLISHED_EVACUATION:
+		set_evacuated(a, item);
+		break;
 	default:
 		break;
 	}
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -11,9 +11,11 @@
  *	applier - applies changed items of the replica to the forwarder
  *
  * DESCRIPTION
- *	Decodes each changed item and updates the upstreams or the routes of
- *	the forwarder.  An upstream whose entry cannot be decoded is removed.
- *	If a configuration cannot be decoded, the previous one stays in use.
+ *	Decodes each changed item and updates the upstreams, the routes or the
+ *	evacuated zones of the forwarder.  An upstream whose entry cannot be
+ *	decoded is removed.  If a configuration cannot be decoded, the previous
+ *	one stays in use.  A zone is evacuated also if the item's value cannot
+ *	be decoded, because sending nothing there breaks nothing.
  */
 
 typedef struct applier {
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -86,6 +86,9 @@
 	write_value(out, "items_refused_total", "counter",
 	    "items of the store that could not be decoded",
 	    (long long)m->items_refused);
+	write_value(out, "zones_evacuated", "gauge",
+	    "zones whose upstreams get no new flows",
+	    (long long)m->packets.zones_evacuated);
 	write_value(out, "log_dropped_total", "counter",
 	    "log lines that the reader had no room for",
 	    (long long)m->log_dropped);
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -31,7 +31,8 @@
 
 	fprintf(out,
 	    "record=%s upstream=%s service=%s zone=%s address=%s slots=%u "
-	    "state=%s listing=%s health=%s eligible=%s load=%.2f open=%u "
+	    "state=%s listing=%s health=%s eligible=%s evacuated=%s load=%.2f "
+	    "open=%u "
 	    "opening=%u failures=%u cold_left_ms=%lld\n",
 	    record, t->info.name, t->info.service_name, t->info.zone_name,
 	    kf_addr_format(t->info.address, address), t->info.slots,
@@ -39,8 +40,8 @@
 	    kf_listing_name(t->listing),
 	    kf_health_name(kf_target_health(t, now_us)),
 	    kf_target_eligible(t, now_us) ? "yes" : "no",
-	    kf_estimate_load(t, position, now_us), t->open, t->opening,
-	    t->failures,
+	    t->evacuated ? "yes" : "no", kf_estimate_load(t, position, now_us),
+	    t->open, t->opening, t->failures,
 	    t->cold_end_us > now_us
 		? (long long)((t->cold_end_us - now_us) / 1000)
 		: 0LL);
--- a/lib/fwdnet/packet_thread.c
+++ b/lib/fwdnet/packet_thread.c
@@ -216,6 +216,8 @@
 
 	kf_forwarder_stats(forwarder, &stats->forwarder);
 	stats->patience_us = kf_forwarder_hedge_delay_us(forwarder);
+	stats->zones_evacuated =
+	    kf_directory_evacuated_count(kf_forwarder_directory(forwarder));
 	packet_thread_unlock(t);
 	stats->malformed = packet_socket_malformed(t->packet_socket);
 	stats->unsent = packet_socket_unsent(t->packet_socket);
--- a/lib/fwdnet/packet_thread.h
+++ b/lib/fwdnet/packet_thread.h
@@ -36,6 +36,7 @@
 	uint64_t malformed;
 	uint64_t unsent;
 	int64_t patience_us;
+	size_t zones_evacuated;
 } packet_thread_stats_t;
 
 void packet_thread_stats(packet_thread_t *thread, packet_thread_stats_t *stats);
--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -68,6 +68,11 @@
 	    .unit = "ms", .min = BOUND_MIN_MS, .max = BOUND_MAX_MS,
 	    .default_value = "3000",
 	    .text = "time within which a new configuration is in force" },
+	{ "bounds", "evacuate_ms", KF_FIELD_I64,
+	    MEMBER_OFFSET(evacuate_bound_ms), .unit = "ms", .min = 0,
+	    .max = BOUND_MAX_MS, .default_value = "0",
+	    .text = "time within which an evacuated zone gets no new flows; "
+		    "0: none is evacuated" },
 	{ "stop", "grace_ms", KF_FIELD_I64, MEMBER_OFFSET(grace_ms),
 	    .unit = "ms", .min = GRACE_MIN_MS, .max = GRACE_MAX_MS,
 	    .default_value = "6000",
@@ -99,14 +104,23 @@
 	if (kf_addr_equal(s->ready_address, s->peer_address))
 		kf_reader_error(reader, 0,
 		    "vm: ready_address and peer_address are the same");
+	if (s->evacuate_bound_ms > 0 && s->evacuate_bound_ms < BOUND_MIN_MS)
+		kf_reader_error(reader, 0,
+		    "bounds: evacuate_ms: %lld is neither 0 nor in %d to %d",
+		    (long long)s->evacuate_bound_ms, BOUND_MIN_MS,
+		    BOUND_MAX_MS);
 }
 
 int64_t
 kf_forwarder_shortest_bound_us(const kf_forwarder_settings_t *s)
 {
-	return 1000 *
-	    (s->drain_bound_ms < s->apply_bound_ms ? s->drain_bound_ms
-						   : s->apply_bound_ms);
+	int64_t shortest_ms = s->drain_bound_ms < s->apply_bound_ms
+	    ? s->drain_bound_ms
+	    : s->apply_bound_ms;
+
+	if (s->evacuate_bound_ms > 0 && s->evacuate_bound_ms < shortest_ms)
+		shortest_ms = s->evacuate_bound_ms;
+	return shortest_ms * 1000;
 }
 
 const kf_settings_table_t kf_forwarder_settings_table = {
--- a/lib/settings/include/kf/forwarder_settings.h
+++ b/lib/settings/include/kf/forwarder_settings.h
@@ -37,6 +37,7 @@
 	/* [bounds] */
 	int64_t drain_bound_ms;
 	int64_t apply_bound_ms;
+	int64_t evacuate_bound_ms; /* 0: no zones are evacuated */
 
 	/* [stop] */
 	int64_t grace_ms;
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -18,6 +18,7 @@
  *	cold NAME MS		publish it with a remaining cold start
  *	gone NAME		remove its entry
  *	lapse NAME		remove its entry because of a store outage
+ *	evacuate ZONE on|off	set whether a zone is evacuated
  *	hold			begin a batch of changes
  *	release			end the batch
  *	routes VERSION PORT[@PRIORITY]=SERVICE[:WEIGHT][,SERVICE:WEIGHT] ...
@@ -76,6 +77,7 @@
 			{ "cold", &Session::Cold },
 			{ "gone", &Session::Gone },
 			{ "lapse", &Session::Lapse },
+			{ "evacuate", &Session::Evacuate },
 			{ "hold", &Session::Hold },
 			{ "release", &Session::Release },
 			{ "routes", &Session::Routes },
@@ -177,6 +179,16 @@
 	{
 		Unlist(in, true);
 	}
+	void Evacuate(std::istringstream &in)
+	{
+		std::string zone, word;
+
+		in >> zone >> word;
+		EXPECT_EQ(KF_OK,
+		    kf_directory_set_evacuated(
+			kf_forwarder_directory(w_->forwarder),
+			kf_name_key(zone.c_str()), word == "on"));
+	}
 	void Hold(std::istringstream &)
 	{
 		kf_directory_begin_batch(kf_forwarder_directory(w_->forwarder));
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -67,6 +67,13 @@
 	    Parse(kText + "[bounds]\ndrain_ms = 6000\napply_ms = 5000\n", &s))
 	    << errors;
 	EXPECT_EQ(5000000, kf_forwarder_shortest_bound_us(&s));
+	ASSERT_EQ(KF_OK,
+	    Parse(
+		kText + "[bounds]\napply_ms = 5000\nevacuate_ms = 2000\n", &s))
+	    << errors;
+	EXPECT_EQ(2000000, kf_forwarder_shortest_bound_us(&s));
+	EXPECT_EQ(
+	    KF_ERR_INVALID, Parse(kText + "[bounds]\nevacuate_ms = 5\n", &s));
 	EXPECT_EQ(
 	    KF_ERR_INVALID, Parse(kText + "[bounds]\ndrain_ms = 0\n", &s));
 	EXPECT_EQ(
