Reset flows whose upstream ended before this VM started

Cause: a VM that has started does not know the upstreams that ended before.

Packets with such a token are answered by a reset if the route's requests may be repeated.

--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -33,6 +33,7 @@
 	f->callbacks = *callbacks;
 	f->position = (kf_position_t){ .vm_count = 1 };
 	f->due_us = INT64_MAX;
+	f->store_view = (kf_store_view_t){ INT64_MIN, INT64_MIN };
 	f->directory = kf_directory_new(zone);
 	f->flows = kf_conntrack_new();
 	if (f->directory == NULL || f->flows == NULL) {
@@ -92,6 +93,12 @@
 	f->position = position;
 }
 
+void
+kf_forwarder_set_store_view(kf_forwarder_t *f, const kf_store_view_t *view)
+{
+	f->store_view = *view;
+}
+
 void
 forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record)
 {
@@ -201,6 +208,22 @@
 	kf_conntrack_touch(f->flows, flow);
 }
 
+/*
+ * Resets a flow whose upstream has left the store, if its client may repeat the
+ * request, and drops other packets: a request that must run once may have run.
+ */
+static void
+handle_unknown_token(kf_forwarder_t *f, const kf_packet_t *packet,
+    const kf_route_t *route, int64_t now_us)
+{
+	if (route != NULL && route->idempotent && !packet->rst &&
+	    kf_unknown_tokens_is_gone(
+		&f->unknown_tokens, packet->token, &f->store_view, now_us))
+		forwarder_refuse(f, packet, KF_REASON_UPSTREAM_LOST);
+	else
+		forwarder_drop(f, packet, KF_REASON_TOKEN_BAD);
+}
+
 /* Handles a packet other than a SYN. */
 static void
 forward_open_flow(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
@@ -214,10 +237,12 @@
 		forwarder_refuse(f, packet, KF_REASON_NO_SERVICE);
 		return;
 	}
-	if (packet->token == KF_TOKEN_NONE || target == NULL) {
-		forwarder_drop(f, packet,
-		    packet->token == KF_TOKEN_NONE ? KF_REASON_NO_FLOW
-						   : KF_REASON_TOKEN_BAD);
+	if (packet->token == KF_TOKEN_NONE) {
+		forwarder_drop(f, packet, KF_REASON_NO_FLOW);
+		return;
+	}
+	if (target == NULL) {
+		handle_unknown_token(f, packet, route, now_us);
 		return;
 	}
 	track_packet(f, packet, target, now_us);
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -66,6 +66,8 @@
 	kf_conntrack_t *flows;
 	kf_position_t position;
 	int64_t vm_count_changed_us; /* last change of position.vm_count */
+	kf_store_view_t store_view;
+	kf_unknown_tokens_t unknown_tokens;
 	double opening_mean_us;
 	double opening_deviation_us;
 	int64_t due_us;	   /* earliest due_us of the opening flows */
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -6,6 +6,7 @@
 #include "kf/packet.h"
 #include "kf/route_table.h"
 #include "kf/service_demand.h"
+#include "kf/unknown_tokens.h"
 #include "kf/verdict.h"
 
 #ifdef __cplusplus
@@ -21,7 +22,8 @@
  *	refuses its flow with a reset, or drops it.  A packet of an open flow is
  *	forwarded to the upstream that its token names, by any VM.  A flow is
  *	refused only while it is opening, when no upstream has run anything of
- *	it (KF_NOT_RUN), or when its route has been removed.
+ *	it (KF_NOT_RUN), when its route has been removed, or when its upstream
+ *	has ended and the client may repeat its request elsewhere.
  *
  *	When the upstreams of a service have about as many flows as they can
  *	serve in time, new flows of its less urgent routes are refused at once,
@@ -114,6 +116,10 @@
 void kf_forwarder_set_position(
     kf_forwarder_t *forwarder, kf_position_t position, int64_t now_us);
 
+/* Sets as of when what this VM knows of the store is complete. */
+void kf_forwarder_set_store_view(
+    kf_forwarder_t *forwarder, const kf_store_view_t *view);
+
 /* Handles a packet; datagram is passed to the send callback. */
 void kf_forwarder_packet(kf_forwarder_t *forwarder, int64_t now_us,
     const kf_packet_t *packet, const uint8_t *datagram, size_t len);
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -19,6 +19,8 @@
 	if (a->contact_us != INT64_MIN &&
 	    contact_us - a->contact_us > OUTAGE_US)
 		a->outage_end_us = contact_us;
+	if (a->contact_us == INT64_MIN)
+		a->first_contact_us = contact_us;
 	a->contact_us = contact_us;
 }
 
@@ -37,6 +39,20 @@
 		now_us - a->outage_end_us < EXPIRY_WINDOW_US);
 }
 
+void
+applier_set_confirmed(applier_t *a, int64_t confirmed_us)
+{
+	kf_store_view_t view = {
+		.confirmed_us = confirmed_us,
+		.calm_since_us = a->outage_end_us != INT64_MIN
+		    ? a->outage_end_us
+		    : a->first_contact_us,
+	};
+
+	kf_forwarder_set_store_view(packet_thread_lock(a->packets), &view);
+	packet_thread_unlock(a->packets);
+}
+
 static void
 log_upstream(const applier_t *a, const kf_item_t *item, kf_change_t change)
 {
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -24,8 +24,9 @@
 	const kf_route_table_t *routes; /* in use; owned by the forwarder */
 	int64_t contact_us;		/* latest contact with the store */
 	int64_t outage_end_us; /* of the last store outage; INT64_MIN: none */
-	uint64_t refused;      /* items that could not be decoded or applied */
-	bool loaded;	       /* the first batch of items has been applied */
+	int64_t first_contact_us; /* INT64_MIN: none yet */
+	uint64_t refused; /* items that could not be decoded or applied */
+	bool loaded;	  /* the first batch of items has been applied */
 } applier_t;
 
 /*
@@ -41,6 +42,9 @@
 /* Returns the version of the configuration in use, 0 if there is none. */
 uint64_t applier_config_version(const applier_t *applier);
 
+/* Passes to the forwarder that its data are complete as of confirmed_us. */
+void applier_set_confirmed(applier_t *applier, int64_t confirmed_us);
+
 /* Records that this VM or another one reached the store at contact_us. */
 void applier_record_contact(applier_t *applier, int64_t contact_us);
 
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -306,6 +306,7 @@
 		.log = log,
 		.contact_us = INT64_MIN,
 		.outage_end_us = INT64_MIN,
+		.first_contact_us = INT64_MIN,
 	};
 	l->signal_fd = -1;
 	l->beacon_fd = -1;
@@ -416,6 +417,8 @@
 		    view.rank);
 	}
 	log_lost_vms(l);
+	if (view.contact_us != l->view.contact_us)
+		applier_set_confirmed(&l->applier, view.contact_us);
 	l->view = view;
 	forward_log_set_replica_state(
 	    l->forward_log, self.revision, view.contact_us);
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -19,6 +19,8 @@
  *	gone NAME		remove its entry
  *	lapse NAME		remove its entry because of a store outage
  *	evacuate ZONE on|off	set whether a zone is evacuated
+ *	confirm	MS		what the VM knows is complete as of now, and the
+ *				store has been in contact for MS
  *	hold			begin a batch of changes
  *	release			end the batch
  *	routes VERSION PORT[@PRIORITY]=SERVICE[:WEIGHT][,SERVICE:WEIGHT] ...
@@ -78,6 +80,7 @@
 			{ "gone", &Session::Gone },
 			{ "lapse", &Session::Lapse },
 			{ "evacuate", &Session::Evacuate },
+			{ "confirm", &Session::Confirm },
 			{ "hold", &Session::Hold },
 			{ "release", &Session::Release },
 			{ "routes", &Session::Routes },
@@ -189,6 +192,16 @@
 			kf_forwarder_directory(w_->forwarder),
 			kf_name_key(zone.c_str()), word == "on"));
 	}
+	void Confirm(std::istringstream &in)
+	{
+		kf_store_view_t view = {};
+		int64_t ms;
+
+		in >> ms;
+		view.confirmed_us = w_->now_us;
+		view.calm_since_us = w_->now_us - ms * 1000;
+		kf_forwarder_set_store_view(w_->forwarder, &view);
+	}
 	void Hold(std::istringstream &)
 	{
 		kf_directory_begin_batch(kf_forwarder_directory(w_->forwarder));
--- a/tests/unit/support/forwarder_world.h
+++ b/tests/unit/support/forwarder_world.h
@@ -162,6 +162,7 @@
 
 	route.address = { 0xc6120001u, port };
 	snprintf(route.name, sizeof(route.name), "r-%u", port);
+	route.idempotent = port != 8080;
 	for (const auto &share : shares)
 		route.shares[route.share_count++] = {
 			kf_name_key(share.first.c_str()), share.second
