Forward open flows before the first configuration is read

Cause: after all VMs had restarted, they forwarded nothing until a listing of 115 KB was complete, 92 ms on a link of 10 Mbit/s.

A listing reads upstreams first and what operators publish second.

--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -52,6 +52,7 @@
 	kf_route_table_delete(f->routes);
 	kf_directory_delete(f->directory);
 	kf_conntrack_delete(f->flows);
+	kf_pending_syns_clear(&f->pending_syns);
 	free(f);
 }
 
@@ -255,12 +256,31 @@
     const kf_packet_t *packet, const uint8_t *datagram, size_t len)
 {
 	f->stats.packets++;
-	if (f->routes == NULL)
-		forwarder_drop(f, packet, KF_REASON_NO_CONFIG);
-	else if (packet->syn)
-		connect_syn(f, now_us, packet, datagram, len);
-	else
+	if (!packet->syn)
 		forward_open_flow(f, now_us, packet, datagram, len);
+	else if (f->routes != NULL)
+		connect_syn(f, now_us, packet, datagram, len);
+	else if (!kf_pending_syns_add(
+		     &f->pending_syns, packet, datagram, len, now_us))
+		forwarder_drop(f, packet, KF_REASON_NO_CONFIG);
+}
+
+/* Handles the SYNs that have waited for the first configuration. */
+static void
+connect_pending(kf_forwarder_t *f, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < f->pending_syns.count; i++) {
+		const kf_pending_syn_t *syn = &f->pending_syns.list[i];
+
+		if (now_us - syn->received_us < KF_PENDING_SYNS_MAX_AGE_US)
+			connect_syn(
+			    f, now_us, &syn->packet, syn->datagram, syn->len);
+		else
+			forwarder_drop(f, &syn->packet, KF_REASON_NO_CONFIG);
+	}
+	kf_pending_syns_clear(&f->pending_syns);
 }
 
 static void
@@ -282,6 +302,8 @@
 int64_t
 kf_forwarder_tick(kf_forwarder_t *f, int64_t now_us)
 {
+	if (f->pending_syns.count > 0 && f->routes != NULL)
+		connect_pending(f, now_us);
 	if (f->due_us <= now_us)
 		run_due_openings(f, now_us);
 	if (f->outlier_us <= now_us) {
@@ -292,7 +314,10 @@
 		expire_idle(f, now_us);
 		f->expiry_us = now_us + EXPIRY_INTERVAL_US;
 	}
-	return f->due_us;
+	return f->pending_syns.count > 0 &&
+		now_us + PENDING_INTERVAL_US < f->due_us
+	    ? now_us + PENDING_INTERVAL_US
+	    : f->due_us;
 }
 
 void
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -3,6 +3,7 @@
 
 #include "kf/answer_sizes.h"
 #include "kf/forwarder.h"
+#include "kf/pending_syns.h"
 
 enum {
 	/* Limits of the time after which an opening flow is sent to a second
@@ -50,6 +51,9 @@
 	/* Time constant of the decay of a service's demand. */
 	DEMAND_DECAY_US = 1000000,
 	OUTLIER_INTERVAL_US = 50000,
+	/* Time between two checks for the first configuration while SYNs wait
+	 * for it. */
+	PENDING_INTERVAL_US = 2000,
 	/* Lower limit of the time after which a request is late.  The client's
 	 * data and acknowledgements take 4 ms, and a lost packet is sent again
 	 * after 200 ms. */
@@ -68,6 +72,7 @@
 	int64_t vm_count_changed_us; /* last change of position.vm_count */
 	kf_store_view_t store_view;
 	kf_unknown_tokens_t unknown_tokens;
+	kf_pending_syns_t pending_syns;
 	double opening_mean_us;
 	double opening_deviation_us;
 	int64_t due_us;	   /* earliest due_us of the opening flows */
--- a/lib/forwarder/include/kf/route_table.h
+++ b/lib/forwarder/include/kf/route_table.h
@@ -64,7 +64,8 @@
     const kf_route_t *routes, size_t count, const kf_route_table_t *previous);
 void kf_route_table_delete(kf_route_table_t *table);
 
-/* Returns the route of an address, also a removed one, or NULL. */
+/* Returns the route of an address, also a removed one, or NULL.  table may be
+ * NULL. */
 const kf_route_t *kf_route_table_find(
     const kf_route_table_t *table, kf_addr_t address);
 
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -26,6 +26,8 @@
 	void *ctx;
 	bool stale; /* the current listing may be stale */
 	char after_key[KF_PLATFORM_KEY_BYTES];
+	kf_platform_list_part_t list_part;
+	bool has_upstreams; /* all of a listing have been applied */
 	/* Of the current listing. */
 	uint32_t list_pages;
 	uint64_t newest_page_revision;
@@ -201,6 +203,12 @@
 		request_list(s);
 		return;
 	}
+	s->has_upstreams = true;
+	if (++s->list_part < KF_PLATFORM_LIST_PARTS) {
+		s->after_key[0] = '\0';
+		request_list(s);
+		return;
+	}
 	end_listing(s);
 }
 
@@ -235,7 +243,7 @@
 {
 	char path[KF_PLATFORM_PATH_BYTES];
 
-	kf_platform_list_path(path, s->after_key, s->stale);
+	kf_platform_list_path(path, s->list_part, s->after_key, s->stale);
 	request(
 	    s, KF_SYNC_LIST, s->store, path, KF_SYNC_LIST_TIMEOUT_MS, on_list);
 }
@@ -340,6 +348,7 @@
 	if (actions->call == KF_SYNC_LIST) {
 		s->stale = actions->stale;
 		s->after_key[0] = '\0';
+		s->list_part = 0;
 		s->list_pages = 0;
 		request_list(s);
 		return;
@@ -417,7 +426,8 @@
 bool
 store_sync_can_forward(const store_sync_t *s)
 {
-	return s->sync.listed && s->applier->routes != NULL;
+	return s->has_upstreams ||
+	    (s->sync.listed && s->applier->routes != NULL);
 }
 
 bool
--- a/lib/fwdnet/store_sync.h
+++ b/lib/fwdnet/store_sync.h
@@ -49,7 +49,8 @@
 /* Cancels all calls after the process was suspended; they may be dead. */
 void store_sync_restart(store_sync_t *sync, int64_t now_us);
 
-/* True once upstreams and a configuration are known, even outdated ones. */
+/* True once upstreams are known, even outdated ones.  Packets of open flows can
+ * be forwarded then; SYNs wait for the configuration. */
 bool store_sync_can_forward(const store_sync_t *sync);
 /* Returns when the next call may be due. */
 int64_t store_sync_due_us(const store_sync_t *sync, int64_t now_us);
