--- a/tests/process/packets-upstreams.sh
+++ b/tests/process/packets-upstreams.sh
@@ -33,6 +33,8 @@
 run_requests 50
 world add i-0000a3 orders zone-1 "$net.12:8080" 3
 run_requests 200
+grep -q 'event=upstream key=servers/i-0000a3 change=added' "$work/v1.log" ||
+    fail "an upstream added later is not in the log of v1"
 end_clients
 world stats
 expect "failed while one left" "$(value failed "$work/answer")" "$before"
