Detect dead upstreams and reset their flows

Change: kf_dead_upstream decides from unanswered requests, reports of other VMs and two failed TCP probes, 310 ms apart so that a link lost for 300 ms accepts one. A failed probe counts only if another upstream of the zone was seen alive after it was sent. Flows of idempotent routes are reset, others only while no request is in progress. Records of idle flows are kept for this without load, in a list of their own, until the idle timeout; a full table drops the oldest of them. Without kf_forwarder_set_dead_after nothing is detected.

--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -60,6 +60,7 @@
 		return;
 	attempt->unanswered_counted = true;
 	target = kf_directory_find(f->directory, attempt->token);
+	dead_note_unanswered(f, target, attempt->sent_us, false, now_us);
 	if (target != NULL && kf_target_unanswered(target, now_us))
 		record_target_event(f, target, KF_FORWARD_EJECTED);
 }
@@ -205,7 +206,9 @@
 		return;
 	}
 	flow = kf_conntrack_find(f->flows, packet->client, packet->address);
-	if (flow != NULL && flow->sequence != packet->sequence) {
+	if (flow != NULL &&
+	    (flow->state == KF_FLOW_IDLE ||
+		flow->sequence != packet->sequence)) {
 		/* The client reuses the port for a new flow. */
 		flow_close(f, flow);
 		flow = NULL;
@@ -315,6 +318,7 @@
 		if (target->failures >= KF_TARGET_EJECT_FAILURES)
 			record_target_event(f, target, KF_FORWARD_RETURNED);
 		kf_target_opened(target);
+		dead_note_alive(f, target, now_us);
 	}
 	record = make_flow_record(f, flow, KF_FORWARD_OPENED, target, now_us);
 	record.verdict = KF_MAY_HAVE_RUN;
--- a/lib/forwarder/conntrack.c
+++ b/lib/forwarder/conntrack.c
@@ -14,9 +14,9 @@
 	uint32_t free; /* first of the unused records, linked by next */
 	uint32_t *buckets;
 	uint32_t bucket_count; /* a power of two */
-	uint32_t first[KF_FLOW_OPEN + 1];
-	uint32_t last[KF_FLOW_OPEN + 1];
-	uint32_t count[KF_FLOW_OPEN + 1];
+	uint32_t first[KF_FLOW_IDLE + 1];
+	uint32_t last[KF_FLOW_IDLE + 1];
+	uint32_t count[KF_FLOW_IDLE + 1];
 };
 
 uint64_t
@@ -151,10 +151,13 @@
 	uint32_t i, *bucket;
 	kf_flow_t *flow;
 
+	if (t->free == KF_FLOW_NONE && t->used == t->cap &&
+	    !conntrack_grow(t) && t->first[KF_FLOW_IDLE] != KF_FLOW_NONE)
+		kf_conntrack_remove(t, &t->flows[t->first[KF_FLOW_IDLE]]);
 	if (t->free != KF_FLOW_NONE) {
 		i = t->free;
 		t->free = t->flows[i].next;
-	} else if (t->used < t->cap || conntrack_grow(t))
+	} else if (t->used < t->cap)
 		i = t->used++;
 	else
 		return NULL;
@@ -184,14 +187,26 @@
 	return flow;
 }
 
-void
-kf_conntrack_touch(kf_conntrack_t *t, kf_flow_t *flow)
+static void
+move_to_state(kf_conntrack_t *t, kf_flow_t *flow, kf_flow_state_t state)
 {
 	list_unlink(t, flow);
-	flow->state = KF_FLOW_OPEN;
+	flow->state = state;
 	list_append(t, flow);
 }
 
+void
+kf_conntrack_touch(kf_conntrack_t *t, kf_flow_t *flow)
+{
+	move_to_state(t, flow, KF_FLOW_OPEN);
+}
+
+void
+kf_conntrack_set_idle(kf_conntrack_t *t, kf_flow_t *flow)
+{
+	move_to_state(t, flow, KF_FLOW_IDLE);
+}
+
 void
 kf_conntrack_remove(kf_conntrack_t *t, kf_flow_t *flow)
 {
--- /dev/null
+++ b/lib/forwarder/dead_upstream.c
@@ -0,0 +1,109 @@
+#include "kf/dead_upstream.h"
+
+/* Interval after a probe that tests the links; 4 per second at most. */
+enum { CONTROL_INTERVAL_US = 250000 };
+
+bool
+kf_dead_upstream_alive(kf_dead_upstream_t *d, int64_t now_us)
+{
+	bool was_dead = d->liveness == KF_LIVENESS_DEAD;
+
+	d->liveness = KF_LIVENESS_ALIVE;
+	d->failed_probes = 0;
+	d->alive_us = now_us;
+	return was_dead;
+}
+
+bool
+kf_dead_upstream_accepted(kf_dead_upstream_t *d, int64_t now_us)
+{
+	d->probing = false;
+	d->accepted_us = now_us;
+	d->control_failed_us = 0;
+	return kf_dead_upstream_alive(d, now_us);
+}
+
+static bool
+is_recent(int64_t event_us, int64_t now_us)
+{
+	return event_us != 0 && now_us - event_us < KF_DEAD_CHECK_US;
+}
+
+void
+kf_dead_upstream_unanswered(
+    kf_dead_upstream_t *d, int64_t since_us, bool reported, int64_t now_us)
+{
+	int64_t silent_since_us =
+	    since_us > d->alive_us ? since_us : d->alive_us;
+
+	if (d->liveness != KF_LIVENESS_ALIVE ||
+	    is_recent(d->accepted_us, now_us) ||
+	    (!reported && now_us - silent_since_us < KF_DEAD_SUSPECT_US))
+		return;
+	d->liveness = KF_LIVENESS_SUSPECT;
+	d->silent_since_us = silent_since_us;
+	d->failed_probes = 0;
+}
+
+bool
+kf_dead_upstream_probe_due(const kf_dead_upstream_t *d, int64_t now_us)
+{
+	return d->liveness != KF_LIVENESS_ALIVE && !d->probing &&
+	    now_us >= d->next_probe_us;
+}
+
+bool
+kf_dead_upstream_may_be_control(const kf_dead_upstream_t *d, int64_t now_us)
+{
+	return d->liveness == KF_LIVENESS_ALIVE && !d->probing &&
+	    now_us >= d->next_probe_us &&
+	    !is_recent(d->control_failed_us, now_us);
+}
+
+static int64_t
+probe_interval_us(const kf_dead_upstream_t *d)
+{
+	switch (d->liveness) {
+	case KF_LIVENESS_SUSPECT:
+		return KF_DEAD_RETRY_US;
+	case KF_LIVENESS_DEAD:
+		return KF_DEAD_CHECK_US;
+	default:
+		return CONTROL_INTERVAL_US;
+	}
+}
+
+void
+kf_dead_upstream_probe_sent(kf_dead_upstream_t *d, int64_t now_us)
+{
+	d->probing = true;
+	d->probe_sent_us = now_us;
+	d->next_probe_us = now_us + probe_interval_us(d);
+}
+
+bool
+kf_dead_upstream_probe_failed(kf_dead_upstream_t *d, int64_t links_us,
+    int64_t dead_after_us, int64_t now_us)
+{
+	if (!d->probing)
+		return false;
+	d->probing = false;
+	if (d->liveness == KF_LIVENESS_ALIVE)
+		d->control_failed_us = now_us;
+	if (d->liveness != KF_LIVENESS_SUSPECT)
+		return false;
+	/* The probe was sent before the upstream became a suspect, or its
+	 * failure may be due to the links. */
+	if (d->probe_sent_us < d->silent_since_us ||
+	    links_us < d->probe_sent_us) {
+		d->failed_probes = 0;
+		return false;
+	}
+	d->failed_probes++;
+	if (d->failed_probes < KF_DEAD_FAILED_PROBES ||
+	    now_us - d->silent_since_us < dead_after_us)
+		return false;
+	d->liveness = KF_LIVENESS_DEAD;
+	d->next_probe_us = d->probe_sent_us + KF_DEAD_CHECK_US;
+	return true;
+}
--- a/lib/forwarder/expiry.c
+++ b/lib/forwarder/expiry.c
@@ -62,6 +62,8 @@
 
 	while ((flow = kf_conntrack_first(f->flows, KF_FLOW_OPEN)) != NULL &&
 	    now_us - flow->last_packet_us >= LOAD_IDLE_US)
-		flow_close(f, flow);
+		if (!dead_keep_idle(f, flow))
+			flow_close(f, flow);
+	dead_expire_idle(f, now_us);
 	kf_directory_expire(f->directory, now_us);
 }
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -14,6 +14,9 @@
 	[KF_FORWARD_LATE] = "request_late",
 	[KF_FORWARD_SHORT] = "answer_short",
 	[KF_FORWARD_OUTLIER] = "upstream_outlier",
+	[KF_FORWARD_DEAD] = "upstream_dead",
+	[KF_FORWARD_ALIVE] = "upstream_alive",
+	[KF_FORWARD_RESET] = "flow_reset",
 };
 
 const char *
@@ -183,6 +186,11 @@
 	kf_flow_t *flow;
 
 	flow = kf_conntrack_find(f->flows, packet->client, packet->address);
+	if (flow != NULL && flow->state == KF_FLOW_IDLE) {
+		if (dead_idle_packet(f, flow, packet, target, now_us))
+			return;
+		flow = NULL;
+	}
 	if (flow == NULL)
 		flow = resume_flow(f, packet, target, now_us);
 	if (flow == NULL)
@@ -191,6 +199,7 @@
 		connect_reset(f, flow, packet->token, now_us);
 	else if (flow->state == KF_FLOW_OPENING)
 		connect_opened(f, flow, packet->token, now_us);
+	dead_note_packet(f, flow, packet, target, now_us);
 	if (flow->state == KF_FLOW_OPEN)
 		outlier_track_packet(f, flow, packet, now_us);
 	if (packet->fin || packet->rst) {
@@ -220,6 +229,8 @@
 						   : KF_REASON_TOKEN_BAD);
 		return;
 	}
+	if (dead_answers_packet(f, packet, route, target, now_us))
+		return;
 	track_packet(f, packet, target, now_us);
 	f->callbacks.send(
 	    f->callbacks.ctx, &target->info, packet->token, datagram, len);
@@ -259,10 +270,8 @@
 {
 	if (f->due_us <= now_us)
 		run_due_openings(f, now_us);
-	if (f->outlier_us <= now_us) {
-		outlier_scan(f, now_us);
-		f->outlier_us = now_us + OUTLIER_INTERVAL_US;
-	}
+	outlier_run_due(f, now_us);
+	dead_reset_flows(f, now_us);
 	if (f->expiry_us <= now_us) {
 		expire_idle(f, now_us);
 		f->expiry_us = now_us + EXPIRY_INTERVAL_US;
@@ -295,6 +304,8 @@
 	kf_pool_t *pool;
 	uint32_t cursor;
 
+	if (e.flow != NULL && e.flow->state == KF_FLOW_IDLE)
+		e.flow = NULL;
 	if (e.route == NULL || e.route->removed)
 		return e;
 	e.service = kf_route_service(e.route, kf_flow_hash(client, address));
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -59,6 +59,23 @@
 	LATE_DEFAULT_US = 1000000,
 };
 
+/* Evidence that this VM's links to the upstreams of a zone work. */
+typedef struct dead_zone {
+	uint64_t zone;
+	int64_t alive_us;    /* an upstream of it was seen alive */
+	bool control_wanted; /* by a probe sent now */
+} dead_zone_t;
+
+typedef struct dead_state {
+	int64_t after_us; /* 0: no detection of dead upstreams */
+	dead_zone_t zones[KF_DIRECTORY_MAX_EVACUATED];
+	size_t zone_count;
+	int64_t alive_us; /* an upstream of any zone was seen alive */
+	size_t dead_count;
+	bool watching;	  /* an upstream is a suspect or dead */
+	int64_t reset_us; /* next dead_reset_flows */
+} dead_state_t;
+
 struct kf_forwarder {
 	kf_forwarder_callbacks_t callbacks;
 	kf_route_table_t *routes;
@@ -74,6 +91,7 @@
 	int64_t outlier_us;			  /* next outlier_scan */
 	uint32_t failed[KF_FORWARDER_MAX_FAILED]; /* tokens, not taken yet */
 	size_t failed_count;
+	dead_state_t dead;
 	kf_forwarder_stats_t stats;
 };
 
@@ -111,6 +129,32 @@
     const kf_packet_t *packet, int64_t now_us);
 /* Finds late requests of flows whose clients send no packets. */
 void outlier_scan(kf_forwarder_t *f, int64_t now_us);
+/* Calls outlier_scan if it is due. */
+void outlier_run_due(kf_forwarder_t *f, int64_t now_us);
+
+/* Record a sign of life of an upstream, and a request or opening that it has
+ * left unanswered; see kf_dead_upstream_unanswered.  target may be NULL. */
+void dead_note_alive(kf_forwarder_t *f, kf_target_t *target, int64_t now_us);
+void dead_note_unanswered(kf_forwarder_t *f, kf_target_t *target,
+    int64_t since_us, bool reported, int64_t now_us);
+/* Takes evidence, and the acknowledgement number, from a packet of a flow. */
+void dead_note_packet(kf_forwarder_t *f, kf_flow_t *flow,
+    const kf_packet_t *packet, kf_target_t *target, int64_t now_us);
+/* Resets the flow of a packet to a dead upstream.  Returns false if the packet
+ * is to be forwarded. */
+bool dead_answers_packet(kf_forwarder_t *f, const kf_packet_t *packet,
+    const kf_route_t *route, kf_target_t *target, int64_t now_us);
+/* Resets the flows of dead upstreams that this VM has a record of. */
+void dead_reset_flows(kf_forwarder_t *f, int64_t now_us);
+/* Keeps the record of a flow that is idle from now on, without load.  Returns
+ * false if the record is not needed. */
+bool dead_keep_idle(kf_forwarder_t *f, kf_flow_t *flow);
+/* Handles a packet of an idle flow.  Returns false if the record is removed:
+ * a request adds the flow again like one that is not known. */
+bool dead_idle_packet(kf_forwarder_t *f, kf_flow_t *flow,
+    const kf_packet_t *packet, kf_target_t *target, int64_t now_us);
+/* Removes records of flows that have been idle for too long. */
+void dead_expire_idle(kf_forwarder_t *f, int64_t now_us);
 
 /* Handles a SYN. */
 void connect_syn(kf_forwarder_t *f, int64_t now_us, const kf_packet_t *packet,
--- a/lib/forwarder/include/kf/conntrack.h
+++ b/lib/forwarder/include/kf/conntrack.h
@@ -17,8 +17,9 @@
  *	Holds the flows that are being opened, each with a copy of its SYN, and
  *	the open flows, from which this VM knows its load on each upstream.
  *	A lost record only costs accuracy, because packets of an open flow carry
- *	a token that names its upstream.  An idle flow is removed, and added
- *	again by its next request.
+ *	a token that names its upstream.  An idle flow holds no load, and is
+ *	added again by its next request.  If the table is full, the oldest
+ *	record of an idle flow makes room.
  *
  *	Records are kept in one array and linked by index, so that the array can
  *	be reallocated.
@@ -39,6 +40,8 @@
 	KF_FLOW_FREE = 0,
 	KF_FLOW_OPENING,
 	KF_FLOW_OPEN,
+	KF_FLOW_IDLE, /* open without load; kept to be reset if its upstream
+			 is dead */
 } kf_flow_state_t;
 
 typedef struct kf_flow_try {
@@ -65,7 +68,9 @@
 	int64_t last_packet_us;
 	int64_t request_started_us; /* of the request in progress; 0: none */
 	uint32_t request_ack;	    /* acknowledgement number at its start */
-	bool busy;		    /* counts in its upstream's busy */
+	uint32_t acknowledged;	    /* by the client's last packet */
+	bool acknowledged_known;
+	bool busy;	/* counts in its upstream's busy */
 	bool answering; /* the client has acknowledged a part of the answer */
 	bool reused;	/* has had a request before the current one */
 	bool failed;	/* the request in progress was reported as failed */
@@ -97,6 +102,8 @@
 
 /* Marks a flow as open and the most recently used one. */
 void kf_conntrack_touch(kf_conntrack_t *table, kf_flow_t *flow);
+/* Marks a flow as idle and the most recently used one of these. */
+void kf_conntrack_set_idle(kf_conntrack_t *table, kf_flow_t *flow);
 void kf_conntrack_remove(kf_conntrack_t *table, kf_flow_t *flow);
 
 /* Iterates over the flows of a state, the least recently used first. */
--- /dev/null
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -0,0 +1,98 @@
+#ifndef KF_DEAD_UPSTREAM_H
+#define KF_DEAD_UPSTREAM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * NAME
+ *	kf_dead_upstream - detection of an upstream that has stopped responding
+ *
+ * DESCRIPTION
+ *	Load pattern: part of the upstreams stop without notice while clients
+ *	have long flows open to them.  Each further request on such a flow would
+ *	wait until its deadline, because packets of an open flow go to the
+ *	upstream that their token names.
+ *
+ *	An upstream that leaves a request or an opening unanswered is a suspect
+ *	and is probed with TCP connections to its published address.  It is dead
+ *	when two probes have failed, the second sent KF_DEAD_RETRY_US after the
+ *	first, and no answer has been seen meanwhile.  A failed probe counts
+ *only if another upstream of the zone was seen alive after it was sent, which
+ *	shows that the links of the VM work.  Any sign of life ends it.
+ *
+ *	One state for each upstream; a zeroed one is valid.  No I/O.
+ */
+
+enum {
+	/* Minimum time without an answer that makes a suspect. */
+	KF_DEAD_SUSPECT_US = 100000,
+	/* Time within which a probe must be accepted. */
+	KF_DEAD_PROBE_TIMEOUT_US = 100000,
+	/* Interval between the probes of a suspect.  An upstream that has lost
+	 * its link for 300 ms must accept one of two probes; the interval also
+	 * limits the probes of an upstream to 4 per second. */
+	KF_DEAD_RETRY_US = 310000,
+	/* Interval between the probes of a dead upstream, and time for which
+	 * one that has accepted a probe is not suspected again: answers of
+	 * healthy upstreams take up to 300 ms. */
+	KF_DEAD_CHECK_US = 1000000,
+	/* Failed probes that confirm a suspect. */
+	KF_DEAD_FAILED_PROBES = 2,
+};
+
+typedef enum kf_liveness {
+	KF_LIVENESS_ALIVE = 0,
+	KF_LIVENESS_SUSPECT,
+	KF_LIVENESS_DEAD,
+} kf_liveness_t;
+
+typedef struct kf_dead_upstream {
+	kf_liveness_t liveness;
+	bool probing;		 /* the result of a probe is due */
+	uint32_t failed_probes;	 /* consecutive, while the links worked */
+	int64_t silent_since_us; /* of a suspect */
+	int64_t alive_us;	 /* last sign of life; 0: none */
+	int64_t accepted_us;	 /* last accepted probe; 0: none */
+	int64_t probe_sent_us;
+	int64_t next_probe_us;
+	int64_t control_failed_us; /* last failed probe of a non-suspect */
+} kf_dead_upstream_t;
+
+/* Records a sign of life; returns true if the upstream was dead. */
+bool kf_dead_upstream_alive(kf_dead_upstream_t *upstream, int64_t now_us);
+
+/* Records that a probe was accepted; returns true if the upstream was dead. */
+bool kf_dead_upstream_accepted(kf_dead_upstream_t *upstream, int64_t now_us);
+
+/* Records that a request or opening has been unanswered since since_us.
+ * reported: another VM says so, and its age is not known. */
+void kf_dead_upstream_unanswered(kf_dead_upstream_t *upstream, int64_t since_us,
+    bool reported, int64_t now_us);
+
+bool kf_dead_upstream_probe_due(
+    const kf_dead_upstream_t *upstream, int64_t now_us);
+
+/* Returns true if the upstream may be probed to test the links of the VM. */
+bool kf_dead_upstream_may_be_control(
+    const kf_dead_upstream_t *upstream, int64_t now_us);
+
+void kf_dead_upstream_probe_sent(kf_dead_upstream_t *upstream, int64_t now_us);
+
+/*
+ * Records a failed probe.  links_us is the time of the last evidence that the
+ * VM's links to the zone work; dead_after_us is the minimum time without an
+ * answer.  Returns true if the upstream is now confirmed dead.
+ */
+bool kf_dead_upstream_probe_failed(kf_dead_upstream_t *upstream,
+    int64_t links_us, int64_t dead_after_us, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -21,7 +21,8 @@
  *	refuses its flow with a reset, or drops it.  A packet of an open flow is
  *	forwarded to the upstream that its token names, by any VM.  A flow is
  *	refused only while it is opening, when no upstream has run anything of
- *	it (KF_NOT_RUN), or when its route has been removed.
+ *	it (KF_NOT_RUN), or when its route has been removed.  An open flow is
+ *	reset if its upstream is dead (kf/dead_upstream.h).
  *
  *	When the upstreams of a service have about as many flows as they can
  *	serve in time, new flows of its less urgent routes are refused at once,
@@ -47,6 +48,9 @@
 	KF_FORWARD_LATE,     /* the answer to a request is late */
 	KF_FORWARD_SHORT,    /* an answer was far shorter than usual */
 	KF_FORWARD_OUTLIER,  /* an upstream was ejected for failed requests */
+	KF_FORWARD_DEAD,     /* an upstream has stopped responding */
+	KF_FORWARD_ALIVE,    /* a dead upstream responds again */
+	KF_FORWARD_RESET,    /* an open flow of a dead upstream was reset */
 	KF_FORWARD_EVENT_COUNT
 } kf_forward_event_t;
 
@@ -88,6 +92,7 @@
 	uint64_t packets;
 	uint64_t events[KF_FORWARD_EVENT_COUNT];
 	uint64_t by_reason[KF_REASON_COUNT]; /* refusals and drops */
+	uint64_t probes;
 	uint64_t opening;
 	uint64_t open;
 } kf_forwarder_stats_t;
@@ -162,6 +167,26 @@
 void kf_forwarder_add_peer_failure(
     kf_forwarder_t *forwarder, uint32_t token, int64_t now_us);
 
+/* Sets the minimum time without an answer after which an upstream may be dead.
+ * 0, the initial value: none is. */
+void kf_forwarder_set_dead_after(
+    kf_forwarder_t *forwarder, int64_t dead_after_us);
+
+typedef struct kf_probe {
+	uint32_t token;
+	kf_addr_t address; /* for a TCP connection */
+} kf_probe_t;
+
+/* Stores up to max probes that are due, and returns their number.  The caller
+ * reports the result of each within KF_DEAD_PROBE_TIMEOUT_US. */
+size_t kf_forwarder_take_probes(
+    kf_forwarder_t *forwarder, int64_t now_us, kf_probe_t *probes, size_t max);
+
+/* Returns true if an upstream is confirmed dead; its flows are reset by the
+ * next kf_forwarder_tick. */
+bool kf_forwarder_probe_result(
+    kf_forwarder_t *forwarder, uint32_t token, bool accepted, int64_t now_us);
+
 kf_position_t kf_forwarder_position(const kf_forwarder_t *forwarder);
 
 /* Returns the time after which an opening flow is sent to a second upstream. */
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "kf/addr.h"
+#include "kf/dead_upstream.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -89,7 +90,8 @@
 	int64_t last_failed_us;
 	uint32_t outlier_ejections; /* consecutive */
 	int64_t outlier_until_us;   /* end of ejection for failed requests */
-	bool token_conflict;	    /* another upstream owns its token */
+	kf_dead_upstream_t dead;
+	bool token_conflict; /* another upstream owns its token */
 	bool evacuated; /* its zone is; gets no new flows until the zone returns
 			 */
 } kf_target_t;
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -196,12 +196,16 @@
 	kf_forward_record_t record;
 	const kf_pool_t *pool;
 
-	if (flow->request_started_us == 0 || flow->answering || flow->failed)
+	if (flow->request_started_us == 0 || flow->answering)
 		return;
 	pool = kf_directory_pool(f->directory, flow->service);
 	if (pool == NULL ||
 	    now_us - flow->request_started_us < late_after_us(pool))
 		return;
+	dead_note_unanswered(f, kf_directory_find(f->directory, flow->token),
+	    flow->request_started_us, false, now_us);
+	if (flow->failed)
+		return;
 	record = make_request_record(f, flow, KF_FORWARD_LATE, now_us);
 	report_failed(f, flow, &record, now_us);
 }
@@ -283,6 +287,15 @@
 	}
 }
 
+void
+outlier_run_due(kf_forwarder_t *f, int64_t now_us)
+{
+	if (f->outlier_us > now_us)
+		return;
+	outlier_scan(f, now_us);
+	f->outlier_us = now_us + OUTLIER_INTERVAL_US;
+}
+
 size_t
 kf_forwarder_take_failed(
     kf_forwarder_t *f, uint32_t tokens[KF_FORWARDER_MAX_FAILED])
@@ -300,6 +313,8 @@
 {
 	kf_target_t *target = kf_directory_find(f->directory, token);
 
-	if (target != NULL)
-		count_failed(f, target, now_us);
+	if (target == NULL)
+		return;
+	dead_note_unanswered(f, target, now_us, true, now_us);
+	count_failed(f, target, now_us);
 }
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -55,7 +55,8 @@
 kf_health_t
 kf_target_health(const kf_target_t *target, int64_t now_us)
 {
-	if (now_us < target->ejected_until_us ||
+	if (target->dead.liveness == KF_LIVENESS_DEAD ||
+	    now_us < target->ejected_until_us ||
 	    now_us < target->outlier_until_us)
 		return KF_HEALTH_EJECTED;
 	if (target->failures >= KF_TARGET_EJECT_FAILURES)
@@ -81,6 +82,7 @@
 	target->failed = 0;
 	target->outlier_ejections = 0;
 	target->outlier_until_us = 0;
+	target->dead = (kf_dead_upstream_t){ 0 };
 }
 
 bool
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -21,20 +21,20 @@
  *	evacuate ZONE on|off	set whether a zone is evacuated
  *	hold			begin a batch of changes
  *	release			end the batch
- *	routes VERSION PORT[@PRIORITY]=SERVICE[:WEIGHT][,SERVICE:WEIGHT] ...
- *	vms RANK COUNT		change the rank and the number of VMs
- *	others SERVICE COUNT	set the new flows per second at the other VMs
- *	syn CLIENT PORT [COPY]	send a SYN, or its COPY-th copy
- *	data|fin|rst CLIENT PORT NAME	send a packet with the upstream's token,
- *				or without a token if NAME is "-"
- *	ask CLIENT PORT NAME	send a request
- *	ack CLIENT PORT NAME	acknowledge its answer
- *	askall|ackall FIRST COUNT PORT	the same for COUNT flows that "spread"
+ *	routes VERSION [safe:]PORT[@PRIORITY]=SERVICE[:WEIGHT][,SERVICE:WEIGHT]
+ *... vms RANK COUNT		change the rank and the number of VMs others
+ *SERVICE COUNT	set the new flows per second at the other VMs syn CLIENT PORT
+ *[COPY]	send a SYN, or its COPY-th copy data|fin|rst CLIENT PORT NAME
+ *send a packet with the upstream's token, or without a token if NAME is "-" ask
+ *CLIENT PORT NAME	send a request ack CLIENT PORT NAME	acknowledge its
+ *answer askall|ackall FIRST COUNT PORT	the same for COUNT flows that "spread"
  *				has opened, from client FIRST on
  *	again FIRST COUNT PORT	open flows with copies of SYNs, as clients do
  *				after a failure of VMs
  *	late NAME		another VM reports a failed request
  *	run MS			advance the time
+ *	probe MS		the same, making the probes that are due
+ *	silent|responds NAME ...	set whether upstreams accept probes
  *	spread FIRST COUNT PORT	open COUNT flows, from client FIRST on, and
  *				count them by upstream
  *	shares FIRST COUNT PORT	the same, but end each flow at once
@@ -94,6 +94,9 @@
 			{ "again", &Session::Again },
 			{ "late", &Session::Late },
 			{ "run", &Session::RunFor },
+			{ "probe", &Session::Probe },
+			{ "silent", &Session::Silent },
+			{ "responds", &Session::Responds },
 			{ "spread", &Session::Spread },
 			{ "shares", &Session::Shares },
 			{ "load", &Session::Load },
@@ -207,6 +210,9 @@
 
 		in >> version;
 		while (in >> word) {
+			bool safe = word.rfind("safe:", 0) == 0;
+			if (safe)
+				word.erase(0, 5);
 			std::vector<std::pair<std::string, uint32_t>> shares;
 			size_t equal = word.find('=');
 			std::istringstream list(word.substr(equal + 1));
@@ -223,6 +229,7 @@
 			routes.push_back(MakeRoute(
 			    (uint16_t)std::stoul(word.substr(0, equal)),
 			    shares));
+			routes.back().idempotent = safe;
 			size_t at = word.find('@');
 			if (at != std::string::npos)
 				routes.back().priority = (uint32_t)std::stoul(
@@ -356,6 +363,23 @@
 		in >> ms;
 		w_->Run(ms * 1000);
 	}
+	void Probe(std::istringstream &in)
+	{
+		int64_t ms;
+
+		in >> ms;
+		w_->RunProbing(ms * 1000);
+	}
+	void Silent(std::istringstream &in)
+	{
+		for (std::string name; in >> name;)
+			w_->unreachable.insert(kf_token_of(IdOf(name)));
+	}
+	void Responds(std::istringstream &in)
+	{
+		for (std::string name; in >> name;)
+			w_->unreachable.erase(kf_token_of(IdOf(name)));
+	}
 	void Spread(std::istringstream &in)
 	{
 		OpenFlows(in, false);
--- a/tests/unit/support/forwarder_world.h
+++ b/tests/unit/support/forwarder_world.h
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
 		callbacks.record = OnRecord;
 		forwarder =
 		    kf_forwarder_new(kf_name_key(zone.c_str()), &callbacks);
+		kf_forwarder_set_dead_after(forwarder, 250000);
 	}
 	~ForwarderHarness()
 	{
@@ -90,7 +92,20 @@
 		kf_forwarder_tick(forwarder, now_us);
 	}
 
+	/* Runs with probes, which all upstreams accept after 2 ms, but those
+	 * in unreachable; these fail after 100 ms. */
+	void RunProbing(int64_t us)
+	{
+		for (int64_t end_us = now_us + us; now_us < end_us;) {
+			Run(std::min<int64_t>(2000, end_us - now_us));
+			EndProbes();
+			BeginProbes();
+		}
+		kf_forwarder_tick(forwarder, now_us);
+	}
+
 	kf_forwarder_t *forwarder;
+	std::set<uint32_t> unreachable; /* tokens */
 	int64_t now_us = 1000000;
 	std::vector<Sent> sent;
 	std::vector<kf_packet_t> resets;
@@ -100,6 +115,33 @@
 	std::function<std::string(kf_addr_t)> client_name = AddrText;
 
       private:
+	void BeginProbes()
+	{
+		kf_probe_t probes[16];
+		size_t count = kf_forwarder_take_probes(
+		    forwarder, now_us, probes, 16 - probes_.size());
+
+		for (size_t i = 0; i < count; i++)
+			probes_.emplace_back(now_us, probes[i].token);
+	}
+	void EndProbes()
+	{
+		for (auto it = probes_.begin(); it != probes_.end();) {
+			bool accepted = unreachable.count(it->second) == 0;
+
+			if (!accepted &&
+			    now_us - it->first < KF_DEAD_PROBE_TIMEOUT_US) {
+				++it;
+				continue;
+			}
+			kf_forwarder_probe_result(
+			    forwarder, it->second, accepted, now_us);
+			it = probes_.erase(it);
+		}
+	}
+
+	std::vector<std::pair<int64_t, uint32_t>> probes_; /* sent, token */
+
 	static std::string AddrText(kf_addr_t addr)
 	{
 		char text[KF_ADDR_TEXT_BYTES];
