Probe suspected upstreams from the forwarder's control thread

Cause: the forwarder asks for TCP probes and takes their results; nothing made them.

The control thread wakes the packet thread, which sends the resets.

--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -18,6 +18,7 @@
 #include "http_server.h"
 #include "settings_watch.h"
 #include "store_sync.h"
+#include "upstream_probe.h"
 
 enum {
 	MAX_WAIT_MS = 100,
@@ -72,6 +73,7 @@
 	kf_service_demand_t demands[KF_PEERING_MAX_DEMANDS];
 	size_t demand_count;
 	int64_t demands_exchanged_us; /* last exchange of demands */
+	upstream_probe_t *probe;
 	http_server_t *ready_server;
 	http_server_t *peer_server;
 	int signal_fd;
@@ -279,6 +281,10 @@
 	l->peering = kf_peering_new(&peering);
 	if (l->sync == NULL || l->peering == NULL)
 		return kf_status_set(KF_ERR_NO_MEMORY, "out of memory");
+	l->probe =
+	    upstream_probe_new(l->io, l->packets, s->dead_after_ms * 1000);
+	if (l->probe == NULL)
+		return KF_ERR_NO_MEMORY;
 	set_seeds(l);
 	l->ready_server =
 	    http_server_new(l->io, s->ready_address, serve_ready, l);
@@ -328,6 +334,7 @@
 	http_server_delete(l->peer_server);
 	store_sync_delete(l->sync);
 	http_client_delete(l->client);
+	upstream_probe_delete(l->probe);
 	io_loop_delete(l->io);
 	kf_peering_delete(l->peering);
 	if (l->beacon_fd >= 0)
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -89,6 +89,12 @@
 	write_value(out, "zones_evacuated", "gauge",
 	    "zones whose upstreams get no new flows",
 	    (long long)m->packets.zones_evacuated);
+	write_value(out, "probes_total", "counter",
+	    "TCP connections that test whether an upstream is alive",
+	    (long long)m->packets.forwarder.probes);
+	write_value(out, "flows_reset_dead_total", "counter",
+	    "open flows reset because their upstream is dead",
+	    (long long)m->packets.forwarder.events[KF_FORWARD_RESET]);
 	write_value(out, "log_dropped_total", "counter",
 	    "log lines that the reader had no room for",
 	    (long long)m->log_dropped);
--- a/lib/fwdnet/packet_thread.c
+++ b/lib/fwdnet/packet_thread.c
@@ -29,7 +29,7 @@
 	packet_socket_t *packet_socket;
 	int64_t now_us;
 	int epoll_fd;
-	int stop_fd; /* wakes the thread */
+	int wake_fd; /* wakes the thread */
 	bool stopping;
 };
 
@@ -76,13 +76,13 @@
 	if (t->packet_socket == NULL)
 		return KF_ERR_IO;
 	t->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	t->stop_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	if (t->epoll_fd < 0 || t->stop_fd < 0)
+	t->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (t->epoll_fd < 0 || t->wake_fd < 0)
 		return kf_status_set(
 		    KF_ERR_IO, "cannot open descriptors of the packet thread");
 	if (watch_fd(t->epoll_fd, packet_socket_fd(t->packet_socket)) !=
 		KF_OK ||
-	    watch_fd(t->epoll_fd, t->stop_fd) != KF_OK)
+	    watch_fd(t->epoll_fd, t->wake_fd) != KF_OK)
 		return KF_ERR_IO;
 	return apr_thread_mutex_create(
 		   &t->mutex, APR_THREAD_MUTEX_DEFAULT, t->pool) == APR_SUCCESS
@@ -101,7 +101,7 @@
 		return NULL;
 	t->pool = pool;
 	t->epoll_fd = -1;
-	t->stop_fd = -1;
+	t->wake_fd = -1;
 	t->forwarder = kf_forwarder_new(zone,
 	    &(kf_forwarder_callbacks_t){
 		.ctx = t,
@@ -124,8 +124,8 @@
 		return;
 	if (t->epoll_fd >= 0)
 		close(t->epoll_fd);
-	if (t->stop_fd >= 0)
-		close(t->stop_fd);
+	if (t->wake_fd >= 0)
+		close(t->wake_fd);
 	packet_socket_delete(t->packet_socket);
 	kf_forwarder_delete(t->forwarder);
 	free(t);
@@ -168,6 +168,7 @@
 {
 	packet_thread_t *t = ctx;
 	struct epoll_event event;
+	uint64_t wakes;
 	int64_t due_us;
 
 	(void)thread;
@@ -175,6 +176,8 @@
 		due_us = run_once(t);
 		epoll_wait(t->epoll_fd, &event, 1,
 		    kf_wait_ms(due_us, t->now_us, MAX_WAIT_MS));
+		/* Fails if nobody has woken the thread. */
+		(void)!read(t->wake_fd, &wakes, sizeof(wakes));
 	}
 	return NULL;
 }
@@ -194,17 +197,24 @@
 	kf_udp_discard(packet_socket_fd(t->packet_socket));
 }
 
+void
+packet_thread_wake(packet_thread_t *t)
+{
+	uint64_t one = 1;
+
+	/* If it fails, the thread wakes within MAX_WAIT_MS. */
+	(void)!write(t->wake_fd, &one, sizeof(one));
+}
+
 void
 packet_thread_stop(packet_thread_t *t)
 {
 	apr_status_t status;
-	uint64_t one = 1;
 
 	if (t->thread == NULL)
 		return;
 	__atomic_store_n(&t->stopping, true, __ATOMIC_RELEASE);
-	/* If it fails, the thread notices within MAX_WAIT_MS. */
-	(void)!write(t->stop_fd, &one, sizeof(one));
+	packet_thread_wake(t);
 	apr_thread_join(&status, t->thread);
 	t->thread = NULL;
 }
--- a/lib/fwdnet/packet_thread.h
+++ b/lib/fwdnet/packet_thread.h
@@ -26,6 +26,8 @@
 void packet_thread_discard(packet_thread_t *thread);
 /* Stops and joins the thread. */
 void packet_thread_stop(packet_thread_t *thread);
+/* Makes the thread run the timers of the forwarder now. */
+void packet_thread_wake(packet_thread_t *thread);
 void packet_thread_delete(packet_thread_t *thread);
 
 kf_forwarder_t *packet_thread_lock(packet_thread_t *thread);
--- a/lib/fwdnet/settings_watch.c
+++ b/lib/fwdnet/settings_watch.c
@@ -46,7 +46,8 @@
 	    !kf_addr_equal(a->peer_address, b->peer_address) ||
 	    strcmp(a->zone, b->zone) != 0 || a->log_level != b->log_level ||
 	    a->decisions_per_s != b->decisions_per_s ||
-	    a->sample != b->sample || strcmp(a->log_file, b->log_file) != 0;
+	    a->dead_after_ms != b->dead_after_ms || a->sample != b->sample ||
+	    strcmp(a->log_file, b->log_file) != 0;
 }
 
 static bool
--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -11,6 +11,8 @@
 	BOUND_MAX_MS = 600000,
 	MAX_DECISIONS_PER_S = 1000000,
 	MAX_SAMPLE = 1000000,
+	/* Clients give up after 1 to 5 s. */
+	MAX_DEAD_AFTER_MS = 10000,
 };
 
 static kf_status_t
@@ -73,6 +75,11 @@
 	    .max = BOUND_MAX_MS, .default_value = "0",
 	    .text = "time within which an evacuated zone gets no new flows; "
 		    "0: none is evacuated" },
+	{ "upstreams", "dead_after_ms", KF_FIELD_I64,
+	    MEMBER_OFFSET(dead_after_ms), .unit = "ms", .min = 0,
+	    .max = MAX_DEAD_AFTER_MS, .default_value = "250",
+	    .text = "time without an answer after which an upstream may be "
+		    "dead, and its flows reset; 0: never" },
 	{ "stop", "grace_ms", KF_FIELD_I64, MEMBER_OFFSET(grace_ms),
 	    .unit = "ms", .min = GRACE_MIN_MS, .max = GRACE_MAX_MS,
 	    .default_value = "6000",
--- a/lib/settings/include/kf/forwarder_settings.h
+++ b/lib/settings/include/kf/forwarder_settings.h
@@ -39,6 +39,9 @@
 	int64_t apply_bound_ms;
 	int64_t evacuate_bound_ms; /* 0: no zones are evacuated */
 
+	/* [upstreams] */
+	int64_t dead_after_ms; /* 0: flows of dead upstreams are not reset */
+
 	/* [stop] */
 	int64_t grace_ms;
 
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -40,6 +40,7 @@
 	EXPECT_EQ(0x7f000002u, s.seeds[1].ip);
 	EXPECT_STREQ("/ready", s.ready_path);
 	EXPECT_EQ(6000, s.grace_ms);
+	EXPECT_EQ(250, s.dead_after_ms);
 	EXPECT_EQ(KF_LOG_INFO, s.log_level);
 	EXPECT_STREQ("stdout", s.log_file);
 	EXPECT_EQ(128u, s.sample);
