--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -12,6 +12,8 @@
 	MAX_DECISIONS_PER_S = 1000000,
 	MAX_SAMPLE = 1000000,
 	MAX_TRANSFER_US_PER_KB = 1000000,
+	/* Clients give up after 1 to 5 s. */
+	MAX_DEAD_AFTER_MS = 10000,
 };
 
 static const char *const zone_balances[] = { "on", "off", NULL };
@@ -85,6 +87,11 @@
 	    .max = MAX_TRANSFER_US_PER_KB, .default_value = "500",
 	    .text = "cost of the transfer of an answer between zones, as "
 		    "time" },
+	{ "upstreams", "dead_after_ms", KF_FIELD_I64,
+	    MEMBER_OFFSET(dead_after_ms), .unit = "ms", .min = 0,
+	    .max = MAX_DEAD_AFTER_MS, .default_value = "250",
+	    .text = "time without an answer after which an upstream may be "
+		    "dead, and its flows reset; 0: never" },
 	{ "stop", "grace_ms", KF_FIELD_I64, MEMBER_OFFSET(grace_ms),
 	    .unit = "ms", .min = GRACE_MIN_MS, .max = GRACE_MAX_MS,
 	    .default_value = "6000",
--- a/lib/settings/include/kf/forwarder_settings.h
+++ b/lib/settings/include/kf/forwarder_settings.h
@@ -47,6 +47,8 @@
 	/* [zones] */
 	kf_zone_balance_t zone_balance;
 	uint32_t transfer_us_per_kb;
+	/* [upstreams] */
+	int64_t dead_after_ms; /* 0: flows of dead upstreams are not reset */
 
 	/* [stop] */
 	int64_t grace_ms;
