Limit the rate of openings to cold upstreams

Half of the limit is divided among the first VMs of the upstream's zone by rendezvous hash; the other half covers different views and links that bunch packets. Every SYN is counted: first, second and third tries, and copies. A VM whose view of the zone is uncertain opens none. An upstream that started over a minute ago is not limited whatever its old entry says, so that a restart of all VMs does not refuse everything. A zone counts as being as large as it was for 10 s: with the size of the moment a model of 15 VMs had 10 openings with a limit of 8 while a partition began.

--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -56,6 +56,7 @@
 	kf_health_t health;
 	double load;
 
+	s->best.cold_passed += kf_target_cold_refuses(target, s->now_us);
 	if (!kf_target_eligible(target, s->now_us) ||
 	    has_tried(s->flow, target->token))
 		return;
@@ -102,6 +103,7 @@
 		const kf_target_t *target = targets[i];
 
 		if (!kf_target_eligible(target, now_us) ||
+		    kf_target_cold_limited(target, now_us) ||
 		    kf_target_health(target, now_us) == KF_HEALTH_EJECTED)
 			continue;
 		pool_usage->flows += target->busy + target->opening;
--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -77,12 +77,26 @@
 }
 
 static void
-send_syn(kf_forwarder_t *f, const kf_flow_t *flow, const kf_target_t *target)
+send_syn(kf_forwarder_t *f, const kf_flow_t *flow, kf_target_t *target,
+    int64_t now_us)
 {
+	kf_target_add_opening(target, now_us);
 	f->callbacks.send(f->callbacks.ctx, &target->info, target->token,
 	    flow->syn, flow->syn_bytes);
 }
 
+/* Records that a cold upstream without allowance does not get the SYN; target
+ * may be NULL. */
+static void
+record_cold_limited(kf_forwarder_t *f, const kf_flow_t *flow,
+    const kf_target_t *target, int64_t now_us)
+{
+	kf_forward_record_t record =
+	    make_flow_record(f, flow, KF_FORWARD_COLD_LIMITED, target, now_us);
+
+	forwarder_record(f, &record);
+}
+
 /* Sends the SYN to an upstream not tried yet; returns false if none is left. */
 static bool
 try_next_upstream(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us)
@@ -94,6 +108,8 @@
 		return false;
 	choice = kf_choose(kf_directory_pool(f->directory, flow->service), flow,
 	    f->position, now_us);
+	if (choice.cold_passed > 0)
+		record_cold_limited(f, flow, NULL, now_us);
 	if (choice.target == NULL)
 		return false;
 	flow->attempt[flow->tries++] = (kf_flow_try_t){
@@ -106,7 +122,7 @@
 		admission_add_repeated_syn(f, flow->service, now_us);
 	if (flow->load_counted)
 		choice.target->opening++;
-	send_syn(f, flow, choice.target);
+	send_syn(f, flow, choice.target, now_us);
 	record = make_flow_record(f, flow,
 	    flow->tries == 1 ? KF_FORWARD_PLACED : KF_FORWARD_HEDGED,
 	    choice.target, now_us);
@@ -120,14 +136,18 @@
 static void
 resend_to_tried(kf_forwarder_t *f, const kf_flow_t *flow, int64_t now_us)
 {
-	const kf_target_t *target;
+	kf_target_t *target;
 	uint8_t i;
 
 	for (i = 0; i < flow->tries; i++) {
 		target =
 		    kf_directory_find(f->directory, flow->attempt[i].token);
-		if (target != NULL && kf_target_eligible(target, now_us))
-			send_syn(f, flow, target);
+		if (target == NULL)
+			continue;
+		if (kf_target_eligible(target, now_us))
+			send_syn(f, flow, target, now_us);
+		else if (kf_target_cold_refuses(target, now_us))
+			record_cold_limited(f, flow, target, now_us);
 	}
 }
 
@@ -142,17 +162,23 @@
 		resend_to_tried(f, flow, now_us);
 }
 
-/* Forwards a copy of the SYN of an open flow; the answer may have been lost. */
+/* Forwards a copy of the SYN of an open flow, as the answer may have been lost,
+ * unless its upstream is cold and may get no SYN now. */
 static void
-resend_to_open(
-    kf_forwarder_t *f, kf_flow_t *flow, const uint8_t *datagram, size_t len)
+resend_to_open(kf_forwarder_t *f, const kf_flow_t *flow,
+    const uint8_t *datagram, size_t len, int64_t now_us)
 {
-	const kf_target_t *target =
-	    kf_directory_find(f->directory, flow->token);
+	kf_target_t *target = kf_directory_find(f->directory, flow->token);
 
-	if (target != NULL)
-		f->callbacks.send(f->callbacks.ctx, &target->info,
-		    target->token, datagram, len);
+	if (target == NULL)
+		return;
+	if (kf_target_cold_refuses(target, now_us)) {
+		record_cold_limited(f, flow, target, now_us);
+		return;
+	}
+	kf_target_add_opening(target, now_us);
+	f->callbacks.send(
+	    f->callbacks.ctx, &target->info, target->token, datagram, len);
 }
 
 static void
@@ -213,7 +239,7 @@
 	if (flow == NULL)
 		connect_new(f, now_us, packet, route, datagram, len);
 	else if (flow->state == KF_FLOW_OPEN)
-		resend_to_open(f, flow, datagram, len);
+		resend_to_open(f, flow, datagram, len, now_us);
 	else
 		connect_retransmission(f, flow, packet, now_us);
 }
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -10,6 +10,7 @@
 	uint64_t zone;
 	uint64_t evacuated[KF_DIRECTORY_MAX_EVACUATED]; /* zones */
 	size_t evacuated_count;
+	kf_cold_view_t cold_view;
 	kf_target_t **targets; /* sorted by id */
 	size_t count;
 	size_t cap;
@@ -272,6 +273,7 @@
 		return NULL;
 	target->token = kf_token_of(id);
 	target->listing = KF_LISTING_GONE;
+	target->cold_view = &d->cold_view;
 	memmove(d->targets + at + 1, d->targets + at,
 	    (d->count - at) * sizeof(kf_target_t *));
 	d->targets[at] = target;
@@ -315,6 +317,23 @@
 	return d->evacuated_count;
 }
 
+void
+kf_directory_set_cold_view(kf_directory_t *d, const kf_cold_news_t *news,
+    kf_cold_allowance_fn *allowance, void *ctx, int64_t now_us)
+{
+	size_t i;
+
+	kf_cold_view_update(&d->cold_view, news, now_us);
+	for (i = 0; i < d->count; i++) {
+		kf_target_t *target = d->targets[i];
+		bool limited = target->info.zone == d->zone &&
+		    kf_target_cold_limited(target, now_us);
+
+		target->cold_allowance =
+		    limited ? allowance(ctx, target, &d->cold_view) : 0;
+	}
+}
+
 static kf_change_t
 classify_change(const kf_target_t *target, const kf_upstream_info_t *info)
 {
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -14,6 +14,7 @@
 	[KF_FORWARD_LATE] = "request_late",
 	[KF_FORWARD_SHORT] = "answer_short",
 	[KF_FORWARD_OUTLIER] = "upstream_outlier",
+	[KF_FORWARD_COLD_LIMITED] = "cold_limited",
 };
 
 const char *
@@ -339,3 +340,35 @@
 		pool->other_vms_demand_per_s = demand(ctx, pool->service);
 	}
 }
+
+typedef struct cold_ranks {
+	const kf_route_table_t *routes;
+	kf_cold_rank_fn *rank;
+	void *ctx;
+} cold_ranks_t;
+
+static uint32_t
+cold_allowance(void *ctx, const kf_target_t *target, const kf_cold_view_t *view)
+{
+	const cold_ranks_t *ranks = ctx;
+	double per_s =
+	    kf_route_table_cold_per_s(ranks->routes, target->info.service);
+
+	return kf_cold_allowance(
+	    kf_cold_share(&view->bounds, per_s, view->vm_count),
+	    ranks->rank(ranks->ctx, target->info.id));
+}
+
+void
+kf_forwarder_set_cold_view(kf_forwarder_t *f, const kf_cold_news_t *news,
+    kf_cold_rank_fn *rank, void *ctx, int64_t now_us)
+{
+	cold_ranks_t ranks = {
+		.routes = f->routes,
+		.rank = rank,
+		.ctx = ctx,
+	};
+
+	kf_directory_set_cold_view(
+	    f->directory, news, cold_allowance, &ranks, now_us);
+}
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -17,6 +17,9 @@
  *	the lowest load per slot.  A VM knows only its own flows and assumes
  *	that every other VM of its zone has as many on each upstream.
  *
+ *	A cold upstream whose openings are limited is eligible only while this
+ *	VM has an allowance left for it.
+ *
  *	Upstreams that tie are used in turn.  Each VM starts at a different one,
  *	by its rank, so that VMs do not all select the same upstream.
  */
@@ -28,8 +31,9 @@
 } kf_position_t;
 
 typedef struct kf_choice {
-	kf_target_t *target; /* NULL: none is eligible */
-	uint32_t eligible;   /* eligible upstreams that were compared */
+	kf_target_t *target;  /* NULL: none is eligible */
+	uint32_t eligible;    /* eligible upstreams that were compared */
+	uint32_t cold_passed; /* cold ones without allowance */
 	kf_health_t health;
 	double load; /* estimated flows per slot */
 } kf_choice_t;
@@ -41,7 +45,8 @@
 /* Flows and slots of a service's upstreams, as this VM knows them. */
 typedef struct kf_pool_usage {
 	uint64_t flows; /* of this VM: opening, or awaiting an answer */
-	uint64_t slots; /* of upstreams that are not ejected */
+	uint64_t slots; /* of upstreams that are neither ejected nor
+			 * limited because they are cold */
 } kf_pool_usage_t;
 
 kf_pool_usage_t kf_pool_get_usage(const kf_pool_t *pool, int64_t now_us);
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -107,6 +107,20 @@
 kf_status_t kf_directory_set_evacuated(
     kf_directory_t *directory, uint64_t zone, bool evacuated);
 
+/* Returns the openings that this VM may send to a cold upstream in every 1.1 s.
+ */
+typedef uint32_t kf_cold_allowance_fn(
+    void *ctx, const kf_target_t *target, const kf_cold_view_t *view);
+
+/*
+ * Updates what this VM knows of the others, and the allowances of the cold
+ * upstreams of its zone; others have none.  An upstream that turns cold later
+ * has none until the next call.
+ */
+void kf_directory_set_cold_view(kf_directory_t *directory,
+    const kf_cold_news_t *news, kf_cold_allowance_fn *allowance, void *ctx,
+    int64_t now_us);
+
 /* Returns the number of evacuated zones. */
 size_t kf_directory_evacuated_count(const kf_directory_t *directory);
 
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -47,6 +47,8 @@
 	KF_FORWARD_LATE,     /* the answer to a request is late */
 	KF_FORWARD_SHORT,    /* an answer was far shorter than usual */
 	KF_FORWARD_OUTLIER,  /* an upstream was ejected for failed requests */
+	/* A SYN was not sent to a cold upstream, for lack of allowance. */
+	KF_FORWARD_COLD_LIMITED,
 	KF_FORWARD_EVENT_COUNT
 } kf_forward_event_t;
 
@@ -147,6 +149,15 @@
 void kf_forwarder_set_other_vms_demand(
     kf_forwarder_t *forwarder, kf_other_vms_demand_fn *demand, void *ctx);
 
+/* Returns the rank of this VM among those of its zone for an upstream. */
+typedef uint32_t kf_cold_rank_fn(void *ctx, uint64_t upstream_id);
+
+/* Updates the rate limit of cold upstreams with what this VM knows of the
+ * others; to be called every 200 ms and when the VMs of the zone change. */
+void kf_forwarder_set_cold_view(kf_forwarder_t *forwarder,
+    const kf_cold_news_t *news, kf_cold_rank_fn *rank, void *ctx,
+    int64_t now_us);
+
 /* Maximum number of failed requests reported at once. */
 enum { KF_FORWARDER_MAX_FAILED = 16 };
 
--- a/lib/forwarder/include/kf/route_table.h
+++ b/lib/forwarder/include/kf/route_table.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "kf/addr.h"
+#include "kf/status.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -45,11 +46,20 @@
 	bool removed;
 } kf_route_t;
 
+/* What the configuration says of a service's upstreams after their start. */
+typedef struct kf_service_cold {
+	uint64_t service;      /* kf_name_key */
+	double cold_per_s;     /* requests a second that a cold one serves */
+	int64_t cold_start_us; /* length of the cold start */
+} kf_service_cold_t;
+
 typedef struct kf_route_table {
 	uint64_t version;
 	int64_t idle_timeout_us; /* after which a flow may be removed */
 	kf_route_t *routes;	 /* sorted by address */
 	size_t count;
+	kf_service_cold_t *services;
+	size_t service_count;
 } kf_route_table_t;
 
 /* Returns the 64-bit key (a hash) of a service, zone or upstream name. */
@@ -64,6 +74,16 @@
     const kf_route_t *routes, size_t count, const kf_route_table_t *previous);
 void kf_route_table_delete(kf_route_table_t *table);
 
+/* Adds the services of the configuration to a table that has none, before the
+ * table is in use. */
+kf_status_t kf_route_table_set_services(
+    kf_route_table_t *table, const kf_service_cold_t *services, size_t count);
+
+/* Returns the requests a second that a cold upstream of a service serves; 0 if
+ * the configuration does not say. */
+double kf_route_table_cold_per_s(
+    const kf_route_table_t *table, uint64_t service);
+
 /* Returns the route of an address, also a removed one, or NULL. */
 const kf_route_t *kf_route_table_find(
     const kf_route_table_t *table, kf_addr_t address);
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "kf/addr.h"
+#include "kf/cold_limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -40,6 +41,8 @@
 	/* How long an upstream is used whose entry is missing after a store
 	 * outage; upstreams publish their entries again within about 2 s. */
 	KF_TARGET_MISSING_GRACE_US = 2500000,
+	/* How far the clocks of a VM and an upstream may differ. */
+	KF_TARGET_CLOCK_ERROR_MS = 60000,
 };
 
 /* An upstream's published entry. */
@@ -55,6 +58,7 @@
 	int64_t born_ms;      /* start of the incarnation, UTC since 1970 */
 	int64_t cold_left_us; /* remaining cold start */
 	bool draining;
+	bool warm; /* by its start, its cold start ended long ago */
 } kf_upstream_info_t;
 
 typedef enum kf_listing {
@@ -92,14 +96,39 @@
 	bool token_conflict;	    /* another upstream owns its token */
 	bool evacuated; /* its zone is; gets no new flows until the zone returns
 			 */
+	/* Shared by all upstreams of the directory; NULL: no limit. */
+	const kf_cold_view_t *cold_view;
+	uint32_t
+	    cold_allowance; /* openings of this VM in 1.1 s of cold start */
+	kf_cold_window_t cold_window; /* openings of this VM while limited */
 } kf_target_t;
 
 /* Derives the token from an upstream's id; never KF_TOKEN_NONE. */
 uint32_t kf_token_of(uint64_t upstream_id);
 
+/*
+ * Returns true if an upstream's start is so long ago that it is not cold,
+ * whatever its entry says.  An entry may be older than the VM that reads it;
+ * when all VMs start together, all upstreams would count as cold and their
+ * flows would be refused.
+ */
+bool kf_upstream_is_warm(const kf_upstream_info_t *info, int64_t wall_ms);
+
 /* Returns true if the upstream may get new flows. */
 bool kf_target_eligible(const kf_target_t *target, int64_t now_us);
 
+/* Returns true if the upstream's openings are limited because it is cold. */
+bool kf_target_cold_limited(const kf_target_t *target, int64_t now_us);
+
+/* Returns the openings that this VM may send to it now while it is limited. */
+uint32_t kf_target_cold_left(const kf_target_t *target, int64_t now_us);
+
+/* Returns true if it is limited and may get no opening of this VM now. */
+bool kf_target_cold_refuses(const kf_target_t *target, int64_t now_us);
+
+/* Counts a SYN that is sent to the upstream. */
+void kf_target_add_opening(kf_target_t *target, int64_t now_us);
+
 kf_health_t kf_target_health(const kf_target_t *target, int64_t now_us);
 
 const char *kf_health_name(kf_health_t health);
--- a/lib/forwarder/route_table.c
+++ b/lib/forwarder/route_table.c
@@ -111,9 +111,35 @@
 	if (table == NULL)
 		return;
 	free(table->routes);
+	free(table->services);
 	free(table);
 }
 
+kf_status_t
+kf_route_table_set_services(
+    kf_route_table_t *table, const kf_service_cold_t *services, size_t count)
+{
+	table->services = calloc(count + 1, sizeof(*services));
+	if (table->services == NULL)
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "no memory for services");
+	if (count > 0)
+		memcpy(table->services, services, count * sizeof(*services));
+	table->service_count = count;
+	return KF_OK;
+}
+
+double
+kf_route_table_cold_per_s(const kf_route_table_t *table, uint64_t service)
+{
+	size_t i;
+
+	for (i = 0; table != NULL && i < table->service_count; i++)
+		if (table->services[i].service == service)
+			return table->services[i].cold_per_s;
+	return 0;
+}
+
 uint64_t
 kf_route_service(const kf_route_t *route, uint64_t flow_hash)
 {
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -35,11 +35,50 @@
 	return token == KF_TOKEN_NONE ? 1 : token;
 }
 
+bool
+kf_upstream_is_warm(const kf_upstream_info_t *info, int64_t wall_ms)
+{
+	return info->born_ms > 0 &&
+	    wall_ms - info->born_ms >
+	    info->cold_left_us / 1000 + KF_TARGET_CLOCK_ERROR_MS;
+}
+
+bool
+kf_target_cold_limited(const kf_target_t *target, int64_t now_us)
+{
+	return target->cold_view != NULL &&
+	    target->cold_view->bounds.excess > 0 && !target->info.warm &&
+	    now_us < target->cold_end_us;
+}
+
+uint32_t
+kf_target_cold_left(const kf_target_t *target, int64_t now_us)
+{
+	return kf_cold_view_is_certain(target->cold_view, now_us)
+	    ? kf_cold_window_left(
+		  &target->cold_window, target->cold_allowance, now_us)
+	    : 0;
+}
+
+bool
+kf_target_cold_refuses(const kf_target_t *target, int64_t now_us)
+{
+	return kf_target_cold_limited(target, now_us) &&
+	    kf_target_cold_left(target, now_us) == 0;
+}
+
+void
+kf_target_add_opening(kf_target_t *target, int64_t now_us)
+{
+	if (kf_target_cold_limited(target, now_us))
+		kf_cold_window_add(&target->cold_window, now_us);
+}
+
 bool
 kf_target_eligible(const kf_target_t *target, int64_t now_us)
 {
 	if (target->info.draining || target->token_conflict ||
-	    target->evacuated)
+	    target->evacuated || kf_target_cold_refuses(target, now_us))
 		return false;
 	switch (target->listing) {
 	case KF_LISTED:
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -12,6 +12,7 @@
 #include "kf/signals.h"
 #include "kf/udp.h"
 
+#include "cold_update.h"
 #include "control_loop.h"
 #include "forward_metrics.h"
 #include "forward_state.h"
@@ -410,6 +411,8 @@
 			.vm_count = view.zone_count,
 		    },
 		    l->now_us);
+		cold_update(forwarder, &l->watch.settings, l->peering,
+		    view.zone_count, l->leaving, l->now_us);
 		packet_thread_unlock(l->packets);
 		kf_eventlog_write(l->log, KF_LOG_INFO, "vms",
 		    "known=%u zone=%u rank=%u", view.vm_count, view.zone_count,
@@ -466,7 +469,7 @@
 
 /*
  * Passes the demand of each service from the forwarder to the beacons, and that
- * of other VMs from the beacons to the forwarder.
+ * of other VMs and the owners of cold upstreams' allowances to the forwarder.
  */
 static void
 update_demands(control_loop_t *l)
@@ -480,6 +483,8 @@
 	l->demand_count = kf_forwarder_demands(
 	    forwarder, l->now_us, l->demands, KF_PEERING_MAX_DEMANDS);
 	kf_forwarder_set_other_vms_demand(forwarder, other_vms_demand, l);
+	cold_update(forwarder, &l->watch.settings, l->peering,
+	    l->view.zone_count, l->leaving, l->now_us);
 	packet_thread_unlock(l->packets);
 }
 
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -29,9 +29,9 @@
 static bool
 is_sampled_record(const kf_forward_record_t *r)
 {
-	return (r->event == KF_FORWARD_PLACED ||
-		   r->event == KF_FORWARD_OPENED) &&
-	    r->copies == 0 && r->tries <= 1;
+	return r->event == KF_FORWARD_COLD_LIMITED ||
+	    ((r->event == KF_FORWARD_PLACED || r->event == KF_FORWARD_OPENED) &&
+		r->copies == 0 && r->tries <= 1);
 }
 
 /* Returns true and counts the line if the limit per second is not reached. */
--- a/lib/fwdnet/forward_log.h
+++ b/lib/fwdnet/forward_log.h
@@ -13,7 +13,8 @@
  *
  * DESCRIPTION
  *	Flows that open without a retransmission or a second try are sampled by
- *	their hash, so that all VMs log the same flows.  All other decisions
+ *	their hash, so that all VMs log the same flows; so are openings that a
+ *	cold upstream does not get for lack of allowance.  All other decisions
  *	are logged.  The number of lines per second is limited; lines that are
  *	left out are counted and reported.
  */
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -89,6 +89,9 @@
 	write_value(out, "zones_evacuated", "gauge",
 	    "zones whose upstreams get no new flows",
 	    (long long)m->packets.zones_evacuated);
+	write_value(out, "cold_refused_total", "counter",
+	    "SYNs that a cold upstream did not get for lack of allowance",
+	    (long long)m->packets.forwarder.events[KF_FORWARD_COLD_LIMITED]);
 	write_value(out, "log_dropped_total", "counter",
 	    "log lines that the reader had no room for",
 	    (long long)m->log_dropped);
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -5,6 +5,8 @@
 
 #include "forward_state.h"
 
+enum { ALLOWANCE_BYTES = 16 };
+
 static void
 write_vm(FILE *out, const forward_state_t *s, kf_forwarder_t *forwarder)
 {
@@ -27,13 +29,17 @@
 write_target(FILE *out, const char *record, const kf_target_t *t,
     kf_position_t position, int64_t now_us)
 {
-	char address[KF_ADDR_TEXT_BYTES];
+	char address[KF_ADDR_TEXT_BYTES], allowance[ALLOWANCE_BYTES] = "-";
 
+	if (kf_target_cold_limited(t, now_us))
+		snprintf(allowance, sizeof(allowance), "%u",
+		    kf_target_cold_left(t, now_us));
 	fprintf(out,
 	    "record=%s upstream=%s service=%s zone=%s address=%s slots=%u "
 	    "state=%s listing=%s health=%s eligible=%s evacuated=%s load=%.2f "
 	    "open=%u "
-	    "opening=%u failures=%u cold_left_ms=%lld\n",
+	    "opening=%u failures=%u cold_left_ms=%lld "
+	    "cold_allowance=%s\n",
 	    record, t->info.name, t->info.service_name, t->info.zone_name,
 	    kf_addr_format(t->info.address, address), t->info.slots,
 	    t->info.draining ? "draining" : "ready",
@@ -44,7 +50,8 @@
 	    t->open, t->opening, t->failures,
 	    t->cold_end_us > now_us
 		? (long long)((t->cold_end_us - now_us) / 1000)
-		: 0LL);
+		: 0LL,
+	    allowance);
 }
 
 /* Writes the upstreams of a service, or all upstreams if service is 0. */
--- a/lib/fwdnet/settings_watch.c
+++ b/lib/fwdnet/settings_watch.c
@@ -70,6 +70,8 @@
 	w->settings.grace_ms = read.grace_ms;
 	w->settings.drain_bound_ms = read.drain_bound_ms;
 	w->settings.apply_bound_ms = read.apply_bound_ms;
+	w->settings.cold_excess = read.cold_excess;
+	w->settings.cold_slack = read.cold_slack;
 	memcpy(
 	    w->settings.ready_path, read.ready_path, sizeof(read.ready_path));
 	kf_eventlog_write(w->log, restart ? KF_LOG_WARN : KF_LOG_INFO, "reload",
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -162,6 +162,23 @@
 kf_peering_view_t kf_peering_view(
     kf_peering_t *peering, const kf_peering_self_t *self, int64_t now_us);
 
+/*
+ * Returns how many VMs of the zone come before this one in the order of the
+ * key.  VMs that know the same members have different ranks, and a VM that
+ * leaves changes the order of no others (rendezvous hashing).
+ */
+uint32_t kf_peering_zone_rank(const kf_peering_t *peering, uint64_t key);
+
+/*
+ * Returns the latest time at which a VM of the zone is known to have sent a
+ * beacon; INT64_MIN: none.  A beacon that waited in a link or a socket counts
+ * from the time at which it was sent.
+ */
+int64_t kf_peering_zone_sent_us(const kf_peering_t *peering);
+
+/* Returns true if no other VM is known and no seed is another VM. */
+bool kf_peering_is_alone(const kf_peering_t *peering);
+
 /* A pull from a VM has failed; others are to be asked first for a while. */
 void kf_peering_avoid_source(
     kf_peering_t *peering, uint32_t ip, int64_t now_us);
--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "kf/forwarder_settings.h"
@@ -11,6 +12,8 @@
 	BOUND_MAX_MS = 600000,
 	MAX_DECISIONS_PER_S = 1000000,
 	MAX_SAMPLE = 1000000,
+	MAX_COLD_EXCESS = 1000,
+	MAX_COLD_SLACK = 1000000,
 };
 
 static kf_status_t
@@ -35,6 +38,35 @@
 	return KF_OK;
 }
 
+static kf_status_t
+set_fraction(const char *value, double max, double *number)
+{
+	char *end;
+	double n = strtod(value, &end);
+
+	if (end == value || *end != '\0' || !(n >= 0 && n <= max))
+		return kf_status_set(KF_ERR_INVALID,
+		    "'%.40s' is not a number from 0 to %.0f", value, max);
+	*number = n;
+	return KF_OK;
+}
+
+static kf_status_t
+set_cold_excess(void *object, const char *value)
+{
+	kf_forwarder_settings_t *s = object;
+
+	return set_fraction(value, MAX_COLD_EXCESS, &s->cold_excess);
+}
+
+static kf_status_t
+set_cold_slack(void *object, const char *value)
+{
+	kf_forwarder_settings_t *s = object;
+
+	return set_fraction(value, MAX_COLD_SLACK, &s->cold_slack);
+}
+
 #define MEMBER_OFFSET(member) \
 	.offset = offsetof(kf_forwarder_settings_t, member)
 
@@ -73,6 +105,13 @@
 	    .max = BOUND_MAX_MS, .default_value = "0",
 	    .text = "time within which an evacuated zone gets no new flows; "
 		    "0: none is evacuated" },
+	{ "bounds", "cold_excess", KF_FIELD_CUSTOM, .set = set_cold_excess,
+	    .unit = "0 to 1000", .default_value = "0",
+	    .text = "openings to a cold upstream, as a multiple of the "
+		    "requests that it serves; 0: no limit" },
+	{ "bounds", "cold_slack", KF_FIELD_CUSTOM, .set = set_cold_slack,
+	    .unit = "0 to 1000000", .default_value = "0",
+	    .text = "openings a second to a cold upstream in addition" },
 	{ "stop", "grace_ms", KF_FIELD_I64, MEMBER_OFFSET(grace_ms),
 	    .unit = "ms", .min = GRACE_MIN_MS, .max = GRACE_MAX_MS,
 	    .default_value = "6000",
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -16,6 +16,9 @@
  *	drain NAME		publish it as draining
  *	restart NAME		publish a new incarnation of it
  *	cold NAME MS		publish it with a remaining cold start
+ *	limit SLACK RANK COUNT	limit cold upstreams to SLACK openings a second,
+ *				with this rank among COUNT VMs for each of them
+ *	unheard			hear from no other VM from now on
  *	gone NAME		remove its entry
  *	lapse NAME		remove its entry because of a store outage
  *	evacuate ZONE on|off	set whether a zone is evacuated
@@ -75,6 +78,8 @@
 			{ "drain", &Session::Drain },
 			{ "restart", &Session::Restart },
 			{ "cold", &Session::Cold },
+			{ "limit", &Session::Limit },
+			{ "unheard", &Session::Unheard },
 			{ "gone", &Session::Gone },
 			{ "lapse", &Session::Lapse },
 			{ "evacuate", &Session::Evacuate },
@@ -121,6 +126,7 @@
 			    w_->forwarder, position, w_->now_us);
 		entries_.clear();
 		tokens_.clear();
+		news_ = {};
 	}
 	void Put(const std::string &name)
 	{
@@ -163,6 +169,28 @@
 		entries_[name].cold_left_us = ms * 1000;
 		Put(name);
 	}
+	void Limit(std::istringstream &in)
+	{
+		in >> news_.bounds.slack >> cold_rank_ >> news_.vm_count;
+		news_.bounds.excess = 1.5;
+		heard_ = true;
+		UpdateColdView();
+	}
+	void Unheard(std::istringstream &)
+	{
+		heard_ = false;
+	}
+	void UpdateColdView()
+	{
+		if (heard_)
+			news_.heard_us = w_->now_us;
+		kf_forwarder_set_cold_view(
+		    w_->forwarder, &news_,
+		    [](void *ctx, uint64_t) {
+			    return *static_cast<uint32_t *>(ctx);
+		    },
+		    &cold_rank_, w_->now_us);
+	}
 	void Unlist(std::istringstream &in, bool lapsed)
 	{
 		std::string name;
@@ -354,7 +382,13 @@
 		int64_t ms;
 
 		in >> ms;
+		for (; news_.bounds.excess > 0 && ms > 200; ms -= 200) {
+			w_->Run(200000);
+			UpdateColdView();
+		}
 		w_->Run(ms * 1000);
+		if (news_.bounds.excess > 0)
+			UpdateColdView();
 	}
 	void Spread(std::istringstream &in)
 	{
@@ -485,6 +519,9 @@
 	std::unique_ptr<ForwarderHarness> w_;
 	std::map<std::string, kf_upstream_info_t> entries_;
 	std::map<uint16_t, uint32_t> tokens_; /* by client */
+	kf_cold_news_t news_ = {};
+	uint32_t cold_rank_ = 0;
+	bool heard_ = false;
 	uint32_t request_ = 0;
 	uint32_t copy_ = 0; /* of the SYNs that "spread" sends */
 };
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -93,6 +93,30 @@
 	EXPECT_STREQ("other", s.name);
 }
 
+/* Guards against a limit of cold upstreams where the deployment has none, and
+ * against fractions that are refused. */
+TEST(ForwarderSettings, ColdLimitIsOffUnlessGiven)
+{
+	kf_forwarder_settings_t s;
+
+	EXPECT_EQ(KF_OK,
+	    Override({ "bounds.cold_excess=", "bounds.cold_slack=" }, &s));
+	EXPECT_EQ(0, s.cold_excess);
+	EXPECT_EQ(0, s.cold_slack);
+	EXPECT_EQ(KF_OK,
+	    Override({ "bounds.cold_excess=1.5", "bounds.cold_slack=5" }, &s));
+	EXPECT_EQ(1.5, s.cold_excess);
+	EXPECT_EQ(5, s.cold_slack);
+	EXPECT_EQ(KF_ERR_INVALID,
+	    Override({ "bounds.cold_excess=nan", "bounds.cold_slack=-1",
+			 "bounds.cold_slack=5s" },
+		&s));
+	EXPECT_EQ("--set:0: 'nan' is not a number from 0 to 1000\n"
+		  "--set:0: '-1' is not a number from 0 to 1000000\n"
+		  "--set:0: '5s' is not a number from 0 to 1000000\n",
+	    errors);
+}
+
 TEST(ForwarderSettings, RefusesWrongOverrides)
 {
 	kf_forwarder_settings_t s;
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -157,6 +157,19 @@
 		    vms_[ip].peering, tokens.data(), tokens.size()));
 		return tokens;
 	}
+	uint32_t ZoneRank(uint32_t ip, uint64_t key)
+	{
+		return kf_peering_zone_rank(vms_[ip].peering, key);
+	}
+	/* Returns the age of the latest beacon of a VM of the zone. */
+	int64_t ZoneSentAge(uint32_t ip)
+	{
+		return now_us_ - kf_peering_zone_sent_us(vms_[ip].peering);
+	}
+	bool IsAlone(uint32_t ip)
+	{
+		return kf_peering_is_alone(vms_[ip].peering);
+	}
 	/* Returns the number of beacons that the VM has received. */
 	uint64_t ReceivedBeacons(uint32_t ip)
 	{
@@ -231,6 +244,35 @@
 	std::mt19937 random_{ 20261204 };
 };
 
+/*
+ * Guards against VMs of a zone that derive different owners from the same
+ * members, and against owners that are the same VMs for all keys.
+ */
+TEST(Peering, ZoneRanksOrderTheVmsOfEachKey)
+{
+	std::set<uint32_t> first;
+	Fleet fleet(0.05);
+
+	for (uint32_t ip = 1; ip <= 26; ip++)
+		fleet.Start(ip, ip % 2);
+	EXPECT_FALSE(fleet.IsAlone(1)) << "another seed exists";
+	fleet.Run(5000);
+	for (uint64_t key = 100; key < 140; key++) {
+		std::set<uint32_t> ranks;
+
+		for (uint32_t ip = 1; ip <= 26; ip += 2) {
+			ranks.insert(fleet.ZoneRank(ip, key));
+			if (fleet.ZoneRank(ip, key) == 0)
+				first.insert(ip);
+		}
+		EXPECT_EQ(13u, ranks.size()) << key;
+		EXPECT_EQ(12u, *ranks.rbegin()) << key;
+	}
+	EXPECT_GT(first.size(), 6u);
+	for (uint32_t ip = 1; ip <= 26; ip++)
+		EXPECT_LT(fleet.ZoneSentAge(ip), 2000000) << ip;
+}
+
 /*
  * Guards against VMs that keep asking a VM that froze after it announced a
  * revision, though others have it (review/4).  A pull that fails takes 0.5 s,
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -253,6 +253,35 @@
 	kf_route_table_delete(t);
 }
 
+std::string
+ServicesJson(const std::string &services)
+{
+	return "{\"Version\":7,\"Routes\":[],\"Services\":" + services + "}";
+}
+
+/* Guards against a rate of cold upstreams that is cut off to a whole number, or
+ * not read. */
+TEST(PlatformPublished, ReadsColdRatesOfServices)
+{
+	kf_route_table_t *t = DecodeRouteTable(
+	    ServicesJson("[{\"Name\":\"a\",\"ColdStartS\":2.5,\"ColdPerS\":"
+			 "3.25},{\"Name\":\"b\",\"ColdPerS\":4},"
+			 "{\"ColdPerS\":9},{\"Name\":\"c\"}]"));
+
+	ASSERT_NE(nullptr, t);
+	EXPECT_EQ(2500000, t->services[0].cold_start_us);
+	EXPECT_EQ(3.25, kf_route_table_cold_per_s(t, kf_name_key("a")));
+	EXPECT_EQ(4, kf_route_table_cold_per_s(t, kf_name_key("b")));
+	EXPECT_EQ(0, kf_route_table_cold_per_s(t, kf_name_key("c")));
+	EXPECT_EQ(0, kf_route_table_cold_per_s(t, kf_name_key("d")));
+	kf_route_table_delete(t);
+	for (const char *bad : { "{}", "[{\"Name\":1}]", "[{\"ColdPerS\":-1}]",
+		 "[{\"ColdPerS\":\"1\"}]", "[{\"ColdStartS\":null}]" })
+		EXPECT_EQ(nullptr, DecodeRouteTable(ServicesJson(bad))) << bad;
+	EXPECT_STREQ(
+	    "ColdStartS is not a number from 0 to 3600", kf_status_message());
+}
+
 /* Guards against a zone that is not evacuated, or one without a name. */
 TEST(PlatformPublished, ReadsEvacuations)
 {
