Take only entries of the first listing as possibly old

Cause: an upstream that started over 60 s ago by its entry was never limited, which depends on the clocks of both machines at every update of the entry, while only the first listing of a VM has entries of unknown age.

The start time counts in the first listing only, with 10 s for clocks that differ. Entries that come later count as cold for ColdLeftMs.

ColdLimit.*, golden forwarder/* and process packets-cold pass.

--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -42,7 +42,7 @@
 	 * outage; upstreams publish their entries again within about 2 s. */
 	KF_TARGET_MISSING_GRACE_US = 2500000,
 	/* How far the clocks of a VM and an upstream may differ. */
-	KF_TARGET_CLOCK_ERROR_MS = 60000,
+	KF_TARGET_CLOCK_ERROR_MS = 10000,
 };
 
 /* An upstream's published entry. */
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -90,7 +90,10 @@
 		remove_upstream(a, item, false, now_us);
 		return;
 	}
-	info.warm = kf_upstream_is_warm(&info, kf_clock_now().wall_ms);
+	/* Entries that come later are recent, and need no comparison of
+	 * clocks. */
+	info.warm =
+	    !a->loaded && kf_upstream_is_warm(&info, kf_clock_now().wall_ms);
 	forwarder = packet_thread_lock(a->packets);
 	status = kf_directory_put(
 	    kf_forwarder_directory(forwarder), &info, now_us, &change);
--- a/tests/unit/cold_limit_test.cc
+++ b/tests/unit/cold_limit_test.cc
@@ -125,10 +125,10 @@
 	info.born_ms = 1000000;
 	info.cold_left_us = 2 * kSecond;
 	EXPECT_FALSE(kf_upstream_is_warm(&info, 1000000));
-	EXPECT_FALSE(kf_upstream_is_warm(&info, 1062000));
-	EXPECT_TRUE(kf_upstream_is_warm(&info, 1062001));
+	EXPECT_FALSE(kf_upstream_is_warm(&info, 1012000));
+	EXPECT_TRUE(kf_upstream_is_warm(&info, 1012001));
 	info.born_ms = 0; /* not known */
-	EXPECT_FALSE(kf_upstream_is_warm(&info, 1062001));
+	EXPECT_FALSE(kf_upstream_is_warm(&info, 1012001));
 }
 
 /*
