--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -53,6 +53,8 @@
 	KF_FORWARD_DEAD,     /* an upstream has stopped responding */
 	KF_FORWARD_ALIVE,    /* a dead upstream responds again */
 	KF_FORWARD_RESET,    /* an open flow of a dead upstream was reset */
+	/* A SYN was not sent to a cold upstream, for lack of allowance. */
+	KF_FORWARD_COLD_LIMITED,
 	KF_FORWARD_EVENT_COUNT
 } kf_forward_event_t;
 
@@ -175,6 +177,15 @@
     const kf_zone_settings_t *settings, kf_zone_demands_fn *demands, void *ctx,
     int64_t now_us);
 
+/* Returns the rank of this VM among those of its zone for an upstream. */
+typedef uint32_t kf_cold_rank_fn(void *ctx, uint64_t upstream_id);
+
+/* Updates the rate limit of cold upstreams with what this VM knows of the
+ * others; to be called every 200 ms and when the VMs of the zone change. */
+void kf_forwarder_set_cold_view(kf_forwarder_t *forwarder,
+    const kf_cold_news_t *news, kf_cold_rank_fn *rank, void *ctx,
+    int64_t now_us);
+
 /* Maximum number of failed requests reported at once. */
 enum { KF_FORWARDER_MAX_FAILED = 16 };
 
--- a/lib/fwdnet/settings_watch.c
+++ b/lib/fwdnet/settings_watch.c
@@ -74,6 +74,8 @@
 	w->settings.evacuate_bound_ms = read.evacuate_bound_ms;
 	w->settings.zone_balance = read.zone_balance;
 	w->settings.transfer_us_per_kb = read.transfer_us_per_kb;
+	w->settings.cold_excess = read.cold_excess;
+	w->settings.cold_slack = read.cold_slack;
 	memcpy(
 	    w->settings.ready_path, read.ready_path, sizeof(read.ready_path));
 	kf_eventlog_write(w->log, restart ? KF_LOG_WARN : KF_LOG_INFO, "reload",
