Use the upstreams' whole capacity in floods

New flows were refused while slots were idle, for four reasons found with 99 forwarders that share 120 simulated upstreams: - Rejections of full upstreams look like errors and ejected a third of the sound ones within a second. In an overload an outlier now fails at least a quarter of the requests that an upstream gets. - A VM compared its present demand with that of the others half a second ago, so that its share was several times too large while a flood rose. It now uses its own demand of about the same time. - The mean limits of 60% and 45% left slots idle even where every wait at an upstream is within the goals. There the limit is 85% now. The own zone's upstreams now count separately.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -1,5 +1,6 @@
 #include <math.h>
 
+#include "capacity.h"
 #include "forwarder_internal.h"
 
 /* Flows are refused only if there is this much more urgent demand, as a share
@@ -20,6 +21,16 @@
 /* The same after a refusal, if most requests come on open flows: about one
  * request for each slot and those on their way. */
 static const double reuse_mean_limit = 0.45;
+/* The same where all waits at upstreams are within the goals: a mean of 2.5
+ * requests for each slot keeps nearly all slots at work. */
+static const double ample_mean_limit = 0.85;
+/* The same for the upstreams of the own zone alone, which may be full while
+ * those of other zones are not.  It is higher, so that callers of all zones
+ * are treated alike unless upstreams would reject their requests. */
+static const double own_zone_mean_limit = 0.9;
+/* Demand a second from which a VM's earlier demand is known well enough to
+ * compute its share; a lower one varies much by chance. */
+static const double min_earlier_demand_per_s = 10;
 
 static size_t
 priority_of(const kf_route_t *route)
@@ -58,6 +69,13 @@
 	return sum_demand(pool) * demand_decay_factor(pool, now_us);
 }
 
+double
+admission_all_demand_per_s(const kf_pool_t *pool, int64_t now_us)
+{
+	return admission_demand_per_s(pool, now_us) +
+	    pool->other_vms_demand_per_s;
+}
+
 static void
 decay_demand(kf_pool_t *pool, int64_t now_us)
 {
@@ -104,6 +122,27 @@
 	    urgent >= sum_demand(pool) * urgent_min_share;
 }
 
+double
+admission_report_demand(kf_pool_t *pool, int64_t now_us)
+{
+	pool->earlier_demand_per_s = pool->reported_demand_per_s;
+	pool->reported_demand_per_s = admission_demand_per_s(pool, now_us);
+	return pool->reported_demand_per_s;
+}
+
+/*
+ * Returns this VM's demand of about the time at which that of the other VMs was
+ * measured.  While a flood rises, the present demand compared with theirs of
+ * half a second ago would give each VM a share several times too large.
+ */
+static double
+shared_demand_per_s(const kf_pool_t *pool, int64_t now_us)
+{
+	return pool->earlier_demand_per_s >= min_earlier_demand_per_s
+	    ? pool->earlier_demand_per_s
+	    : admission_demand_per_s(pool, now_us);
+}
+
 /*
  * Returns this VM's share of the flows that all VMs may have at the upstreams.
  * It equals the VM's share of the demand at all VMs, but leaves the VM at least
@@ -114,39 +153,66 @@
 static double
 capacity_share(const kf_pool_t *pool, double all_flows, int64_t now_us)
 {
-	double demand = admission_demand_per_s(pool, now_us);
+	double demand = shared_demand_per_s(pool, now_us);
 	double share = demand / (demand + pool->other_vms_demand_per_s);
 
 	return share * all_flows < 1 ? 1 / all_flows : share;
 }
 
+/* Returns a mean after LOAD_MEAN_US with this value.  Above 1 the mean does not
+ * grow, so that the end of a flood shows soon. */
+static double
+update_mean_load(double mean, double current, double decay)
+{
+	double capped = current < 1 ? current : 1;
+
+	return capped + (mean - capped) * decay;
+}
+
+/*
+ * Returns the flows at the upstreams of the own zone as a share of their limit,
+ * assuming that every VM of the zone has as many as this one.
+ */
+static double
+own_zone_load(const kf_forwarder_t *f, const kf_pool_t *pool, double per_slot,
+    int64_t now_us)
+{
+	kf_pool_usage_t own = kf_pool_get_own_zone_usage(pool, now_us);
+
+	if (own.slots == 0)
+		return 0;
+	return (double)own.flows * f->position.vm_count /
+	    ((double)own.slots * per_slot);
+}
+
 /*
- * Updates the flows of this VM and their mean as shares of its limit, and the
+ * Updates the flows of this VM and their means as shares of the limits, and the
  * time since which the limit is reached.
  */
 static void
-update_load(kf_pool_t *pool, int64_t now_us)
+update_load(const kf_forwarder_t *f, kf_pool_t *pool, int64_t now_us)
 {
-	kf_pool_usage_t pool_usage = kf_pool_get_usage(pool, now_us);
-	double all_flows = (double)pool_usage.slots * FULL_FLOWS_PER_SLOT;
+	kf_pool_usage_t usage = kf_pool_get_usage(pool, now_us);
 	kf_pool_load_t *load = &pool->load;
-	double flows, capped;
+	double decay = decay_factor(load->updated_us, now_us, LOAD_MEAN_US);
+	double per_slot, all_flows, share;
 
-	if (pool_usage.slots == 0) {
+	if (usage.slots == 0) {
 		*load = (kf_pool_load_t){ .updated_us = now_us };
 		return;
 	}
-	flows =
-	    (double)pool_usage.flows / capacity_share(pool, all_flows, now_us);
-	/* Above the limit the mean does not grow, so that the end of a flood
-	 * shows soon. */
-	capped = flows < all_flows ? flows : all_flows;
-	load->mean_flows = capped +
-	    (load->mean_flows - capped) *
-		decay_factor(load->updated_us, now_us, LOAD_MEAN_US);
+	per_slot = capacity_flows_per_slot(pool, usage.slots, now_us);
+	all_flows = (double)usage.slots * per_slot;
+	share = capacity_share(pool, all_flows, now_us);
+	load->flows_per_slot = per_slot;
+	load->limit = all_flows * share;
+	load->current = (double)usage.flows / load->limit;
+	load->mean = update_mean_load(load->mean, load->current, decay);
+	load->mean_flows = load->mean * all_flows;
+	load->mean_own_zone = update_mean_load(load->mean_own_zone,
+	    own_zone_load(f, pool, per_slot, now_us), decay);
+	load->ample_time = capacity_has_ample_time(pool, usage.slots, now_us);
 	load->updated_us = now_us;
-	load->current = flows / all_flows;
-	load->mean = load->mean_flows / all_flows;
 	if (load->current < 1)
 		load->full_since_us = 0;
 	else if (load->full_since_us == 0)
@@ -167,6 +233,13 @@
 	return event_us != 0 && now_us - event_us < age_us;
 }
 
+bool
+admission_is_overloaded(const kf_pool_t *pool, int64_t now_us)
+{
+	return pool->load.current >= 1 || pool->load.mean >= reuse_mean_limit ||
+	    is_recent(pool->refused_us, now_us, REFUSING_US);
+}
+
 /*
  * Updates whether the flows are a backlog that the upstreams work off.  Clients
  * send one after VMs or paths have failed, and SYNs are sent repeatedly then.
@@ -232,6 +305,10 @@
 		return load->current >= 1 &&
 		    (refusing ||
 			now_us - load->full_since_us >= BACKLOG_FULL_US);
+	if (load->mean_own_zone >= own_zone_mean_limit)
+		return true;
+	if (load->ample_time)
+		return load->current >= 1 || load->mean >= ample_mean_limit;
 	if (refusing && reuses_flows(pool) && load->mean >= reuse_mean_limit)
 		return true;
 	return load->current >= 1 || load->mean >= mean_limit;
@@ -290,7 +367,8 @@
 	if (pool == NULL)
 		return false;
 	add_demand(pool, priority, now_us);
-	update_load(pool, now_us);
+	capacity_add_goal(pool, route->latency_goal_us, now_us);
+	update_load(f, pool, now_us);
 	update_backlog(pool, now_us);
 	if (!(has_more_urgent_demand(pool, priority)
 		    ? is_overloaded(f, pool, route, now_us)
--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -15,6 +15,11 @@
 /* Upstreams of other zones are used if those of the own zone have this many
  * more flows per slot. */
 static const double other_zones_penalty = 1.0;
+/* Mean load of the own zone, and its ratio to that of the service, from which
+ * upstreams of all zones are used alike.  Upstreams of a full zone reject
+ * requests while those of other zones are idle. */
+static const double full_zone_mean = 0.7;
+static const double full_zone_ratio = 1.1;
 /* Upstreams are 1.6 times slower in their cold start, on both deployments. */
 static const double cold_slot_factor = 1 / 1.6;
 
@@ -120,6 +125,15 @@
 	return pool_usage;
 }
 
+kf_pool_usage_t
+kf_pool_get_own_zone_usage(const kf_pool_t *pool, int64_t now_us)
+{
+	kf_pool_usage_t pool_usage = { 0 };
+
+	add_usage(&pool_usage, pool->own_zone, pool->own_zone_count, now_us);
+	return pool_usage;
+}
+
 /* Returns the index at which this VM starts among count upstreams. */
 static uint32_t
 start_index(kf_position_t position, size_t count)
@@ -129,6 +143,15 @@
 	    : (uint32_t)(position.rank * count / position.vm_count);
 }
 
+static bool
+is_own_zone_full(const kf_pool_t *pool)
+{
+	const kf_pool_load_t *load = &pool->load;
+
+	return load->mean_own_zone >= full_zone_mean &&
+	    load->mean_own_zone >= full_zone_ratio * load->mean;
+}
+
 kf_choice_t
 kf_choose(kf_pool_t *pool, const kf_flow_t *flow, kf_position_t position,
     int64_t now_us)
@@ -149,7 +172,7 @@
 	consider_window(&s, pool->other_zones, pool->other_zones_count,
 	    OTHER_ZONES_WINDOW,
 	    start_index(position, pool->other_zones_count) + pool_cursor,
-	    other_zones_penalty);
+	    is_own_zone_full(pool) ? 0 : other_zones_penalty);
 	if (s.tie_count > 0)
 		s.best.target =
 		    s.ties[(start_index(position, s.tie_count) + pool_cursor) %
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -315,8 +315,8 @@
 	size_t i, count = 0;
 
 	for (i = 0; i < kf_directory_pool_count(f->directory); i++) {
-		const kf_pool_t *pool = kf_directory_pool_at(f->directory, i);
-		double demand = admission_demand_per_s(pool, now_us);
+		kf_pool_t *pool = kf_directory_pool_at(f->directory, i);
+		double demand = admission_report_demand(pool, now_us);
 
 		if (demand >= 1 && count < max)
 			demands[count++] = (kf_service_demand_t){
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -91,6 +91,13 @@
 /* Returns the new flows of a service per second at this VM, including refused
  * ones, and the requests on its open flows. */
 double admission_demand_per_s(const kf_pool_t *pool, int64_t now_us);
+/* Returns the same and keeps it as reported to the other VMs. */
+double admission_report_demand(kf_pool_t *pool, int64_t now_us);
+/* The same for the flows and requests at all VMs. */
+double admission_all_demand_per_s(const kf_pool_t *pool, int64_t now_us);
+/* Returns true if the upstreams of a service are about full, or were when flows
+ * were refused recently. */
+bool admission_is_overloaded(const kf_pool_t *pool, int64_t now_us);
 /* Counts a SYN that the client or this VM sends another time. */
 void admission_add_repeated_syn(
     kf_forwarder_t *f, uint64_t service, int64_t now_us);
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -45,6 +45,9 @@
 } kf_pool_usage_t;
 
 kf_pool_usage_t kf_pool_get_usage(const kf_pool_t *pool, int64_t now_us);
+/* The same for the upstreams of this VM's zone only. */
+kf_pool_usage_t kf_pool_get_own_zone_usage(
+    const kf_pool_t *pool, int64_t now_us);
 
 /* Skips upstreams that flow has tried already; flow may be NULL. */
 kf_choice_t kf_choose(kf_pool_t *pool, const kf_flow_t *flow,
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -35,12 +35,25 @@
 /* Flows that await an answer, estimated for all VMs from those of this VM. */
 typedef struct kf_pool_load {
 	double mean_flows;
-	double current; /* flows as a share of the limit */
-	double mean;	/* mean_flows as a share of the limit */
+	double current;	      /* flows as a share of the limit */
+	double mean;	      /* mean_flows as a share of the limit */
+	double mean_own_zone; /* the same for the upstreams of the own zone */
 	int64_t updated_us;
+	double flows_per_slot; /* of all VMs, at the limit */
+	double limit;	 /* flows of this VM at which its share is used up */
+	bool ample_time; /* waits at upstreams are within all goals */
 	int64_t full_since_us; /* 0: the limit is not reached */
 } kf_pool_load_t;
 
+/* What the answers at this VM show of the service's upstreams. */
+typedef struct kf_capacity {
+	double answer_sum_us; /* decaying */
+	double answers;	      /* decaying */
+	int64_t updated_us;
+	int64_t goal_us; /* the strictest of the routes in use; 0: none */
+	int64_t goal_seen_us;
+} kf_capacity_t;
+
 typedef struct kf_pool {
 	uint64_t service;
 	kf_target_t **own_zone; /* in this VM's zone, sorted by id */
@@ -50,12 +63,16 @@
 	/* State of the service; kept when its upstreams change. */
 	uint32_t cursor;
 	uint32_t other_vms_demand_per_s;
+	/* This VM's demand in its last report to the others, and before. */
+	double reported_demand_per_s;
+	double earlier_demand_per_s;
 	/* New flows and requests on open flows, by priority, decaying. */
 	double demand[KF_PRIORITIES];
 	int64_t demand_updated_us;
 	double first_requests; /* of flows of this VM, decaying */
 	double later_requests; /* on flows that had one before, decaying */
 	kf_pool_load_t load;
+	kf_capacity_t capacity;
 	double repeated_syns; /* by clients and by this VM, decaying */
 	bool backlog;
 	int64_t backlog_seen_us; /* last time that repeated SYNs showed it */
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -2,6 +2,7 @@
 
 #include "kf/backoff.h"
 
+#include "capacity.h"
 #include "forwarder_internal.h"
 
 enum {
@@ -37,6 +38,10 @@
  * packets are lost, and when routers move flows. */
 static const double outlier_min = 2.5;
 static const double outlier_factor = 2;
+/* While a service is overloaded, sound upstreams reject requests too, most at
+ * the start of a flood.  An outlier then fails at least this share of the
+ * requests that an upstream gets in FAILURE_DECAY_US. */
+static const double overloaded_outlier_share = 0.25;
 
 static int64_t
 late_after_us(const kf_pool_t *pool)
@@ -100,6 +105,21 @@
 	    : &pool->failed_other_zones;
 }
 
+/* Returns the count of failed requests that an outlier has at least. */
+static double
+min_failed(const kf_pool_t *pool, int64_t now_us)
+{
+	size_t upstreams = pool->own_zone_count + pool->other_zones_count;
+	double failed;
+
+	if (!admission_is_overloaded(pool, now_us))
+		return outlier_min;
+	failed = overloaded_outlier_share *
+	    admission_all_demand_per_s(pool, now_us) * FAILURE_DECAY_US /
+	    1000000 / (double)upstreams;
+	return failed > outlier_min ? failed : outlier_min;
+}
+
 static bool
 is_outlier(kf_forwarder_t *f, kf_pool_t *pool, const kf_target_t *target,
     int64_t now_us)
@@ -112,7 +132,8 @@
 	double others =
 	    count < 2 ? 0 : (*failed - target->failed) / (double)(count - 1);
 
-	return target->failed >= outlier_min + outlier_factor * others &&
+	return target->failed >=
+	    min_failed(pool, now_us) + outlier_factor * others &&
 	    (count_outliers(pool->own_zone, pool->own_zone_count, now_us) +
 		count_outliers(
 		    pool->other_zones, pool->other_zones_count, now_us) +
@@ -216,6 +237,8 @@
 		update_calm_answer_time(
 		    pool, now_us - flow->request_started_us);
 		update_answer_time(pool, now_us - flow->request_started_us);
+		capacity_add_answer(
+		    pool, now_us - flow->request_started_us, now_us);
 	}
 	flow->answering = true;
 	flow_clear_busy(f, flow);
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -47,6 +47,37 @@
 		: 0LL);
 }
 
+/* Writes the load of a service as of its last new flow at this VM. */
+static void
+write_service(FILE *out, const kf_pool_t *pool, int64_t now_us)
+{
+	const kf_target_t *target =
+	    pool->own_zone_count > 0 ? pool->own_zone[0] : pool->other_zones[0];
+	kf_pool_usage_t usage = kf_pool_get_usage(pool, now_us);
+
+	fprintf(out,
+	    "record=service service=%s slots=%llu requests=%llu limit=%.1f "
+	    "flows_per_slot=%.2f load=%.2f mean_load=%.2f own_zone_load=%.2f\n",
+	    target->info.service_name, (unsigned long long)usage.slots,
+	    (unsigned long long)usage.flows, pool->load.limit,
+	    pool->load.flows_per_slot, pool->load.current, pool->load.mean,
+	    pool->load.mean_own_zone);
+}
+
+static void
+write_services(FILE *out, kf_forwarder_t *forwarder, int64_t now_us)
+{
+	kf_directory_t *directory = kf_forwarder_directory(forwarder);
+	size_t i;
+
+	for (i = 0; i < kf_directory_pool_count(directory); i++) {
+		const kf_pool_t *pool = kf_directory_pool_at(directory, i);
+
+		if (pool->own_zone_count + pool->other_zones_count > 0)
+			write_service(out, pool, now_us);
+	}
+}
+
 /* Writes the upstreams of a service, or all upstreams if service is 0. */
 static void
 write_targets(FILE *out, const char *record, kf_forwarder_t *forwarder,
@@ -77,6 +108,7 @@
 		return NULL;
 	forwarder = packet_thread_lock(packets);
 	write_vm(out, s, forwarder);
+	write_services(out, forwarder, s->now_us);
 	write_targets(out, "upstream", forwarder, 0, s->now_us);
 	packet_thread_unlock(packets);
 	fclose(out);
--- /dev/null
+++ b/tests/unit/overload_test.cc
@@ -0,0 +1,102 @@
+#include <gtest/gtest.h>
+
+#include "support/overload_world.h"
+
+namespace {
+
+using kf_test::Outcomes;
+using kf_test::OverloadConfig;
+using kf_test::OverloadWorld;
+
+double
+WorstZone(const OverloadWorld &world, int cls)
+{
+	double worst = 1;
+
+	for (const Outcomes &o : world.outcomes[cls])
+		worst = std::min(worst, o.Served());
+	return worst;
+}
+
+/* Replays the load, and checks the share of the requests of each class that is
+ * answered in time, over all zones and in the worst one. */
+void
+Replay(const char *name, const OverloadConfig &config, double urgent,
+    double safe, double worst_safe, int max_rejections)
+{
+	OverloadWorld world(config);
+
+	for (int cls = 0; cls < 2; cls++) {
+		Outcomes o = world.Sum(cls);
+
+		printf("load=%s class=%s offered=%d in_time=%d late=%d "
+		       "refused=%d rejected=%d worst_zone=%.3f\n",
+		    name, cls == 0 ? "urgent" : "safe", o.offered, o.in_time,
+		    o.late, o.refused, o.rejected, WorstZone(world, cls));
+		EXPECT_GE(o.Served(), cls == 0 ? urgent : safe) << name;
+	}
+	printf("load=%s upstream_rejections=%d\n", name,
+	    world.upstream_rejections);
+	EXPECT_GE(WorstZone(world, 1), worst_safe) << name;
+	EXPECT_LE(world.upstream_rejections, max_rejections) << name;
+}
+
+/* Guards against sound upstreams that are ejected for their rejections, and
+ * against slots that are idle while requests are refused. */
+TEST(Overload, FloodOnLongFlows)
+{
+	Replay("long_flows", {}, 0.999, 0.965, 0.96, 5000);
+}
+
+TEST(Overload, FloodOfShortFlows)
+{
+	OverloadConfig config;
+
+	config.flow_us = 1;
+	config.flood = { 3500, 3500, 3500 };
+	Replay("short_flows", config, 0.995, 0.60, 0.60, 7000);
+}
+
+/* Guards against a limit that is reached by chance where few VMs share it. */
+TEST(Overload, FloodAtFewVms)
+{
+	OverloadConfig config;
+
+	config.vms = 6;
+	Replay("few_vms", config, 0.999, 0.93, 0.92, 4000);
+}
+
+/* Guards against less urgent requests that fill a third of the upstreams, which
+ * is 5 times slower. */
+TEST(Overload, FloodWhileUpstreamsAreSlow)
+{
+	OverloadConfig config;
+
+	config.slow_upstreams = 40;
+	Replay("slow_upstreams", config, 0.88, 0.68, 0.66, 7000);
+}
+
+/* Guards against upstreams of a full zone that reject requests while those of
+ * other zones are idle. */
+TEST(Overload, FloodInOneZone)
+{
+	OverloadConfig config;
+
+	config.flood = { 4500, 900, 900 };
+	Replay("one_zone", config, 0.995, 0.92, 0.89, 8000);
+}
+
+/* Guards against requests that wait beyond their goal because each takes more
+ * than a third of it. */
+TEST(Overload, FloodOfLongRequests)
+{
+	OverloadConfig config;
+
+	config.service_us = 150000;
+	config.urgent = 100;
+	config.safe = 300;
+	config.flood = { 900, 900, 900 };
+	Replay("long_requests", config, 0.50, 0.29, 0.22, 1500);
+}
+
+} // namespace
