Refuse first the flows that would be answered too late

Near the limit of a service every flow of a less urgent route was treated alike, also one whose client has sent copies of its SYN for so long that the answer would come after the route's goal. At little load, and in a backlog, nothing changes.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -32,6 +32,9 @@
  * compute its share; a lower one varies much by chance. */
 static const double min_earlier_demand_per_s = 10;
 
+/* Times after its first SYN at which a client sends copies. */
+static const int64_t syn_copy_us[] = { 0, 200000, 600000 };
+
 static size_t
 priority_of(const kf_route_t *route)
 {
@@ -287,6 +290,19 @@
 	return pool->backlog || !is_load_known(f, pool, route, now_us);
 }
 
+/* Returns true if a client that has sent this many copies of its SYN has waited
+ * so long that the answer would come after the route's goal. */
+static bool
+is_past_goal(const kf_pool_t *pool, const kf_route_t *route, uint32_t copies)
+{
+	size_t max = sizeof(syn_copy_us) / sizeof(syn_copy_us[0]) - 1;
+	int64_t waited_us = syn_copy_us[copies < max ? copies : max];
+
+	return copies > 0 && route->latency_goal_us > 0 &&
+	    (double)waited_us + pool->calm_answer_us >
+	    (double)route->latency_goal_us;
+}
+
 /*
  * Returns true if the upstreams have more requests than they can serve in time.
  * A backlog, such as the one after a restart of all VMs, must not cause
@@ -314,6 +330,21 @@
 	return load->current >= 1 || load->mean >= mean_limit;
 }
 
+/*
+ * Returns true if a flow of the less urgent routes should make room.  Near the
+ * limit these are first the flows whose answers would come too late.
+ */
+static bool
+should_yield(const kf_forwarder_t *f, const kf_pool_t *pool,
+    const kf_route_t *route, uint32_t copies, int64_t now_us)
+{
+	if (pool->load.mean >= reuse_mean_limit &&
+	    is_past_goal(pool, route, copies) &&
+	    !is_tolerant(f, pool, route, now_us))
+		return true;
+	return is_overloaded(f, pool, route, now_us);
+}
+
 /*
  * Returns true if the most urgent flows in use are themselves the flood.  What
  * the upstreams cannot serve in time would wait there, make the others late and
@@ -359,7 +390,7 @@
 
 bool
 admission_refuses(kf_forwarder_t *f, const kf_route_t *route, uint64_t service,
-    int64_t now_us)
+    uint32_t copies, int64_t now_us)
 {
 	kf_pool_t *pool = kf_directory_pool(f->directory, service);
 	size_t priority = priority_of(route);
@@ -371,7 +402,7 @@
 	update_load(f, pool, now_us);
 	update_backlog(pool, now_us);
 	if (!(has_more_urgent_demand(pool, priority)
-		    ? is_overloaded(f, pool, route, now_us)
+		    ? should_yield(f, pool, route, copies, now_us)
 		    : is_flooded(f, pool, route, now_us)))
 		return false;
 	pool->refused_us = now_us;
--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -165,7 +165,8 @@
 
 	if (packet->acknowledged > 0)
 		admission_add_repeated_syn(f, service, now_us);
-	if (admission_refuses(f, route, service, now_us)) {
+	if (admission_refuses(
+		f, route, service, packet->acknowledged, now_us)) {
 		forwarder_refuse(f, packet, KF_REASON_OVERLOAD);
 		return;
 	}
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -108,10 +108,11 @@
 /*
  * Counts a new flow and returns true if it must be refused, to leave capacity
  * for more urgent flows of its service.  Flows of the most urgent route in use
- * are refused only if they are a flood themselves.
+ * are refused only if they are a flood themselves.  copies is the number of
+ * SYNs that the client has sent before.
  */
 bool admission_refuses(kf_forwarder_t *f, const kf_route_t *route,
-    uint64_t service, int64_t now_us);
+    uint64_t service, uint32_t copies, int64_t now_us);
 
 /* Tracks the request in progress of an open flow and checks its answer. */
 void outlier_track_packet(kf_forwarder_t *f, kf_flow_t *flow,
--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -99,4 +99,62 @@
 	Replay("long_requests", config, 0.50, 0.29, 0.22, 1500);
 }
 
+/* Sends a SYN of a client, or a copy; returns true if it is not refused. */
+bool
+Syn(kf_test::ForwarderHarness *vm, uint16_t client, uint16_t port,
+    uint32_t copies)
+{
+	kf_packet_t packet = kf_test::MakePacket(client, port);
+	size_t resets = vm->resets.size();
+
+	packet.syn = true;
+	packet.acknowledged = copies;
+	vm->Packet(packet);
+	return vm->resets.size() == resets;
+}
+
+void
+Exchange(kf_test::ForwarderHarness *vm, int first, int count, uint32_t payload,
+    uint32_t acknowledged)
+{
+	for (int i = first; i < first + count; i++) {
+		kf_packet_t packet = kf_test::MakePacket((uint16_t)i, 80);
+
+		packet.token = kf_token_of(1);
+		packet.payload_bytes = payload;
+		packet.acknowledged = acknowledged;
+		vm->Packet(packet);
+	}
+}
+
+/* Guards against a service near its limit that serves clients which can only be
+ * answered late, and refuses them while it has little load. */
+TEST(Overload, ClientsPastTheirGoalAreRefusedFirst)
+{
+	kf_test::ForwarderHarness vm("a");
+	std::vector<kf_route_t> routes = { kf_test::MakeRoute(
+					       80, { { "s", 1 } }),
+		kf_test::MakeRoute(81, { { "s", 1 } }) };
+
+	routes[1].priority = 1;
+	for (kf_route_t &route : routes)
+		route.latency_goal_us = 400000;
+	vm.SetRoutes(1, routes);
+	vm.Put(kf_test::MakeUpstream(1, "u", "s", "a", 80));
+	for (uint16_t client = 1; client <= 60; client++)
+		EXPECT_TRUE(Syn(&vm, client, 80, 0));
+	Exchange(&vm, 1, 60, 100, 0);
+	vm.Run(30000);
+	Exchange(&vm, 1, 60, 0, 2000);
+	vm.Run(3000000);
+	for (uint16_t client = 101; client <= 250; client++)
+		EXPECT_TRUE(Syn(&vm, client, 80, 0));
+	EXPECT_TRUE(Syn(&vm, 400, 81, 2)) << "at little load";
+	Exchange(&vm, 101, 150, 100, 0);
+	vm.Run(900000);
+	EXPECT_TRUE(Syn(&vm, 401, 81, 0));
+	EXPECT_TRUE(Syn(&vm, 402, 81, 1));
+	EXPECT_FALSE(Syn(&vm, 403, 81, 2));
+}
+
 } // namespace
