Take no late acknowledgements for long requests

Clients that acknowledge an answer only with their next packet make answers seem long, which would lower the limit of a service with little load. Answer times whose mean deviation is above 0.55 of the mean are not taken for the service time now; service times that spread by a factor of 1.6 have 0.4.

With a third of the upstreams slow the answer times differ as much, so that the service time is known only while the service is busy.

--- a/lib/forwarder/capacity.c
+++ b/lib/forwarder/capacity.c
@@ -21,6 +21,11 @@
  * so that the answers a second are what the upstreams can do. */
 static const double busy_flows_per_slot = 1.5;
 
+/* Mean deviation of answer times, as a share of their mean, up to which they
+ * are service times.  It is 0.4 for times that spread by a factor of 1.6, and
+ * 0.7 for exponential times between a client's packets. */
+static const double max_deviation = 0.55;
+
 static double
 answer_decay(const kf_capacity_t *c, int64_t now_us)
 {
@@ -62,6 +67,18 @@
 	return c->answer_sum_us / c->answers;
 }
 
+/* Returns the mean answer time at little load if it is that of the upstreams.
+ * Clients that acknowledge answers only with their next packet make them seem
+ * long, and their times differ far more. */
+static double
+calm_service_us(const kf_pool_t *pool)
+{
+	return pool->calm_answers < MIN_CALM_ANSWERS ||
+		pool->calm_deviation_us > max_deviation * pool->calm_answer_us
+	    ? 0
+	    : pool->calm_answer_us;
+}
+
 /*
  * While the service is full, answers include a wait.  By Little's law the
  * upstreams answer (requests in progress) / (answer time) a second, and a slot
@@ -72,14 +89,12 @@
 {
 	double per_slot =
 	    slots == 0 ? 0 : pool->load.mean_flows / (double)slots;
-	double full_us;
+	double calm_us = calm_service_us(pool);
 
-	if (pool->calm_answers < MIN_CALM_ANSWERS)
-		return 0;
-	if (per_slot < busy_flows_per_slot)
-		return pool->calm_answer_us;
-	full_us = capacity_answer_us(pool, now_us) / per_slot;
-	return full_us > pool->calm_answer_us ? full_us : pool->calm_answer_us;
+	if (pool->calm_answers < MIN_CALM_ANSWERS ||
+	    per_slot < busy_flows_per_slot)
+		return calm_us;
+	return fmax(capacity_answer_us(pool, now_us) / per_slot, calm_us);
 }
 
 /* Returns how many service times a request may wait within its goal, or -1 if
@@ -99,8 +114,6 @@
 {
 	double waits = waits_within_goal(pool, slots, now_us);
 
-	/* Clients that acknowledge answers late make them seem longer than the
-	 * goal. */
 	if (waits < 0 || waits > FULL_FLOWS_PER_SLOT)
 		return FULL_FLOWS_PER_SLOT;
 	return waits < 1 ? 1 : waits;
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -85,6 +85,7 @@
 	uint32_t answers; /* in the mean; stops at MEAN_ANSWERS */
 	/* The same for answers while the service had little load. */
 	double calm_answer_us;
+	double calm_deviation_us; /* mean deviation of those */
 	uint32_t calm_answers;
 } kf_pool_t;
 
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -71,12 +71,15 @@
 static void
 update_calm_answer_time(kf_pool_t *pool, int64_t took_us)
 {
+	double error = (double)took_us - pool->calm_answer_us;
+
 	if (pool->load.current >= calm_load)
 		return;
 	if (pool->calm_answers < MEAN_ANSWERS)
 		pool->calm_answers++;
-	pool->calm_answer_us +=
-	    ((double)took_us - pool->calm_answer_us) / pool->calm_answers;
+	pool->calm_answer_us += error / pool->calm_answers;
+	pool->calm_deviation_us +=
+	    (fabs(error) - pool->calm_deviation_us) / pool->calm_answers;
 }
 
 static double
