--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -185,9 +185,9 @@
     kf_peering_t *peering, uint32_t *tokens, size_t max);
 
 /*
- * New flows per second of a service that arrive at the other VMs.  The sums over
- * VMs with recent beacons, of the own zone and of other zones, are scaled up to
- * all known VMs.
+ * New flows per second of a service that arrive at the other VMs.  The sums
+ * over VMs with recent beacons, of the own zone and of other zones, are scaled
+ * up to all known VMs.
  */
 uint32_t kf_peering_other_vms_demand_per_s(
     const kf_peering_t *peering, uint64_t service, int64_t now_us);
