--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -118,6 +118,13 @@
 /* Returns the new flows of a service per second at this VM, including refused
  * ones, and the requests on its open flows. */
 double admission_demand_per_s(const kf_pool_t *pool, int64_t now_us);
+/* Returns the same and keeps it as reported to the other VMs. */
+double admission_report_demand(kf_pool_t *pool, int64_t now_us);
+/* The same for the flows and requests at all VMs. */
+double admission_all_demand_per_s(const kf_pool_t *pool, int64_t now_us);
+/* Returns true if the upstreams of a service are about full, or were when flows
+ * were refused recently. */
+bool admission_is_overloaded(const kf_pool_t *pool, int64_t now_us);
 /* Counts a SYN that the client or this VM sends another time. */
 void admission_add_repeated_syn(
     kf_forwarder_t *f, uint64_t service, int64_t now_us);
@@ -128,10 +135,11 @@
 /*
  * Counts a new flow and returns true if it must be refused, to leave capacity
  * for more urgent flows of its service.  Flows of the most urgent route in use
- * are refused only if they are a flood themselves.
+ * are refused only if they are a flood themselves.  copies is the number of
+ * SYNs that the client has sent before.
  */
 bool admission_refuses(kf_forwarder_t *f, const kf_route_t *route,
-    uint64_t service, int64_t now_us);
+    uint64_t service, uint32_t copies, int64_t now_us);
 
 /* Returns the zone to which a new flow of the route leaves; 0: none. */
 uint64_t zone_share_next(kf_forwarder_t *f, kf_pool_t *pool,
