Probe upstreams only on evidence of several failed requests

Cause: each late request, and each report of one, made every VM of the zone probe the upstream and another one.

An upstream is a suspect if it has failed about three requests, or if a request has waited for 300 ms. One that has accepted a probe is not suspected again for 3 s, the links are tested only after a probe has failed, and a dead one is probed every 5 s after three times, and not at all without an entry. The golden session reports four failures where one was enough before, and waits for the 3 s; the unit test checks both new limits. process packets-dead passes.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -301,6 +301,15 @@
 	}
 }
 
+/* Returns true for a dead upstream without an entry.  If it starts again, it
+ * publishes a new one. */
+static bool
+has_ended(const kf_target_t *target)
+{
+	return target->dead.liveness == KF_LIVENESS_DEAD &&
+	    target->listing == KF_LISTING_GONE;
+}
+
 size_t
 kf_forwarder_take_probes(
     kf_forwarder_t *f, int64_t now_us, kf_probe_t *probes, size_t max)
@@ -322,15 +331,14 @@
 		dead += target->dead.liveness == KF_LIVENESS_DEAD;
 		watched += target->dead.liveness != KF_LIVENESS_ALIVE;
 		/* One place is left for the control. */
-		if (count + 1 >= max ||
+		if (count + 1 >= max || has_ended(target) ||
 		    !kf_dead_upstream_probe_due(&target->dead, now_us))
 			continue;
 		add_probe(f, target, probes, &count, now_us);
 		zone = find_zone(f, target->info.zone);
 		if (zone != NULL)
 			zone->control_wanted =
-			    target->dead.liveness == KF_LIVENESS_SUSPECT ||
-			    zone->control_wanted;
+			    target->dead.wants_control || zone->control_wanted;
 	}
 	f->dead.dead_count = dead;
 	f->dead.watching = watched > 0;
--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -10,6 +10,8 @@
 
 	d->liveness = KF_LIVENESS_ALIVE;
 	d->failed_probes = 0;
+	d->wants_control = false;
+	d->checks = 0;
 	d->alive_us = now_us;
 	return was_dead;
 }
@@ -24,9 +26,9 @@
 }
 
 static bool
-is_recent(int64_t event_us, int64_t now_us)
+is_recent(int64_t event_us, int64_t age_us, int64_t now_us)
 {
-	return event_us != 0 && now_us - event_us < KF_DEAD_CHECK_US;
+	return event_us != 0 && now_us - event_us < age_us;
 }
 
 void
@@ -37,7 +39,7 @@
 	    since_us > d->alive_us ? since_us : d->alive_us;
 
 	if (d->liveness != KF_LIVENESS_ALIVE ||
-	    is_recent(d->accepted_us, now_us) ||
+	    is_recent(d->accepted_us, KF_DEAD_QUIET_US, now_us) ||
 	    (!reported && now_us - silent_since_us < KF_DEAD_SUSPECT_US))
 		return;
 	d->liveness = KF_LIVENESS_SUSPECT;
@@ -57,7 +59,7 @@
 {
 	return d->liveness == KF_LIVENESS_ALIVE && !d->probing &&
 	    now_us >= d->next_probe_us &&
-	    !is_recent(d->control_failed_us, now_us);
+	    !is_recent(d->control_failed_us, KF_DEAD_CHECK_US, now_us);
 }
 
 static int64_t
@@ -67,7 +69,9 @@
 	case KF_LIVENESS_SUSPECT:
 		return KF_DEAD_RETRY_US;
 	case KF_LIVENESS_DEAD:
-		return KF_DEAD_CHECK_US;
+		return d->checks < KF_DEAD_FIRST_CHECKS
+		    ? KF_DEAD_CHECK_US
+		    : KF_DEAD_LATER_CHECK_US;
 	default:
 		return CONTROL_INTERVAL_US;
 	}
@@ -78,6 +82,7 @@
 {
 	d->probing = true;
 	d->probe_sent_us = now_us;
+	d->checks += d->liveness == KF_LIVENESS_DEAD;
 	d->next_probe_us = now_us + probe_interval_us(d);
 }
 
@@ -92,6 +97,7 @@
 		d->control_failed_us = now_us;
 	if (d->liveness != KF_LIVENESS_SUSPECT)
 		return false;
+	d->wants_control = true;
 	/* The probe was sent before the upstream became a suspect, or its
 	 * failure may be due to the links. */
 	if (d->probe_sent_us < d->silent_since_us ||
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -37,10 +37,17 @@
 	 * its link for 300 ms must accept one of two probes; the interval also
 	 * limits the probes of an upstream to 4 per second. */
 	KF_DEAD_RETRY_US = 310000,
-	/* Interval between the probes of a dead upstream, and time for which
-	 * one that has accepted a probe is not suspected again: answers of
-	 * healthy upstreams take up to 300 ms. */
+	/* Interval between the first probes of a dead upstream, and between the
+	 * later ones.  Each probe is a new connection. */
 	KF_DEAD_CHECK_US = 1000000,
+	KF_DEAD_FIRST_CHECKS = 3,
+	KF_DEAD_LATER_CHECK_US = 5000000,
+	/* Time for which an upstream that has accepted a probe is not suspected
+	 * again: it is slow, or overloaded. */
+	KF_DEAD_QUIET_US = 3000000,
+	/* A request that waits for this time makes a suspect without other
+	 * evidence; few answers of healthy upstreams take longer. */
+	KF_DEAD_ALONE_US = 300000,
 	/* Failed probes that confirm a suspect. */
 	KF_DEAD_FAILED_PROBES = 2,
 };
@@ -54,6 +61,8 @@
 typedef struct kf_dead_upstream {
 	kf_liveness_t liveness;
 	bool probing;		 /* the result of a probe is due */
+	bool wants_control;	 /* a probe has failed: test the links, too */
+	uint32_t checks;	 /* probes of a dead one */
 	uint32_t failed_probes;	 /* consecutive, while the links worked */
 	int64_t silent_since_us; /* of a suspect */
 	int64_t alive_us;	 /* last sign of life; 0: none */
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -214,10 +214,21 @@
 	return record;
 }
 
+/* Returns true if an upstream has failed more requests than healthy ones do by
+ * long service times. */
+static bool
+has_failed_often(const kf_target_t *target, int64_t now_us)
+{
+	return now_us < target->outlier_until_us ||
+	    decayed(target->failed, target->last_failed_us, now_us) >=
+	    outlier_min;
+}
+
 static void
 check_late(kf_forwarder_t *f, kf_flow_t *flow, int64_t now_us)
 {
 	kf_forward_record_t record;
+	kf_target_t *target;
 	const kf_pool_t *pool;
 
 	if (flow->request_started_us == 0 || flow->answering)
@@ -226,12 +237,16 @@
 	if (pool == NULL ||
 	    now_us - flow->request_started_us < late_after_us(pool))
 		return;
-	dead_note_unanswered(f, kf_directory_find(f->directory, flow->token),
-	    flow->request_started_us, false, now_us);
-	if (flow->failed)
-		return;
-	record = make_request_record(f, flow, KF_FORWARD_LATE, now_us);
-	report_failed(f, flow, &record, now_us);
+	if (!flow->failed) {
+		record = make_request_record(f, flow, KF_FORWARD_LATE, now_us);
+		report_failed(f, flow, &record, now_us);
+	}
+	target = kf_directory_find(f->directory, flow->token);
+	if (target != NULL &&
+	    (has_failed_often(target, now_us) ||
+		now_us - flow->request_started_us >= KF_DEAD_ALONE_US))
+		dead_note_unanswered(
+		    f, target, flow->request_started_us, false, now_us);
 }
 
 /* Handles the first acknowledgement of an answer. */
@@ -341,6 +356,7 @@
 
 	if (target == NULL)
 		return;
-	dead_note_unanswered(f, target, now_us, true, now_us);
 	count_failed(f, target, now_us);
+	if (has_failed_often(target, now_us))
+		dead_note_unanswered(f, target, now_us, true, now_us);
 }
