--- a/fuzz/fuzz_beacon.c
+++ b/fuzz/fuzz_beacon.c
@@ -9,12 +9,12 @@
 #include "kf/peering.h"
 #include "kf/peering_codec.h"
 
-static void
-on_begin(void *ctx, uint64_t revision, bool listing)
+static bool
+on_begin(void *ctx, const kf_changes_head_t *head)
 {
 	(void)ctx;
-	(void)revision;
-	(void)listing;
+	(void)head;
+	return true;
 }
 
 static void
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -30,6 +30,7 @@
 	[KF_CHANGE_UPDATED] = "updated",
 	[KF_CHANGE_MISSING] = "missing",
 	[KF_CHANGE_GONE] = "gone",
+	[KF_CHANGE_HELD] = "held",
 };
 
 const char *
@@ -353,10 +354,44 @@
 	target->info = *info;
 	target->evacuated = evacuated_index(d, info->zone) < d->evacuated_count;
 	target->listing = KF_LISTED;
+	target->lapsed = false;
 	target->cold_end_us = now_us + info->cold_left_us;
 	return *change == KF_CHANGE_NONE ? KF_OK : request_reindex(d);
 }
 
+/* True if the state known of an upstream is newer than an entry of a backup. */
+static bool
+is_newer_than(const kf_target_t *target, const kf_upstream_info_t *info)
+{
+	if (target->info.born_ms != info->born_ms)
+		return target->info.born_ms > info->born_ms;
+	if (target->listing == KF_LISTING_GONE)
+		return !target->lapsed;
+	return target->info.draining && !info->draining;
+}
+
+kf_status_t
+kf_directory_put_backup(kf_directory_t *d, const kf_upstream_info_t *info,
+    int64_t now_us, kf_change_t *change)
+{
+	size_t at = index_of_id(d, info->id);
+	kf_upstream_info_t known = *info;
+	const kf_target_t *target;
+
+	if (at == d->count || d->targets[at]->info.id != info->id)
+		return kf_directory_put(d, info, now_us, change);
+	target = d->targets[at];
+	if (is_newer_than(target, info)) {
+		*change = KF_CHANGE_HELD;
+		return KF_OK;
+	}
+	if (target->info.born_ms == info->born_ms)
+		known.cold_left_us = target->cold_end_us > now_us
+		    ? target->cold_end_us - now_us
+		    : 0;
+	return kf_directory_put(d, &known, now_us, change);
+}
+
 kf_change_t
 kf_directory_remove(kf_directory_t *d, uint64_t id, bool lapsed, int64_t now_us)
 {
@@ -367,8 +402,10 @@
 	    d->targets[at]->listing == KF_LISTING_GONE)
 		return KF_CHANGE_NONE;
 	target = d->targets[at];
-	if (target->listing == KF_LISTING_MISSING && lapsed)
+	if (target->listing == KF_LISTING_MISSING && lapsed) {
+		target->unlisted_us = now_us; /* the grace starts again */
 		return KF_CHANGE_NONE;
+	}
 	target->listing = lapsed && !target->info.draining ? KF_LISTING_MISSING
 							   : KF_LISTING_GONE;
 	target->unlisted_us = now_us;
@@ -406,6 +443,7 @@
 			KF_TARGET_MISSING_GRACE_US) {
 			changed = true;
 			target->listing = KF_LISTING_GONE;
+			target->lapsed = true;
 		}
 		d->targets[kept++] = target;
 	}
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -85,6 +85,7 @@
 	KF_CHANGE_UPDATED,
 	KF_CHANGE_MISSING,
 	KF_CHANGE_GONE,
+	KF_CHANGE_HELD, /* the known state is newer than the entry */
 } kf_change_t;
 
 const char *kf_change_name(kf_change_t change);
@@ -92,6 +93,15 @@
 kf_status_t kf_directory_put(kf_directory_t *directory,
     const kf_upstream_info_t *info, int64_t now_us, kf_change_t *change);
 
+/*
+ * Adds or updates an upstream by an entry from a backup of the store, which may
+ * be older than what is known.  The known state holds (KF_CHANGE_HELD) if the
+ * same start of the upstream is draining or has left, or if it has started
+ * again since.  The end of its cold start holds, too.
+ */
+kf_status_t kf_directory_put_backup(kf_directory_t *directory,
+    const kf_upstream_info_t *info, int64_t now_us, kf_change_t *change);
+
 /*
  * Handles the removal of an upstream's entry.  With lapsed, the entry may have
  * expired because of a store outage and the upstream may still be running.
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -81,6 +81,7 @@
 	kf_change_t change = KF_CHANGE_NONE;
 	kf_upstream_info_t info;
 	kf_forwarder_t *forwarder;
+	kf_directory_t *directory;
 	kf_status_t status;
 
 	if (kf_platform_upstream_decode(
@@ -90,8 +91,10 @@
 		return;
 	}
 	forwarder = packet_thread_lock(a->packets);
-	status = kf_directory_put(
-	    kf_forwarder_directory(forwarder), &info, now_us, &change);
+	directory = kf_forwarder_directory(forwarder);
+	status = item->from_backup
+	    ? kf_directory_put_backup(directory, &info, now_us, &change)
+	    : kf_directory_put(directory, &info, now_us, &change);
 	packet_thread_unlock(a->packets);
 	if (status != KF_OK)
 		log_refused(a, item);
@@ -185,8 +188,8 @@
 	switch (kf_platform_item_kind(item->key)) {
 	case KF_PUBLISHED_UPSTREAM:
 		if (item->removed)
-			remove_upstream(
-			    a, item, may_have_expired(a, now_us), now_us);
+			remove_upstream(a, item,
+			    item->lost || may_have_expired(a, now_us), now_us);
 		else
 			put_upstream(a, item, now_us);
 		break;
@@ -196,7 +199,8 @@
 			put_routes(a, item);
 		break;
 	case KF_PUBLISHED_EVACUATION:
-		set_evacuated(a, item);
+		if (!item->lost)
+			set_evacuated(a, item);
 		break;
 	default:
 		break;
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -16,6 +16,11 @@
  *	decoded is removed.  If a configuration cannot be decoded, the previous
  *	one stays in use.  A zone is evacuated also if the item's value cannot
  *	be decoded, because sending nothing there breaks nothing.
+ *
+ *	After the store was restored from a backup, what is known holds where
+ *	the backup shows less: an item from_backup does not bring back an
+ *	upstream that drains or has left, a lost upstream has lapsed, and a lost
+ *	evacuation stays in force until kf_replica_release_lost.
  */
 
 typedef struct applier {
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -68,7 +68,7 @@
 	store_sync_t *sync;
 	kf_peering_t *peering;
 	kf_peering_view_t view;
-	uint64_t announced_revision;
+	kf_store_position_t announced;
 	kf_service_demand_t demands[KF_PEERING_MAX_DEMANDS];
 	size_t demand_count;
 	int64_t demands_exchanged_us; /* last exchange of demands */
@@ -92,7 +92,7 @@
 own_peering_state(const control_loop_t *l)
 {
 	kf_peering_self_t self = {
-		.revision = store_sync_revision(l->sync),
+		.position = store_sync_position(l->sync),
 		.contact_us = store_sync_contact_us(l->sync),
 		.leaving = l->leaving,
 		.demand_count = l->demand_count,
@@ -127,10 +127,13 @@
 serve_changes(
     control_loop_t *l, const http_request_t *request, http_response_t *r)
 {
-	uint64_t after =
-	    strtoull(http_request_query(request, "after"), NULL, 10);
+	kf_store_position_t after = {
+		.era = strtoull(http_request_query(request, "era"), NULL, 10),
+		.revision =
+		    strtoull(http_request_query(request, "after"), NULL, 10),
+	};
 
-	if (store_sync_revision(l->sync) == 0) {
+	if (store_sync_position(l->sync).revision == 0) {
 		r->status = HTTP_UNAVAILABLE;
 		return;
 	}
@@ -144,7 +147,7 @@
 	forward_metrics_t metrics = {
 		.sync = *store_sync_stats(l->sync),
 		.opening = &l->forward_log->opening,
-		.revision = store_sync_revision(l->sync),
+		.position = store_sync_position(l->sync),
 		.config_version = applier_config_version(&l->applier),
 		.items_refused = l->applier.refused,
 		.log_dropped = kf_eventlog_dropped(l->log),
@@ -167,7 +170,7 @@
 		.zone = l->watch.settings.zone,
 		.ready = l->ready && !l->leaving,
 		.leaving = l->leaving,
-		.revision = store_sync_revision(l->sync),
+		.position = store_sync_position(l->sync),
 		.own_contact_us = store_sync_contact_us(l->sync),
 		.view = l->view,
 		.now_us = l->now_us,
@@ -418,7 +421,7 @@
 	log_lost_vms(l);
 	l->view = view;
 	forward_log_set_replica_state(
-	    l->forward_log, self.revision, view.contact_us);
+	    l->forward_log, self.position, view.contact_us);
 }
 
 /*
@@ -449,8 +452,9 @@
 		return;
 	l->ready = ready;
 	kf_eventlog_write(l->log, KF_LOG_INFO, "ready",
-	    "revision=%llu config=%llu contact_age_ms=%lld",
-	    (unsigned long long)store_sync_revision(l->sync),
+	    "era=%llu revision=%llu config=%llu contact_age_ms=%lld",
+	    (unsigned long long)store_sync_position(l->sync).era,
+	    (unsigned long long)store_sync_position(l->sync).revision,
 	    (unsigned long long)applier_config_version(&l->applier),
 	    (long long)kf_age_ms(l->view.contact_us, l->now_us));
 }
@@ -596,7 +600,7 @@
 {
 	kf_status_t status;
 	kf_peering_reason_t reason;
-	uint64_t revision;
+	kf_store_position_t position;
 
 	http_client_run(l->client);
 	status = update_forwarding(l);
@@ -604,11 +608,12 @@
 	update_demands(l);
 	exchange_reports(l);
 	store_sync_run(l->sync, &l->view, l->now_us);
-	revision = store_sync_revision(l->sync);
-	reason = revision == 0			? KF_PEERING_STARTING
-	    : revision != l->announced_revision ? KF_PEERING_UPDATE
-						: KF_PEERING_PERIODIC;
-	l->announced_revision = revision;
+	position = store_sync_position(l->sync);
+	reason = position.revision == 0 ? KF_PEERING_STARTING
+	    : kf_store_position_compare(position, l->announced) != 0
+	    ? KF_PEERING_UPDATE
+	    : KF_PEERING_PERIODIC;
+	l->announced = position;
 	send_beacons(l, reason);
 	update_ready(l);
 	if (l->now_us - l->settings_checked_us >= SETTINGS_INTERVAL_US)
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -20,9 +20,11 @@
 
 void
 forward_log_set_replica_state(
-    forward_log_t *l, uint64_t revision, int64_t contact_us)
+    forward_log_t *l, kf_store_position_t position, int64_t contact_us)
 {
-	__atomic_store_n(&l->revision, revision, __ATOMIC_RELAXED);
+	__atomic_store_n(&l->position.era, position.era, __ATOMIC_RELAXED);
+	__atomic_store_n(
+	    &l->position.revision, position.revision, __ATOMIC_RELAXED);
 	__atomic_store_n(&l->contact_us, contact_us, __ATOMIC_RELAXED);
 }
 
@@ -88,7 +90,8 @@
 		    r->usual_bytes);
 	kf_eventlog_write(l->log, KF_LOG_INFO, kf_forward_event_name(r->event),
 	    "flow=%016llx client=%s address=%s route=%s priority=%u copies=%u "
-	    "tries=%u since_us=%lld%s%s verdict=%s reason=%s revision=%llu "
+	    "tries=%u since_us=%lld%s%s verdict=%s reason=%s era=%llu "
+	    "revision=%llu "
 	    "contact_age_ms=%lld",
 	    (unsigned long long)r->flow_hash, kf_addr_format(r->client, client),
 	    kf_addr_format(r->address, address),
@@ -96,7 +99,10 @@
 	    r->route == NULL ? 0 : r->route->priority, r->copies, r->tries,
 	    (long long)r->since_us, choice, answer, kf_verdict_name(r->verdict),
 	    kf_reason_name(r->reason),
-	    (unsigned long long)__atomic_load_n(&l->revision, __ATOMIC_RELAXED),
+	    (unsigned long long)__atomic_load_n(
+		&l->position.era, __ATOMIC_RELAXED),
+	    (unsigned long long)__atomic_load_n(
+		&l->position.revision, __ATOMIC_RELAXED),
 	    (long long)kf_age_ms(contact_us, now.mono_us));
 }
 
--- a/lib/fwdnet/forward_log.h
+++ b/lib/fwdnet/forward_log.h
@@ -26,7 +26,7 @@
 	uint32_t written;
 	uint64_t suppressed;
 	/* State of the replica, logged per flow; set by the control thread. */
-	uint64_t revision;
+	kf_store_position_t position;
 	int64_t contact_us; /* latest known contact of any VM with the store */
 	histogram_t opening;
 } forward_log_t;
@@ -41,7 +41,7 @@
 /* Logs a decision; a kf_forwarder callback, ctx is the forward_log_t. */
 void forward_log_record(void *ctx, const kf_forward_record_t *record);
 
-void forward_log_set_replica_state(
-    forward_log_t *forward_log, uint64_t revision, int64_t contact_us);
+void forward_log_set_replica_state(forward_log_t *forward_log,
+    kf_store_position_t position, int64_t contact_us);
 
 #endif
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -76,7 +76,10 @@
 	write_value(out, "patience_us", "gauge",
 	    "time until a second upstream is tried", m->packets.patience_us);
 	write_value(out, "revision", "gauge", "revision of the store held",
-	    (long long)m->revision);
+	    (long long)m->position.revision);
+	write_value(out, "store_era", "gauge",
+	    "era of the store that the revision belongs to",
+	    (long long)m->position.era);
 	write_value(out, "config_version", "gauge",
 	    "version of the configuration in force",
 	    (long long)m->config_version);
--- a/lib/fwdnet/forward_metrics.h
+++ b/lib/fwdnet/forward_metrics.h
@@ -13,7 +13,7 @@
 	packet_thread_stats_t packets;
 	store_sync_stats_t sync;
 	const histogram_t *opening;
-	uint64_t revision;
+	kf_store_position_t position; /* of the data */
 	uint64_t config_version;
 	uint64_t items_refused;
 	uint64_t log_dropped;
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -11,11 +11,13 @@
 	const kf_route_table_t *routes = kf_forwarder_routes(forwarder);
 
 	fprintf(out,
-	    "record=vm vm=%s zone=%s ready=%s leaving=%s revision=%llu "
+	    "record=vm vm=%s zone=%s ready=%s leaving=%s era=%llu "
+	    "revision=%llu "
 	    "config_version=%llu own_contact_age_ms=%lld contact_age_ms=%lld "
 	    "rank=%u zone_vms=%u known_vms=%u patience_us=%lld\n",
 	    s->vm, s->zone, s->ready ? "yes" : "no", s->leaving ? "yes" : "no",
-	    (unsigned long long)s->revision,
+	    (unsigned long long)s->position.era,
+	    (unsigned long long)s->position.revision,
 	    routes == NULL ? 0ULL : (unsigned long long)routes->version,
 	    (long long)kf_age_ms(s->own_contact_us, s->now_us),
 	    (long long)kf_age_ms(s->view.contact_us, s->now_us), s->view.rank,
--- a/lib/fwdnet/forward_state.h
+++ b/lib/fwdnet/forward_state.h
@@ -20,7 +20,7 @@
 	const char *zone;
 	bool ready;
 	bool leaving;
-	uint64_t revision;
+	kf_store_position_t position; /* of the data */
 	int64_t own_contact_us; /* last one with the store; INT64_MIN: none */
 	kf_peering_view_t view;
 	int64_t now_us;
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -28,6 +28,7 @@
 	char after_key[KF_PLATFORM_KEY_BYTES];
 	/* Of the current listing. */
 	uint32_t list_pages;
+	uint64_t list_era;
 	uint64_t newest_page_revision;
 	bool store_lost; /* store_lost was logged last */
 	/* Of the line reads_store logged last. */
@@ -38,13 +39,14 @@
 	store_sync_stats_t stats;
 	/* Valid while changes from another VM are applied. */
 	int64_t now_us;
-	uint64_t pulled_revision;
-	bool pulled_listing;
+	kf_changes_head_t pulled;
+	bool pulled_is_old;
 	/* Cache of the last full listing sent to another VM, so that it is not
 	 * compressed again for each of several VMs that start together. */
 	uint8_t *listing;
 	size_t listing_len;
-	uint64_t listing_revision;
+	kf_store_position_t listing_position;
+	bool has_lost; /* items lost by a restore of the store */
 };
 
 static void request_list(store_sync_t *s);
@@ -108,7 +110,7 @@
 finish_call(store_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome)
 {
 	kf_sync_call_done(&s->sync, call, outcome,
-	    kf_replica_revision(s->replica), jitter(s), s->now_us);
+	    kf_replica_position(s->replica), jitter(s), s->now_us);
 	applier_record_contact(s->applier, s->sync.contact_us);
 }
 
@@ -117,6 +119,8 @@
 record_store_result(
     store_sync_t *s, kf_sync_call_t call, const http_answer_t *answer, bool ok)
 {
+	kf_store_position_t at = kf_replica_position(s->replica);
+
 	if (!ok)
 		s->stats.failures[call]++;
 	if (ok == !s->store_lost)
@@ -124,14 +128,70 @@
 	s->store_lost = !ok;
 	kf_eventlog_write(s->log, ok ? KF_LOG_INFO : KF_LOG_WARN,
 	    ok ? "store_regained" : "store_lost",
-	    "call=%s status=%ld reason=\"%s\" took_us=%lld revision=%llu",
+	    "call=%s status=%ld reason=\"%s\" took_us=%lld era=%llu "
+	    "revision=%llu",
 	    kf_sync_call_name(call), answer->status,
 	    ok				    ? ""
 		: answer->error != NULL	    ? answer->error
 		: answer->status != HTTP_OK ? "refused"
 					    : kf_status_message(),
-	    (long long)answer->took_us,
-	    (unsigned long long)kf_replica_revision(s->replica));
+	    (long long)answer->took_us, (unsigned long long)at.era,
+	    (unsigned long long)at.revision);
+}
+
+static uint64_t
+era_of(const http_answer_t *answer)
+{
+	return kf_platform_store_era(
+	    http_answer_header(answer, KF_PLATFORM_ERA_HEADER));
+}
+
+/* Ends a call whose answer is of an older era than expected: it is late, or
+ * comes from a part of the store that is behind. */
+static void
+refuse_old_era(store_sync_t *s, kf_sync_call_t call,
+    const http_answer_t *answer, uint64_t expected)
+{
+	kf_status_set(KF_ERR_STALE, "answer of era %llu is older than %llu",
+	    (unsigned long long)era_of(answer), (unsigned long long)expected);
+	record_store_result(s, call, answer, false);
+	finish_call(s, call, KF_SYNC_FAILED);
+}
+
+/* Ends a call whose answer shows that the store was restored: it is listed. */
+static void
+leave_era(store_sync_t *s, kf_sync_call_t call, const http_answer_t *answer)
+{
+	kf_store_position_t at = kf_replica_position(s->replica);
+
+	kf_eventlog_write(s->log, KF_LOG_WARN, "store_restored",
+	    "call=%s store_era=%llu era=%llu revision=%llu",
+	    kf_sync_call_name(call), (unsigned long long)era_of(answer),
+	    (unsigned long long)at.era, (unsigned long long)at.revision);
+	finish_call(s, call, KF_SYNC_HISTORY_GONE);
+}
+
+/* Logs that the replica has moved to another era. */
+static void
+record_era(store_sync_t *s, uint64_t era_before, const char *source)
+{
+	kf_store_position_t at = kf_replica_position(s->replica);
+
+	if (at.era == era_before)
+		return;
+	s->has_lost = true;
+	kf_eventlog_write(s->log, KF_LOG_INFO, "store_era",
+	    "era=%llu before=%llu era_start=%llu revision=%llu source=%s",
+	    (unsigned long long)at.era, (unsigned long long)era_before,
+	    (unsigned long long)kf_replica_era_start(s->replica),
+	    (unsigned long long)at.revision, source);
+}
+
+static void
+log_item_lost(store_sync_t *s, const char *key)
+{
+	kf_eventlog_write(s->log, KF_LOG_ERROR, "item_lost",
+	    "key=%s reason=\"%s\"", key, kf_status_message());
 }
 
 static void
@@ -139,8 +199,7 @@
     store_sync_t *s, kf_source_t source, const kf_item_change_t *change)
 {
 	if (kf_replica_apply(s->replica, source, change, s->now_us) != KF_OK)
-		kf_eventlog_write(s->log, KF_LOG_ERROR, "item_lost",
-		    "key=%s reason=\"%s\"", change->key, kf_status_message());
+		log_item_lost(s, change->key);
 }
 
 static void
@@ -156,7 +215,10 @@
 
 	if (s->list_pages++ == 0) {
 		s->newest_page_revision = revision;
-		kf_replica_listing_begin(s->replica, KF_SOURCE_STORE, revision);
+		if (kf_replica_listing_begin(s->replica, KF_SOURCE_STORE,
+			(kf_store_position_t){ s->list_era, revision }) !=
+		    KF_OK)
+			log_item_lost(s, "listing");
 		return;
 	}
 	if (revision > s->newest_page_revision)
@@ -167,18 +229,50 @@
 static void
 end_listing(store_sync_t *s)
 {
+	uint64_t era = kf_replica_position(s->replica).era;
 	kf_status_t status =
 	    kf_replica_listing_end(s->replica, KF_SOURCE_STORE, s->now_us);
 
+	record_era(s, era, "store");
 	kf_eventlog_write(s->log, KF_LOG_INFO, "listed",
-	    "pages=%u stale=%s oldest_page=%llu newest_page=%llu revision=%llu",
+	    "pages=%u stale=%s oldest_page=%llu newest_page=%llu era=%llu "
+	    "revision=%llu",
 	    s->list_pages, s->stale ? "yes" : "no",
 	    (unsigned long long)kf_replica_listing_revision(
 		s->replica, KF_SOURCE_STORE),
 	    (unsigned long long)s->newest_page_revision,
-	    (unsigned long long)kf_replica_revision(s->replica));
-	finish_call(
-	    s, KF_SYNC_LIST, status == KF_OK ? KF_SYNC_OK : KF_SYNC_BEHIND);
+	    (unsigned long long)kf_replica_position(s->replica).era,
+	    (unsigned long long)kf_replica_position(s->replica).revision);
+	finish_call(s, KF_SYNC_LIST,
+	    status == KF_OK		 ? KF_SYNC_OK
+		: status == KF_ERR_STALE ? KF_SYNC_BEHIND
+					 : KF_SYNC_FAILED);
+}
+
+/*
+ * Ends the listing if the page is of another era than the listing or is older
+ * than the replica.  A listing that may be stale does not replace items of an
+ * older era.
+ */
+static bool
+check_page_era(store_sync_t *s, const http_answer_t *answer)
+{
+	kf_store_position_t at = kf_replica_position(s->replica);
+	uint64_t era = era_of(answer), expected = at.era;
+
+	if (s->list_pages > 0 && s->list_era > at.era)
+		expected = s->list_era;
+	if (era < expected) {
+		refuse_old_era(s, KF_SYNC_LIST, answer, expected);
+		return false;
+	}
+	if (s->list_pages > 0 ? era > s->list_era
+			      : era > at.era && at.revision != 0 && s->stale) {
+		leave_era(s, KF_SYNC_LIST, answer);
+		return false;
+	}
+	s->list_era = era;
+	return true;
 }
 
 static void
@@ -187,6 +281,8 @@
 	kf_platform_answer_t page = { 0 };
 	kf_status_t status = KF_ERR_IO;
 
+	if (answer->status == HTTP_OK && !check_page_era(s, answer))
+		return;
 	if (answer->status == HTTP_OK)
 		status = kf_platform_list_decode(answer->body, answer->len,
 		    &page, begin_list_page, apply_store_change, s);
@@ -240,6 +336,23 @@
 	    s, KF_SYNC_LIST, s->store, path, KF_SYNC_LIST_TIMEOUT_MS, on_list);
 }
 
+/* Ends the watch if its answer is of another era than the replica. */
+static bool
+check_watch_era(store_sync_t *s, const http_answer_t *answer)
+{
+	uint64_t own = kf_replica_position(s->replica).era;
+
+	if ((answer->status != HTTP_OK &&
+		answer->status != KF_PLATFORM_HTTP_HISTORY_GONE) ||
+	    era_of(answer) == own)
+		return true;
+	if (era_of(answer) < own)
+		refuse_old_era(s, KF_SYNC_WATCH, answer, own);
+	else
+		leave_era(s, KF_SYNC_WATCH, answer);
+	return false;
+}
+
 static void
 on_watch(void *ctx, uint32_t tag, const http_answer_t *answer)
 {
@@ -249,10 +362,14 @@
 
 	(void)tag;
 	s->now_us = kf_clock_now().mono_us;
+	if (!check_watch_era(s, answer))
+		return;
 	if (answer->status == KF_PLATFORM_HTTP_HISTORY_GONE) {
 		kf_eventlog_write(s->log, KF_LOG_WARN, "history_gone",
-		    "revision=%llu",
-		    (unsigned long long)kf_replica_revision(s->replica));
+		    "era=%llu revision=%llu",
+		    (unsigned long long)kf_replica_position(s->replica).era,
+		    (unsigned long long)kf_replica_position(s->replica)
+			.revision);
 		finish_call(s, KF_SYNC_WATCH, KF_SYNC_HISTORY_GONE);
 		return;
 	}
@@ -274,15 +391,45 @@
 				     : KF_SYNC_OK);
 }
 
-static void
-begin_pulled_changes(void *ctx, uint64_t revision, bool listing)
+/* Refuses changes of an older era, which this VM has left during the pull. */
+static bool
+begin_pulled_changes(void *ctx, const kf_changes_head_t *head)
 {
 	store_sync_t *s = ctx;
+	uint64_t era = kf_replica_position(s->replica).era;
+
+	s->pulled = *head;
+	s->pulled_is_old = head->position.era < era ||
+	    (head->position.era > era && !head->listing);
+	if (s->pulled_is_old)
+		return false;
+	kf_replica_listing_cancel(s->replica, KF_SOURCE_PEER);
+	if (head->listing) {
+		kf_replica_listing_begin(
+		    s->replica, KF_SOURCE_PEER, head->position);
+		kf_replica_listing_era_start(
+		    s->replica, KF_SOURCE_PEER, head->era_start);
+	}
+	return true;
+}
+
+/* Ends the changes that have been applied. */
+static kf_status_t
+end_pulled_changes(store_sync_t *s)
+{
+	uint64_t era = kf_replica_position(s->replica).era;
+	kf_status_t status;
 
-	s->pulled_revision = revision;
-	s->pulled_listing = listing;
-	if (listing)
-		kf_replica_listing_begin(s->replica, KF_SOURCE_PEER, revision);
+	if (s->pulled_is_old)
+		return KF_OK;
+	if (!s->pulled.listing) {
+		kf_replica_advance(s->replica, s->pulled.position.revision);
+		return KF_OK;
+	}
+	status = kf_replica_listing_end(s->replica, KF_SOURCE_PEER, s->now_us);
+	record_era(s, era, "peer");
+	/* Newer local items are kept. */
+	return status == KF_ERR_STALE ? KF_OK : status;
 }
 
 static void
@@ -317,12 +464,8 @@
 	if (answer->status == HTTP_OK)
 		status = kf_changes_decode((const uint8_t *)answer->body,
 		    answer->len, begin_pulled_changes, apply_pulled_change, s);
-	if (status == KF_OK && s->pulled_listing &&
-	    kf_replica_listing_end(s->replica, KF_SOURCE_PEER, s->now_us) ==
-		KF_ERR_STALE)
-		status = KF_OK; /* newer local items are kept */
-	else if (status == KF_OK)
-		kf_replica_advance(s->replica, s->pulled_revision);
+	if (status == KF_OK)
+		status = end_pulled_changes(s);
 	applier_end_batch(s->applier);
 	if (status != KF_OK)
 		record_pull_failure(s, answer);
@@ -344,8 +487,9 @@
 		request_list(s);
 		return;
 	}
+	kf_replica_listing_cancel(s->replica, KF_SOURCE_STORE);
 	kf_platform_watch_path(
-	    path, kf_replica_revision(s->replica), actions->wait_ms);
+	    path, kf_replica_position(s->replica).revision, actions->wait_ms);
 	request(
 	    s, KF_SYNC_WATCH, s->store, path, actions->timeout_ms, on_watch);
 }
@@ -357,6 +501,7 @@
 static void
 log_own_read(store_sync_t *s, const kf_peering_view_t *view, int64_t now_us)
 {
+	kf_store_position_t at = kf_replica_position(s->replica);
 	bool is_own = view->contact_us <= s->sync.contact_us;
 
 	if (view->rank == 0 || !s->sync.caught_up ||
@@ -366,10 +511,28 @@
 	s->own_read_logged = true;
 	s->logged_contact_us = view->contact_us;
 	kf_eventlog_write(s->log, KF_LOG_INFO, "reads_store",
-	    "rank=%u contact_age_ms=%lld revision=%llu ahead_revision=%llu",
+	    "rank=%u contact_age_ms=%lld era=%llu revision=%llu ahead_era=%llu "
+	    "ahead_revision=%llu",
 	    view->rank, (long long)kf_age_ms(view->contact_us, now_us),
-	    (unsigned long long)kf_replica_revision(s->replica),
-	    (unsigned long long)view->ahead_revision);
+	    (unsigned long long)at.era, (unsigned long long)at.revision,
+	    (unsigned long long)view->ahead.era,
+	    (unsigned long long)view->ahead.revision);
+}
+
+/*
+ * Gives up the items that a restore of the store has lost, once their writers
+ * had the time to write them again and a contact shows that they did not.
+ */
+static void
+release_lost(store_sync_t *s, const kf_peering_view_t *view)
+{
+	if (!s->has_lost || view->contact_us == INT64_MIN)
+		return;
+	applier_begin_batch(s->applier);
+	s->has_lost =
+	    kf_replica_release_lost(s->replica,
+		view->contact_us - KF_TARGET_MISSING_GRACE_US, s->now_us) > 0;
+	applier_end_batch(s->applier);
 }
 
 void
@@ -379,20 +542,23 @@
 		.rank = view->rank,
 		.contact_us = view->contact_us,
 		.heard_us = view->heard_us,
-		.ahead_revision = view->ahead_revision,
+		.ahead = view->ahead,
 		.ahead_ip = view->ahead_ip,
 	};
+	kf_store_position_t at = kf_replica_position(s->replica);
 	kf_sync_actions_t actions;
 	char path[HTTP_PATH_BYTES];
 
 	s->now_us = now_us;
+	release_lost(s, view);
 	applier_record_contact(s->applier, view->contact_us);
 	actions = kf_sync_start_due_calls(&s->sync, &peers, now_us);
 	if (actions.pull) {
 		kf_addr_t peer = { .ip = view->ahead_ip, .port = s->peer_port };
 
-		snprintf(path, sizeof(path), "/changes?after=%llu",
-		    (unsigned long long)kf_replica_revision(s->replica));
+		snprintf(path, sizeof(path), "/changes?after=%llu&era=%llu",
+		    (unsigned long long)at.revision,
+		    (unsigned long long)at.era);
 		s->source_ip = peer.ip;
 		request(s, KF_SYNC_PULL, peer, path, KF_SYNC_PULL_TIMEOUT_MS,
 		    on_pull);
@@ -432,10 +598,10 @@
 	return kf_sync_next_call_us(&s->sync, now_us);
 }
 
-uint64_t
-store_sync_revision(const store_sync_t *s)
+kf_store_position_t
+store_sync_position(const store_sync_t *s)
 {
-	return kf_replica_revision(s->replica);
+	return kf_replica_position(s->replica);
 }
 
 int64_t
@@ -455,6 +621,11 @@
 encode_changes(const store_sync_t *s, bool listing, uint64_t after, size_t *len)
 {
 	size_t i, count = 0, known = kf_replica_count(s->replica);
+	kf_changes_head_t head = {
+		.position = kf_replica_position(s->replica),
+		.era_start = kf_replica_era_start(s->replica),
+		.listing = listing,
+	};
 	kf_item_change_t *items;
 	uint8_t *data;
 
@@ -474,8 +645,7 @@
 			.len = item->len,
 		};
 	}
-	data = kf_changes_encode(
-	    kf_replica_revision(s->replica), listing, items, count, len);
+	data = kf_changes_encode(&head, items, count, len);
 	free(items);
 	return data;
 }
@@ -483,23 +653,25 @@
 static bool
 update_listing(store_sync_t *s)
 {
-	uint64_t revision = kf_replica_revision(s->replica);
+	kf_store_position_t at = kf_replica_position(s->replica);
 
-	if (s->listing != NULL && s->listing_revision == revision)
+	if (s->listing != NULL &&
+	    kf_store_position_compare(s->listing_position, at) == 0)
 		return true;
 	free(s->listing);
 	s->listing = encode_changes(s, true, 0, &s->listing_len);
-	s->listing_revision = revision;
+	s->listing_position = at;
 	return s->listing != NULL;
 }
 
 uint8_t *
-store_sync_changes(store_sync_t *s, uint64_t after, size_t *len)
+store_sync_changes(store_sync_t *s, kf_store_position_t after, size_t *len)
 {
 	uint8_t *copy;
 
-	if (kf_replica_has_changes_after(s->replica, after))
-		return encode_changes(s, false, after, len);
+	if (after.era == kf_replica_position(s->replica).era &&
+	    kf_replica_has_changes_after(s->replica, after.revision))
+		return encode_changes(s, false, after.revision, len);
 	if (!update_listing(s))
 		return NULL;
 	copy = malloc(s->listing_len);
--- a/lib/fwdnet/store_sync.h
+++ b/lib/fwdnet/store_sync.h
@@ -55,15 +55,17 @@
 int64_t store_sync_due_us(const store_sync_t *sync, int64_t now_us);
 
 bool store_sync_ready(const store_sync_t *sync);
-uint64_t store_sync_revision(const store_sync_t *sync);
+kf_store_position_t store_sync_position(const store_sync_t *sync);
 /* Last contact of this VM with the store; INT64_MIN: none. */
 int64_t store_sync_contact_us(const store_sync_t *sync);
 const store_sync_stats_t *store_sync_stats(const store_sync_t *sync);
 
 /*
- * Encodes the changes after a revision for another VM, or a full listing if
- * the replica no longer holds all of them.  The result is freed by the caller.
+ * Encodes the changes after a position for another VM, or a full listing if
+ * the replica no longer holds all of them or is of another era.  The result is
+ * freed by the caller.
  */
-uint8_t *store_sync_changes(store_sync_t *sync, uint64_t after, size_t *len);
+uint8_t *store_sync_changes(
+    store_sync_t *sync, kf_store_position_t after, size_t *len);
 
 #endif
--- a/lib/peering/codec.c
+++ b/lib/peering/codec.c
@@ -91,10 +91,15 @@
 }
 
 uint8_t *
-kf_changes_encode(uint64_t revision, bool listing,
-    const kf_item_change_t *items, size_t count, size_t *len)
+kf_changes_encode(const kf_changes_head_t *head, const kf_item_change_t *items,
+    size_t count, size_t *len)
 {
-	peering_changes changes = { .revision = revision, .listing = listing };
+	peering_changes changes = {
+		.era = head->position.era,
+		.era_start = head->era_start,
+		.revision = head->position.revision,
+		.listing = head->listing,
+	};
 	uint8_t *buf;
 	size_t i;
 
@@ -142,8 +147,7 @@
 }
 
 kf_status_t
-kf_changes_decode(const uint8_t *data, size_t len,
-    void (*begin)(void *ctx, uint64_t revision, bool listing),
+kf_changes_decode(const uint8_t *data, size_t len, kf_changes_begin_fn *begin,
     kf_item_change_fn *item, void *ctx)
 {
 	peering_changes changes = { 0 };
@@ -161,8 +165,14 @@
 	xdr_destroy(&xdr);
 	free(uncompressed);
 	if (decoded) {
-		begin(ctx, changes.revision, changes.listing);
-		deliver_items(&changes, item, ctx);
+		kf_changes_head_t head = {
+			.position = { changes.era, changes.revision },
+			.era_start = changes.era_start,
+			.listing = changes.listing,
+		};
+
+		if (begin(ctx, &head))
+			deliver_items(&changes, item, ctx);
 	}
 	xdr_free((xdrproc_t)xdr_peering_changes, (char *)&changes);
 	return decoded
--- a/lib/peering/include/kf/peering.h
+++ b/lib/peering/include/kf/peering.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "kf/position.h"
 #include "kf/service_demand.h"
 #include "kf/status.h"
 
@@ -95,7 +96,7 @@
 
 /* This VM's own state, sent in its beacons. */
 typedef struct kf_peering_self {
-	uint64_t revision;
+	kf_store_position_t position; /* of its data */
 	int64_t contact_us; /* last contact with the store; INT64_MIN: never */
 	bool leaving;
 	kf_service_demand_t demands[KF_PEERING_MAX_DEMANDS];
@@ -124,9 +125,9 @@
 	/* Beacons older than KF_PEERING_LATE_US on their arrival, since the
 	 * start. */
 	uint64_t late_beacons;
-	/* A VM with a higher revision to pull from, the highest if it can be
+	/* A VM with a higher position to pull from, the highest if it can be
 	 * had; ahead_ip 0: none. */
-	uint64_t ahead_revision;
+	kf_store_position_t ahead;
 	uint32_t ahead_ip;
 } kf_peering_view_t;
 
--- a/lib/peering/members.h
+++ b/lib/peering/members.h
@@ -18,7 +18,8 @@
 	uint32_t ip;
 	uint64_t zone;
 	int64_t last_heard_us; /* from it or through another VM */
-	uint64_t revision;     /* 0: no data, or known only from other VMs */
+	/* Revision 0: no data, or known only from other VMs. */
+	kf_store_position_t position;
 	/* Contact of the VM with the store, at the earliest; INT64_MIN: none,
 	 * or its time is not known. */
 	int64_t contact_us;
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -4,7 +4,7 @@
 #include "peering_internal.h"
 
 enum {
-	MAGIC = 0x6b666233, /* "kfb3" */
+	MAGIC = 0x6b666234, /* "kfb4" */
 	/*
 	 * Largest contact age in a beacon, with room for a suspended sender or
 	 * a long queue.  An older contact is sent as unknown, and a received
@@ -217,7 +217,7 @@
 	for (i = 0; i < m->demand_count; i++)
 		m->demands[i] = b->demands.demands_val[i];
 	m->zone = b->zone;
-	m->revision = b->revision;
+	m->position = (kf_store_position_t){ b->era, b->revision };
 	m->contact_us = b->contact_age_ms < 0 || sent_us == INT64_MIN
 	    ? INT64_MIN
 	    : sent_us - (int64_t)b->contact_age_ms * 1000;
@@ -328,7 +328,8 @@
 
 /*
  * Latest contact with the store of this VM, or of one whose changes this VM has
- * all: what the store held at that contact is here too, and stays here.
+ * all: what the store held at that contact is here too, and stays here.  A
+ * contact of another era says nothing of the store that this VM's data are of.
  */
 static int64_t
 update_contact(kf_peering_t *p, const kf_peering_self_t *self)
@@ -340,7 +341,8 @@
 	for (i = 0; i < p->members.count; i++) {
 		const member_t *m = &p->members.list[i];
 
-		if (m->revision <= self->revision &&
+		if (m->position.era == self->position.era &&
+		    m->position.revision <= self->position.revision &&
 		    m->contact_us > p->contact_us)
 			p->contact_us = m->contact_us;
 	}
@@ -465,7 +467,8 @@
 		.magic = MAGIC,
 		.ip = p->config.ip,
 		.zone = p->config.zone,
-		.revision = self->revision,
+		.era = self->position.era,
+		.revision = self->position.revision,
 		.contact_age_ms = age_ms(update_contact(p, self), now_us),
 		.stamp_us = p->stamp_base_us + (uint64_t)now_us,
 		.wants_echo = to == NULL || !to->clock.has_offset,
@@ -529,7 +532,7 @@
 	}
 	source = peering_choose_source(p, self, now_us);
 	if (source != NULL) {
-		view.ahead_revision = source->revision;
+		view.ahead = source->position;
 		view.ahead_ip = source->ip;
 	}
 	return view;
--- a/lib/peering/peering_msg.x
+++ b/lib/peering/peering_msg.x
@@ -39,6 +39,7 @@
 	unsigned int magic;
 	unsigned int ip;
 	unsigned hyper zone;
+	unsigned hyper era;	/* of the store, with the revision */
 	unsigned hyper revision;
 	/* Since contact with the store at this revision; -1: never. */
 	int contact_age_ms;
@@ -67,6 +68,8 @@
 
 /* Answer to a request for the changes after a revision; sent compressed. */
 struct peering_changes {
+	unsigned hyper era;
+	unsigned hyper era_start;	/* revision at which the era began */
 	unsigned hyper revision;
 	bool listing;		/* items are the whole replica, not changes */
 	peering_item items<PEERING_MAX_ITEMS>;
--- a/lib/peering/sources.c
+++ b/lib/peering/sources.c
@@ -23,23 +23,44 @@
 		return avoid_a ? -1 : 1;
 	if (avoid_a && a->pull_failed_us != b->pull_failed_us)
 		return a->pull_failed_us < b->pull_failed_us ? 1 : -1;
-	if (self->revision != 0 && a->revision != b->revision)
-		return a->revision > b->revision ? 1 : -1;
+	if (self->position.revision != 0 &&
+	    kf_store_position_compare(a->position, b->position) != 0)
+		return kf_store_position_compare(a->position, b->position);
 	return (a->zone == p->config.zone) - (b->zone == p->config.zone);
 }
 
+/* Returns the highest era that a VM with data has announced. */
+static uint64_t
+highest_era(const kf_peering_t *p)
+{
+	uint64_t era = 0;
+	size_t i;
+
+	for (i = 0; i < p->members.count; i++) {
+		const kf_store_position_t *at = &p->members.list[i].position;
+
+		if (at->revision != 0 && at->era > era)
+			era = at->era;
+	}
+	return era;
+}
+
 const member_t *
 peering_choose_source(
     kf_peering_t *p, const kf_peering_self_t *self, int64_t now_us)
 {
 	const member_t *chosen = NULL;
+	uint64_t era = highest_era(p);
 	size_t i, alike = 0;
 	int order;
 
 	for (i = 0; i < p->members.count; i++) {
 		const member_t *m = &p->members.list[i];
 
-		if (m->revision <= self->revision)
+		/* Data of before a restore are no source, not even for a VM
+		 * that has none. */
+		if (m->position.era != era || m->position.revision == 0 ||
+		    kf_store_position_compare(m->position, self->position) <= 0)
 			continue;
 		order = chosen == NULL
 		    ? 1
--- a/lib/replica/include/kf/replica.h
+++ b/lib/replica/include/kf/replica.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "kf/position.h"
 #include "kf/status.h"
 
 #ifdef __cplusplus
@@ -20,7 +21,14 @@
  *	in any order and more than once.  An item never returns to an older
  *	revision, and a change or listing older than its removal does not
  *	restore a removed item, with or without a tombstone.  All changes up to
- *	kf_replica_revision are in the replica.
+ *	the revision of kf_replica_position are in the replica.
+ *
+ *	All of this holds within one era of the store.  A listing of another
+ *	era is collected apart, and the items in use stay as they are until it
+ *	is complete.  If the era is higher, the end of the listing moves the
+ *	replica to it: items that differ are reported as from_backup, and items
+ *	that it lacks as removed and lost, because their writers write them
+ *	again soon.  A listing of a lower era changes nothing.
  */
 
 enum {
@@ -58,6 +66,11 @@
 	uint64_t revision;
 	bool removed;
 	int64_t removed_us;
+	/* Not written since the store was restored: the value is that of the
+	 * backup and may be older than one known before. */
+	bool from_backup;
+	/* Removed only because a restored store lacks it. */
+	bool lost;
 	bool listed[KF_SOURCE_COUNT]; /* in the current listing of the source */
 } kf_item_t;
 
@@ -70,8 +83,14 @@
 kf_replica_t *kf_replica_new(kf_replica_changed_fn *changed, void *ctx);
 void kf_replica_delete(kf_replica_t *replica);
 
-/* Revision up to which all changes are in the replica; 0: no data. */
-uint64_t kf_replica_revision(const kf_replica_t *replica);
+/* Position up to which all changes are in the replica; revision 0: no data. */
+kf_store_position_t kf_replica_position(const kf_replica_t *replica);
+
+/*
+ * Revision at which the store's current era began, as far as it is known: that
+ * of the first listing.  Items above it were written in this era.
+ */
+uint64_t kf_replica_era_start(const kf_replica_t *replica);
 
 /*
  * Store or remove an item, unless the replica has it at this revision or a
@@ -96,10 +115,10 @@
  * page, and page comes before the items of each further one.  Changes after the
  * oldest page may be missing, so the listing has that page's revision.  The end
  * removes items that are not in the listing and not newer than this revision;
- * it returns KF_ERR_STALE if the replica has a higher revision.
+ * it returns KF_ERR_STALE if the replica has a higher position.
  */
-void kf_replica_listing_begin(
-    kf_replica_t *replica, kf_source_t source, uint64_t revision);
+kf_status_t kf_replica_listing_begin(
+    kf_replica_t *replica, kf_source_t source, kf_store_position_t position);
 void kf_replica_listing_page(
     kf_replica_t *replica, kf_source_t source, uint64_t revision);
 /* Revision of the listing in progress, or else of the last one. */
@@ -107,6 +126,26 @@
     const kf_replica_t *replica, kf_source_t source);
 kf_status_t kf_replica_listing_end(
     kf_replica_t *replica, kf_source_t source, int64_t now_us);
+/*
+ * Lowers the revision at which the era of the listing in progress began, for a
+ * source that knows it.
+ */
+void kf_replica_listing_era_start(
+    kf_replica_t *replica, kf_source_t source, uint64_t revision);
+/*
+ * Drops the collected items of a listing that has not ended.  A listing that
+ * began in an era that the replica has left must not be continued.
+ */
+void kf_replica_listing_cancel(kf_replica_t *replica, kf_source_t source);
+
+/*
+ * Reports the items that were lost up to until_us as removed.  The caller has
+ * made sure that their writers had the time to write them again and that the
+ * replica holds the store's state since then.  Returns the number of items that
+ * are still lost.
+ */
+size_t kf_replica_release_lost(
+    kf_replica_t *replica, int64_t until_us, int64_t now_us);
 
 /*
  * True if the replica still holds all changes after a revision, removals
--- a/lib/replica/include/kf/sync.h
+++ b/lib/replica/include/kf/sync.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "kf/position.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -122,8 +124,9 @@
 	KF_SYNC_OK = 0,
 	KF_SYNC_UNCHANGED, /* a watch has ended without changes */
 	KF_SYNC_FAILED,
-	KF_SYNC_HISTORY_GONE, /* the store no longer has these changes */
-	KF_SYNC_BEHIND,	      /* the listing is older than the replica */
+	/* The store no longer has these changes, or was restored. */
+	KF_SYNC_HISTORY_GONE,
+	KF_SYNC_BEHIND, /* the listing is older than the replica */
 } kf_sync_outcome_t;
 
 /* State of the other VMs, from their beacons. */
@@ -133,16 +136,16 @@
 	 * with the store; INT64_MIN: never. */
 	int64_t contact_us;
 	int64_t heard_us; /* latest beacon of the zone; INT64_MIN: none */
-	uint64_t ahead_revision; /* highest revision of another VM */
-	uint32_t ahead_ip;	 /* a VM that has it; 0: none */
+	kf_store_position_t ahead; /* highest position of another VM */
+	uint32_t ahead_ip;	   /* a VM that has it; 0: none */
 } kf_sync_peers_t;
 
 typedef struct kf_sync {
-	int64_t bound_us;	    /* see DESCRIPTION */
-	uint32_t rank;		    /* as of the last call to the store */
-	bool ask_peers;		    /* pull first, list only after a delay */
-	int64_t list_not_before_us; /* applies if ask_peers */
-	uint64_t revision;	    /* of the replica */
+	int64_t bound_us;	      /* see DESCRIPTION */
+	uint32_t rank;		      /* as of the last call to the store */
+	bool ask_peers;		      /* pull first, list only after a delay */
+	int64_t list_not_before_us;   /* applies if ask_peers */
+	kf_store_position_t position; /* of the replica */
 	bool listed; /* the replica has data, from a listing or a pull */
 	int64_t listed_us;
 	bool fresh_list_needed; /* after the store dropped changes */
@@ -190,11 +193,11 @@
 int64_t kf_sync_next_call_us(const kf_sync_t *sync, int64_t now_us);
 
 /*
- * Processes the end of a call.  revision is that of the replica.  jitter, 0 to
+ * Processes the end of a call.  position is that of the replica.  jitter, 0 to
  * 1, spreads the next attempts after a failure.
  */
 void kf_sync_call_done(kf_sync_t *sync, kf_sync_call_t call,
-    kf_sync_outcome_t outcome, uint64_t revision, double jitter,
+    kf_sync_outcome_t outcome, kf_store_position_t position, double jitter,
     int64_t now_us);
 
 /*
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -1,23 +1,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "kf/replica.h"
 #include "kf/search.h"
 
-enum { FIRST_CAP = 64 };
+#include "replica_internal.h"
 
-struct kf_replica {
-	kf_replica_changed_fn *changed;
-	void *ctx;
-	kf_item_t **items; /* sorted by key */
-	size_t count;
-	size_t cap;
-	uint64_t revision;
-	uint64_t compacted_revision; /* removals up to it may be missing */
-	/* Of the listing in progress, or else of the last one. */
-	uint64_t listing_revision[KF_SOURCE_COUNT]; /* of its oldest page */
-	uint64_t page_revision[KF_SOURCE_COUNT];    /* of its latest page */
-};
+enum { FIRST_CAP = 64 };
 
 kf_replica_t *
 kf_replica_new(kf_replica_changed_fn *changed, void *ctx)
@@ -32,8 +20,8 @@
 	return r;
 }
 
-static void
-item_delete(kf_item_t *item)
+void
+replica_item_delete(kf_item_t *item)
 {
 	free(item->key);
 	free(item->value);
@@ -48,15 +36,23 @@
 	if (r == NULL)
 		return;
 	for (i = 0; i < r->count; i++)
-		item_delete(r->items[i]);
+		replica_item_delete(r->items[i]);
+	for (i = 0; i < KF_SOURCE_COUNT; i++)
+		kf_replica_delete(r->next_era[i]);
 	free(r->items);
 	free(r);
 }
 
+kf_store_position_t
+kf_replica_position(const kf_replica_t *r)
+{
+	return (kf_store_position_t){ r->era, r->revision };
+}
+
 uint64_t
-kf_replica_revision(const kf_replica_t *r)
+kf_replica_era_start(const kf_replica_t *r)
 {
-	return r->revision;
+	return r->era_start;
 }
 
 static int
@@ -140,6 +136,9 @@
 	kf_item_t *item;
 	uint8_t *copy;
 
+	if (r->next_era[source] != NULL)
+		return kf_replica_put(r->next_era[source], source, key, value,
+		    len, revision, now_us);
 	if (strlen(key) > KF_KEY_MAX_BYTES)
 		return kf_status_set(KF_ERR_INVALID,
 		    "key '%.40s...' is longer than 200 bytes", key);
@@ -162,6 +161,8 @@
 	item->len = len;
 	item->revision = revision;
 	item->removed = false;
+	item->lost = false;
+	item->from_backup = r->era > 0 && revision <= r->era_start;
 	r->changed(r->ctx, item, now_us);
 	return KF_OK;
 }
@@ -169,7 +170,7 @@
 static void
 item_remove(kf_replica_t *r, kf_item_t *item, uint64_t revision, int64_t now_us)
 {
-	bool was_present = !item->removed;
+	bool was_in_use = !item->removed || item->lost;
 
 	free(item->value);
 	item->value = NULL;
@@ -177,7 +178,8 @@
 	item->revision = revision;
 	item->removed = true;
 	item->removed_us = now_us;
-	if (was_present)
+	item->lost = false;
+	if (was_in_use)
 		r->changed(r->ctx, item, now_us);
 }
 
@@ -215,15 +217,20 @@
 		r->revision = revision;
 }
 
-void
-kf_replica_listing_begin(kf_replica_t *r, kf_source_t source, uint64_t revision)
+kf_status_t
+kf_replica_listing_begin(
+    kf_replica_t *r, kf_source_t source, kf_store_position_t position)
 {
 	size_t i;
 
+	kf_replica_listing_cancel(r, source);
+	r->listing_revision[source] = position.revision;
+	r->page_revision[source] = position.revision;
+	if (position.era != r->era)
+		return replica_collect_era(r, source, position);
 	for (i = 0; i < r->count; i++)
 		r->items[i]->listed[source] = false;
-	r->listing_revision[source] = revision;
-	r->page_revision[source] = revision;
+	return KF_OK;
 }
 
 void
@@ -247,6 +254,8 @@
 	kf_item_t *item;
 	size_t i;
 
+	if (r->next_era[source] != NULL)
+		return replica_end_era_listing(r, source, now_us);
 	for (i = 0; i < r->count; i++) {
 		item = r->items[i];
 		if (!item->removed && !item->listed[source] &&
@@ -292,14 +301,14 @@
 
 	for (i = 0; i < r->count; i++) {
 		item = r->items[i];
-		if (!item->removed ||
+		if (!item->removed || item->lost ||
 		    now_us - item->removed_us < KF_REPLICA_TOMBSTONE_KEEP_US) {
 			r->items[kept++] = item;
 			continue;
 		}
 		if (item->revision > r->compacted_revision)
 			r->compacted_revision = item->revision;
-		item_delete(item);
+		replica_item_delete(item);
 	}
 	r->count = kept;
 }
--- a/lib/replica/sync.c
+++ b/lib/replica/sync.c
@@ -102,7 +102,7 @@
 may_skip_catch_up(
     const kf_sync_t *s, const kf_sync_peers_t *peers, int64_t now_us)
 {
-	return (peers->ahead_revision <= s->revision &&
+	return (kf_store_position_compare(peers->ahead, s->position) <= 0 &&
 		   age_us(peers->contact_us, now_us) < takeover_age_us(s, 0)) ||
 	    now_us - s->listed_us >= KF_SYNC_CATCH_UP_TIMEOUT_US;
 }
@@ -144,7 +144,8 @@
 	kf_sync_actions_t actions = { 0 };
 
 	if (!s->peer_call_active && now_us >= s->peer_not_before_us &&
-	    peers->ahead_ip != 0 && peers->ahead_revision > s->revision) {
+	    peers->ahead_ip != 0 &&
+	    kf_store_position_compare(peers->ahead, s->position) > 0) {
 		actions.pull = true;
 		s->peer_call_active = true;
 	}
@@ -256,9 +257,9 @@
 
 void
 kf_sync_call_done(kf_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome,
-    uint64_t revision, double jitter, int64_t now_us)
+    kf_store_position_t position, double jitter, int64_t now_us)
 {
-	s->revision = revision;
+	s->position = position;
 	if (call != KF_SYNC_PULL) {
 		store_call_done(s, call, outcome, jitter, now_us);
 		return;
--- a/tests/unit/peering_test.cc
+++ b/tests/unit/peering_test.cc
@@ -60,7 +60,11 @@
 	}
 	void SetRevision(uint32_t ip, uint64_t revision)
 	{
-		vms_[ip].self.revision = revision;
+		SetPosition(ip, { 0, revision });
+	}
+	void SetPosition(uint32_t ip, kf_store_position_t position)
+	{
+		vms_[ip].self.position = position;
 		vms_[ip].self.contact_us = now_us_;
 		Send(ip, KF_PEERING_UPDATE);
 	}
@@ -71,7 +75,7 @@
 
 		Kill(ip);
 		Start(ip, zone);
-		vms_[ip].self.revision = 0;
+		vms_[ip].self.position = { 0, 0 };
 	}
 	/*
 	 * Returns the highest number of pulls that any one VM has served to VMs
@@ -90,7 +94,7 @@
 		size_t count = 0;
 
 		for (auto &vm : vms_)
-			count += vm.second.self.revision == 0;
+			count += vm.second.self.position.revision == 0;
 		return count;
 	}
 	void Run(int64_t ms)
@@ -103,7 +107,8 @@
 			for (auto &vm : vms_)
 				if (!vm.second.frozen)
 					Send(vm.first,
-					    vm.second.self.revision == 0
+					    vm.second.self.position.revision ==
+						    0
 						? KF_PEERING_STARTING
 						: KF_PEERING_PERIODIC);
 		}
@@ -123,9 +128,18 @@
 
 		return std::vector<uint32_t>(ips, ips + count);
 	}
+	kf_store_position_t Position(uint32_t ip)
+	{
+		return vms_[ip].self.position;
+	}
+	/* True if a VM with data has pulled those of a lower era. */
+	bool WentBack()
+	{
+		return went_back_;
+	}
 	uint64_t Revision(uint32_t ip)
 	{
-		return vms_[ip].self.revision;
+		return vms_[ip].self.position.revision;
 	}
 	std::set<uint32_t> Ips()
 	{
@@ -171,7 +185,7 @@
 	struct Vm {
 		uint64_t zone = 0;
 		kf_peering_t *peering = nullptr;
-		kf_peering_self_t self = { 1, INT64_MIN, false, {}, 0 };
+		kf_peering_self_t self = { { 0, 1 }, INT64_MIN, false, {}, 0 };
 		uint64_t bytes = 0;
 		uint64_t received_beacons = 0;
 		size_t pulls_served = 0;
@@ -193,9 +207,11 @@
 			vms_[ip].no_pull_before_us = now_us_ + 650000;
 			return;
 		}
-		if (vms_[ip].self.revision == 0)
+		if (vms_[ip].self.position.revision == 0)
 			source->second.pulls_served++;
-		vms_[ip].self.revision = view.ahead_revision;
+		went_back_ =
+		    went_back_ || view.ahead.era < vms_[ip].self.position.era;
+		vms_[ip].self.position = view.ahead;
 		Send(ip, KF_PEERING_UPDATE);
 	}
 	void Send(uint32_t from, kf_peering_reason_t reason)
@@ -226,6 +242,7 @@
 
 	double loss_;
 	bool partitioned_ = false;
+	bool went_back_ = false;
 	int64_t now_us_ = 1000000;
 	std::map<uint32_t, Vm> vms_;
 	std::mt19937 random_{ 20261204 };
@@ -516,8 +533,8 @@
 
 	static const int64_t from_offset_us_ = 500000000;
 	kf_peering_t *from_, *to_;
-	kf_peering_self_t watcher_ = { 5, INT64_MIN, false, {}, 0 };
-	kf_peering_self_t self_ = { 6, INT64_MIN, false, {}, 0 };
+	kf_peering_self_t watcher_ = { { 0, 5 }, INT64_MIN, false, {}, 0 };
+	kf_peering_self_t self_ = { { 0, 6 }, INT64_MIN, false, {}, 0 };
 };
 
 /*
@@ -538,7 +555,7 @@
 {
 	SendBack(1200000);
 	SetContact(1000000);
-	self_.revision = 4;
+	self_.position.revision = 4;
 	Receive(BeaconAt(1200000), 1200000);
 	EXPECT_EQ(INT64_MIN, View(1200000).contact_us);
 }
@@ -610,8 +627,9 @@
  */
 TEST_F(TwoVms, ExtremeEchoesAreNotUsed)
 {
-	/* Places in a beacon: magic, ip, zone, revision and age come before. */
-	const size_t stamp_at = 28, echo_at = 40;
+	/* Places in a beacon: magic, ip, zone, era, revision and age come
+	 * before. */
+	const size_t stamp_at = 36, echo_at = 48;
 	auto get = [](const std::vector<uint8_t> &beacon, size_t at) {
 		uint64_t value = 0;
 
@@ -636,17 +654,63 @@
 	}
 }
 
+/*
+ * Guards against a VM that takes the contact of one that still has the data of
+ * before a restore of the store, whose revisions are higher.
+ */
+TEST_F(TwoVms, ContactOfAnOlderEraDoesNotHold)
+{
+	SendBack(1200000);
+	SetContact(1000000);
+	self_.position = { 1, 40 };
+	Receive(BeaconAt(1200000), 1200000);
+	EXPECT_EQ(INT64_MIN, View(1200000).contact_us);
+	EXPECT_EQ(0u, View(1200000).ahead_ip);
+}
+
+/* Guards against a restore that VMs do not hear of, as its revisions are lower.
+ */
+TEST_F(TwoVms, HigherEraIsAhead)
+{
+	watcher_.position = { 1, 2 };
+	Receive(BeaconAt(1200000), 1200000);
+	EXPECT_EQ(1u, View(1200000).ahead.era);
+	EXPECT_EQ(2u, View(1200000).ahead.revision);
+	EXPECT_EQ(1u, View(1200000).ahead_ip);
+}
+
+/* Guards against a VM that starts with the data of before a restore. */
+TEST(Peering, StartingVmPullsNoOlderEra)
+{
+	Fleet fleet(0);
+
+	for (uint32_t ip = 1; ip <= 8; ip++) {
+		fleet.Start(ip, ip <= 4 ? 1 : 2);
+		fleet.SetPosition(ip, { 4, 30 });
+	}
+	fleet.Run(3000);
+	fleet.SetPosition(5, { 5, 10 });
+	fleet.Run(30);
+	fleet.Restart(2);
+	fleet.Run(3000);
+	for (uint32_t ip = 1; ip <= 8; ip++)
+		EXPECT_EQ(5u,
+		    fleet.View(ip).ahead_ip == 0 ? fleet.Position(ip).era : 0)
+		    << ip;
+	EXPECT_FALSE(fleet.WentBack());
+}
+
 /* Guards against an old state of a VM that replaces a newer one. */
 TEST_F(TwoVms, LateBeaconChangesNothing)
 {
 	SendBack(1000000);
 	SetContact(1000000);
 	std::vector<uint8_t> late = BeaconAt(1100000);
-	watcher_.revision = 9;
+	watcher_.position.revision = 9;
 	Receive(BeaconAt(1200000), 1200000);
-	EXPECT_EQ(9u, View(1200000).ahead_revision);
+	EXPECT_EQ(9u, View(1200000).ahead.revision);
 	Receive(late, 1300000);
-	EXPECT_EQ(9u, View(1300000).ahead_revision);
+	EXPECT_EQ(9u, View(1300000).ahead.revision);
 }
 
 /*
@@ -657,7 +721,7 @@
 {
 	kf_peering_config_t config = { 3, 7, {}, 0, 3 };
 	kf_peering_t *third = kf_peering_new(&config);
-	kf_peering_self_t leaving = { 5, INT64_MIN, true, {}, 0 };
+	kf_peering_self_t leaving = { { 0, 5 }, INT64_MIN, true, {}, 0 };
 	std::vector<uint8_t> announced, returned;
 
 	SendBack(1000000);
@@ -738,7 +802,7 @@
 	};
 	struct Vm {
 		kf_peering_t *peering = nullptr;
-		kf_peering_self_t self = { 1, INT64_MIN, false, {}, 0 };
+		kf_peering_self_t self = { { 0, 1 }, INT64_MIN, false, {}, 0 };
 		int64_t clock_offset_us = 0;
 		int64_t frozen_until_us = 0;
 		std::vector<Message> waiting;
@@ -916,7 +980,7 @@
 TEST(Peering, RefusesMalformedBeacons)
 {
 	kf_peering_config_t config = {};
-	kf_peering_self_t self = { 1, INT64_MIN, false, {}, 0 };
+	kf_peering_self_t self = { { 0, 1 }, INT64_MIN, false, {}, 0 };
 	uint8_t beacon[KF_PEERING_BEACON_MAX_BYTES];
 
 	config.ip = 1;
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -83,14 +83,14 @@
 	Put("gone", "1", 3);
 	Put("kept", "1", 4);
 	Put("newer", "1", 12);
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	Put("kept", "1", 4);
 	EXPECT_EQ(
 	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
 	EXPECT_EQ(0u, observed_.items.count("gone"));
 	EXPECT_EQ(1u, observed_.items.count("kept"));
 	EXPECT_EQ(1u, observed_.items.count("newer"));
-	EXPECT_EQ(10u, kf_replica_revision(replica_));
+	EXPECT_EQ(10u, kf_replica_position(replica_).revision);
 }
 
 /*
@@ -99,9 +99,9 @@
  */
 TEST_F(Replica, ListingsOfTwoSourcesOverlap)
 {
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	Put("a", "1", 3);
-	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 8);
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, { 0, 8 });
 	Put("b", "1", 4, KF_SOURCE_PEER);
 	Put("a", "1", 3, KF_SOURCE_PEER);
 	EXPECT_EQ(
@@ -117,10 +117,10 @@
 {
 	Put("a", "1", 20);
 	kf_replica_advance(replica_, 20);
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	EXPECT_EQ(KF_ERR_STALE,
 	    kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
-	EXPECT_EQ(20u, kf_replica_revision(replica_));
+	EXPECT_EQ(20u, kf_replica_position(replica_).revision);
 	EXPECT_EQ(1u, observed_.items.count("a"));
 }
 
@@ -130,7 +130,7 @@
  */
 TEST_F(Replica, ChangesReachBackToTheCompactedRevision)
 {
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	Put("a", "1", 3);
 	EXPECT_EQ(
 	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
@@ -163,11 +163,11 @@
  */
 TEST_F(Replica, OlderListingRestoresNothing)
 {
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	Put("kept", "1", 4);
 	EXPECT_EQ(
 	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
-	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 8);
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, { 0, 8 });
 	Put("gone", "1", 3, KF_SOURCE_PEER);
 	Put("kept", "1", 4, KF_SOURCE_PEER);
 	EXPECT_EQ(KF_ERR_STALE,
@@ -184,7 +184,7 @@
 	kf_replica_advance(replica_, 6);
 	now_us_ += KF_REPLICA_TOMBSTONE_KEEP_US;
 	kf_replica_expire(replica_, now_us_);
-	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 5);
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, { 0, 5 });
 	Put("gone", "1", 3, KF_SOURCE_PEER);
 	kf_replica_listing_end(replica_, KF_SOURCE_PEER, now_us_);
 	EXPECT_EQ(0u, observed_.items.count("gone"));
@@ -198,13 +198,13 @@
  */
 TEST_F(Replica, ListingIsAsOldAsItsOldestPage)
 {
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 20);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 20 });
 	Put("a", "1", 15);
 	kf_replica_listing_page(replica_, KF_SOURCE_STORE, 10);
 	Put("drains", "ready", 3);
 	EXPECT_EQ(
 	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
-	EXPECT_EQ(10u, kf_replica_revision(replica_));
+	EXPECT_EQ(10u, kf_replica_position(replica_).revision);
 	EXPECT_FALSE(kf_replica_has_changes_after(replica_, 9));
 	Put("drains", "draining", 17);
 	EXPECT_EQ("draining", observed_.items["drains"]);
@@ -218,11 +218,11 @@
 {
 	Put("created", "1", 15);
 	Put("gone", "1", 5);
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	kf_replica_listing_page(replica_, KF_SOURCE_STORE, 20);
 	EXPECT_EQ(
 	    KF_OK, kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
-	EXPECT_EQ(10u, kf_replica_revision(replica_));
+	EXPECT_EQ(10u, kf_replica_position(replica_).revision);
 	EXPECT_EQ(1u, observed_.items.count("created"));
 	EXPECT_EQ(0u, observed_.items.count("gone"));
 }
@@ -233,23 +233,23 @@
  */
 TEST_F(Replica, OlderPageRestoresNothing)
 {
-	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, 12);
+	kf_replica_listing_begin(replica_, KF_SOURCE_PEER, { 0, 12 });
 	kf_replica_listing_end(replica_, KF_SOURCE_PEER, now_us_);
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 20);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 20 });
 	kf_replica_listing_page(replica_, KF_SOURCE_STORE, 8);
 	Put("gone", "1", 3);
 	EXPECT_EQ(KF_ERR_STALE,
 	    kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
 	EXPECT_EQ(0u, observed_.items.count("gone"));
-	EXPECT_EQ(12u, kf_replica_revision(replica_));
+	EXPECT_EQ(12u, kf_replica_position(replica_).revision);
 }
 
 /* Guards against an item that a newer listing shows and that is not taken. */
 TEST_F(Replica, NewerListingAddsItsItems)
 {
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 10);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 10 });
 	kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_);
-	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, 20);
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 0, 20 });
 	Put("unknown", "1", 3);
 	Put("new", "1", 15);
 	kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_);
@@ -285,7 +285,7 @@
 ApplyListing(kf_replica_t *replica, const Store &store, uint64_t revision,
     kf_source_t source)
 {
-	kf_replica_listing_begin(replica, source, revision);
+	kf_replica_listing_begin(replica, source, { 0, revision });
 	for (const auto &item : store.At(revision))
 		kf_replica_put(replica, source, item.first.c_str(),
 		    (const uint8_t *)item.second.first.data(),
@@ -300,7 +300,7 @@
 {
 	const std::string first_of_second_page = "k3";
 
-	kf_replica_listing_begin(replica, KF_SOURCE_STORE, first);
+	kf_replica_listing_begin(replica, KF_SOURCE_STORE, { 0, first });
 	for (uint64_t revision : { first, second }) {
 		if (revision == second && first != second)
 			kf_replica_listing_page(
@@ -323,7 +323,7 @@
 void
 ApplyChanges(kf_replica_t *replica, const Store &store, uint64_t revision)
 {
-	uint64_t after = kf_replica_revision(replica);
+	uint64_t after = kf_replica_position(replica).revision;
 
 	for (uint64_t r = after + 1; r <= revision; r++) {
 		const Store::Event &e = store.events[r - 1];
@@ -414,8 +414,8 @@
 			else
 				ApplyChanges(replica, store, revision);
 			complete = complete &&
-			    HoldsAllChanges(
-				observed, store, kf_replica_revision(replica));
+			    HoldsAllChanges(observed, store,
+				kf_replica_position(replica).revision);
 		}
 		ApplyListing(replica, store, count, KF_SOURCE_STORE);
 		std::map<std::string, std::string> want;
@@ -429,9 +429,233 @@
 	}));
 }
 
+/* A store that is restored from backups; each era has the history kept. */
+struct RestoredStore {
+	std::vector<Store> eras;
+	std::vector<uint64_t> starts; /* revisions of the backups */
+
+	static RestoredStore Random()
+	{
+		RestoredStore s;
+		auto restores = *rc::gen::inRange<size_t>(0, 4);
+
+		s.eras.emplace_back();
+		s.starts.push_back(0);
+		for (size_t era = 0; era <= restores; era++) {
+			auto count = *rc::gen::inRange<size_t>(1, 15);
+
+			for (size_t i = 0; i < count; i++)
+				s.AddEvent(era, *rc::gen::inRange(0, 6),
+				    *rc::gen::inRange(0, 3) == 0);
+			if (era == restores)
+				break;
+			s.eras.push_back(s.eras.back());
+			s.starts.push_back(*rc::gen::inRange<uint64_t>(
+			    1, s.eras.back().events.size() + 1));
+			s.eras.back().events.resize(s.starts.back());
+		}
+		return s;
+	}
+	void AddEvent(size_t era, int key, bool removed)
+	{
+		/* No two values are equal. */
+		std::string value = std::to_string(eras[era].events.size()) +
+		    "." + std::to_string(era);
+
+		eras[era].events.push_back(
+		    { "k" + std::to_string(key), value, removed });
+	}
+};
+
+/* Collects what a replica reports across restores. */
+struct ObservedEras : Observed {
+	kf_replica_t *replica = nullptr;
+	std::map<std::string, kf_store_position_t> positions;
+	std::map<std::string, bool> lost;
+	bool written_as_backup = false;
+};
+
+void
+OnChangedInEra(void *ctx, const kf_item_t *item, int64_t)
+{
+	auto *o = static_cast<ObservedEras *>(ctx);
+	kf_store_position_t at = { kf_replica_position(o->replica).era,
+		item->revision };
+
+	if (kf_store_position_compare(at, o->positions[item->key]) < 0)
+		o->went_backwards = true;
+	o->positions[item->key] = at;
+	o->lost.erase(item->key);
+	if (item->lost)
+		o->lost[item->key] = true;
+	if (item->removed) {
+		o->items.erase(item->key);
+		return;
+	}
+	o->items[item->key] = std::string((const char *)item->value, item->len);
+	o->written_as_backup = o->written_as_backup ||
+	    (item->from_backup &&
+		item->revision > kf_replica_era_start(o->replica));
+}
+
+void
+PutAll(kf_replica_t *replica, const RestoredStore &store, size_t era,
+    uint64_t revision, kf_source_t source)
+{
+	for (const auto &item : store.eras[era].At(revision))
+		kf_replica_put(replica, source, item.first.c_str(),
+		    (const uint8_t *)item.second.first.data(),
+		    item.second.first.size(), item.second.second, 0);
+}
+
+/* One step: a listing of any era, one that overlaps another, or changes. */
+void
+ApplyStep(kf_replica_t *replica, const RestoredStore &store)
+{
+	auto era = *rc::gen::inRange<size_t>(0, store.eras.size());
+	auto other = *rc::gen::inRange<size_t>(0, store.eras.size());
+	auto pick = [&](size_t e) {
+		return *rc::gen::inRange<uint64_t>(
+		    std::max<uint64_t>(1, store.starts[e]),
+		    store.eras[e].events.size() + 1);
+	};
+	uint64_t revision = pick(era), other_revision = pick(other);
+	int kind = *rc::gen::inRange(0, 3);
+
+	if (kind == 2) {
+		size_t own = kf_replica_position(replica).era;
+
+		if (kf_replica_position(replica).revision != 0)
+			ApplyChanges(replica, store.eras[own], pick(own));
+		return;
+	}
+	kf_replica_listing_begin(replica, KF_SOURCE_STORE, { era, revision });
+	if (kind == 1) {
+		kf_replica_listing_begin(
+		    replica, KF_SOURCE_PEER, { other, other_revision });
+		PutAll(replica, store, other, other_revision, KF_SOURCE_PEER);
+		kf_replica_listing_end(replica, KF_SOURCE_PEER, 0);
+		/* A caller drops a listing of an era that has passed. */
+		if (kf_replica_position(replica).era > era) {
+			kf_replica_listing_cancel(replica, KF_SOURCE_STORE);
+			return;
+		}
+	}
+	PutAll(replica, store, era, revision, KF_SOURCE_STORE);
+	kf_replica_listing_end(replica, KF_SOURCE_STORE, 0);
+}
+
+/*
+ * Guards against listings and changes of several eras after which the replica
+ * has gone back to an older era, holds items of one that has passed, or takes
+ * what was written in an era for the state of the backup.
+ */
+TEST(ReplicaProperty, FollowsAStoreThatIsRestored)
+{
+	EXPECT_TRUE(rc::check("replica follows a restored store", [] {
+		RestoredStore store = RestoredStore::Random();
+		ObservedEras observed;
+		bool complete = true, era_fell = false;
+		kf_replica_t *replica =
+		    kf_replica_new(OnChangedInEra, &observed);
+
+		observed.replica = replica;
+		for (int i = *rc::gen::inRange(0, 30); i > 0; i--) {
+			kf_store_position_t before =
+			    kf_replica_position(replica);
+
+			ApplyStep(replica, store);
+			kf_store_position_t at = kf_replica_position(replica);
+			era_fell = era_fell ||
+			    kf_store_position_compare(at, before) < 0;
+			complete = complete &&
+			    HoldsAllChanges(
+				observed, store.eras[at.era], at.revision);
+		}
+		size_t last = store.eras.size() - 1;
+		uint64_t count = store.eras[last].events.size();
+		kf_replica_listing_begin(
+		    replica, KF_SOURCE_STORE, { last, count });
+		PutAll(replica, store, last, count, KF_SOURCE_STORE);
+		kf_replica_listing_end(replica, KF_SOURCE_STORE, 0);
+		size_t left = kf_replica_release_lost(replica, 0, 0);
+		std::map<std::string, std::string> want;
+		for (const auto &item : store.eras[last].At(count))
+			want[item.first] = item.second.first;
+		kf_replica_delete(replica);
+		RC_ASSERT(observed.items == want);
+		RC_ASSERT(!observed.went_backwards);
+		RC_ASSERT(!observed.written_as_backup);
+		RC_ASSERT(!era_fell);
+		RC_ASSERT(complete);
+		RC_ASSERT(left == 0u);
+		RC_ASSERT(observed.lost.empty());
+	}));
+}
+
+class Restored : public Replica {
+      protected:
+	void SetUp() override
+	{
+		replica_ = kf_replica_new(OnChangedInEra, &observed_);
+		observed_.replica = replica_;
+	}
+	void List(kf_store_position_t position,
+	    const std::map<std::string, uint64_t> &items)
+	{
+		kf_replica_listing_begin(replica_, KF_SOURCE_STORE, position);
+		for (const auto &item : items)
+			Put(item.first, "v" + std::to_string(item.second),
+			    item.second);
+		EXPECT_EQ(KF_OK,
+		    kf_replica_listing_end(replica_, KF_SOURCE_STORE, now_us_));
+	}
+
+	ObservedEras observed_;
+};
+
+/* Guards against items that are dropped while a new era is being listed. */
+TEST_F(Restored, OldItemsStayUntilTheListingIsComplete)
+{
+	List({ 0, 30 }, { { "a", 4 }, { "b", 25 } });
+	kf_replica_listing_begin(replica_, KF_SOURCE_STORE, { 1, 20 });
+	Put("a", "v4", 4);
+	kf_replica_listing_cancel(replica_, KF_SOURCE_STORE);
+	EXPECT_EQ(2u, observed_.items.size());
+	EXPECT_EQ(30u, kf_replica_position(replica_).revision);
+}
+
+/*
+ * Guards against an evacuation or upstream that counts as removed before its
+ * writer could write it again, also if the store is restored twice, and against
+ * one that is never given up.
+ */
+TEST_F(Restored, LostItemsAreReleasedAfterTheirTime)
+{
+	List({ 0, 30 }, { { "a", 4 }, { "b", 25 } });
+	now_us_ = 1000;
+	List({ 1, 20 }, { { "a", 4 } });
+	EXPECT_TRUE(observed_.lost.count("b"));
+	now_us_ = 2000;
+	List({ 2, 10 }, { { "a", 4 } });
+	EXPECT_EQ(1u, kf_replica_release_lost(replica_, 1999, now_us_));
+	EXPECT_TRUE(observed_.lost.count("b"));
+	EXPECT_EQ(0u, kf_replica_release_lost(replica_, 2000, now_us_));
+	EXPECT_FALSE(observed_.lost.count("b"));
+}
+
+/* Guards against a removal in the new era of an item that it never showed. */
+TEST_F(Restored, RemovalEndsALostItemAtOnce)
+{
+	List({ 0, 30 }, { { "b", 25 } });
+	List({ 1, 20 }, {});
+	Remove("b", 21);
+	EXPECT_FALSE(observed_.lost.count("b"));
+	EXPECT_EQ(0u, kf_replica_release_lost(replica_, 0, now_us_));
+}
+
 struct Decoded {
-	uint64_t revision = 0;
-	bool listing = false;
+	kf_changes_head_t head = {};
 	std::vector<std::string> items;
 };
 
@@ -444,10 +668,11 @@
 	};
 	Decoded d;
 	size_t len;
-	uint8_t *data = kf_changes_encode(12, true, items, 2, &len);
-	auto begin = [](void *ctx, uint64_t revision, bool listing) {
-		static_cast<Decoded *>(ctx)->revision = revision;
-		static_cast<Decoded *>(ctx)->listing = listing;
+	const kf_changes_head_t head = { { 2, 12 }, 5, true };
+	uint8_t *data = kf_changes_encode(&head, items, 2, &len);
+	auto begin = [](void *ctx, const kf_changes_head_t *h) {
+		static_cast<Decoded *>(ctx)->head = *h;
+		return true;
 	};
 	auto item = [](void *ctx, const kf_item_change_t *i) {
 		static_cast<Decoded *>(ctx)->items.push_back(
@@ -457,8 +682,9 @@
 
 	ASSERT_NE(nullptr, data);
 	ASSERT_EQ(KF_OK, kf_changes_decode(data, len, begin, item, &d));
-	EXPECT_EQ(12u, d.revision);
-	EXPECT_TRUE(d.listing);
+	EXPECT_EQ(0, kf_store_position_compare({ 2, 12 }, d.head.position));
+	EXPECT_EQ(5u, d.head.era_start);
+	EXPECT_TRUE(d.head.listing);
 	EXPECT_EQ(
 	    (std::vector<std::string>{ "a@7 3", "b@9 removed " }), d.items);
 	EXPECT_EQ(
@@ -489,8 +715,9 @@
 	const kf_item_change_t item = { "op/config",
 		(const uint8_t *)config.data(), config.size(), 7, false };
 	size_t len;
-	uint8_t *data = kf_changes_encode(7, true, &item, 1, &len);
-	auto begin = [](void *, uint64_t, bool) {};
+	const kf_changes_head_t head = { { 0, 7 }, 0, true };
+	uint8_t *data = kf_changes_encode(&head, &item, 1, &len);
+	auto begin = [](void *, const kf_changes_head_t *) { return true; };
 	auto take = [](void *ctx, const kf_item_change_t *i) {
 		static_cast<std::string *>(ctx)->assign(
 		    (const char *)i->value, i->len);
@@ -540,9 +767,10 @@
 		items.push_back(
 		    { keys[i].c_str(), (const uint8_t *)values[i].data(),
 			values[i].size(), i + 1, false });
+	const kf_changes_head_t head = { { 0, 3000 }, 0, true };
 	uint8_t *data =
-	    kf_changes_encode(3000, true, items.data(), items.size(), &len);
-	auto begin = [](void *, uint64_t, bool) {};
+	    kf_changes_encode(&head, items.data(), items.size(), &len);
+	auto begin = [](void *, const kf_changes_head_t *) { return true; };
 	auto take = [](void *ctx, const kf_item_change_t *) {
 		++*static_cast<size_t *>(ctx);
 	};
--- a/tests/unit/sync_golden_test.cc
+++ b/tests/unit/sync_golden_test.cc
@@ -14,10 +14,10 @@
  *				may be used for BOUND_MS, else for a minute
  *	peers RANK CONTACT_MS AHEAD [HEARD_MS]	set the rank of this VM, the
  *				age of the latest contact that peers had with
- *				the store, "-" for none, their highest revision,
+ *				the store, "-" for none, their highest position
  *				and the age of the latest beacon
  *	next			print the calls that are due
- *	done CALL OUTCOME REVISION	end a call
+ *	done CALL OUTCOME POSITION	end a call
  *	due			print the time until a delayed call is due
  *	pause			the process was suspended, calls were aborted
  *	contact			print the age of the VM's contact with the store
@@ -61,6 +61,16 @@
 	}
 
       private:
+	/* Parses ERA/REVISION, or a revision of era 0. */
+	static kf_store_position_t Position(const std::string &text)
+	{
+		size_t slash = text.find('/');
+
+		if (slash == std::string::npos)
+			return { 0, std::stoull(text) };
+		return { std::stoull(text.substr(0, slash)),
+			std::stoull(text.substr(slash + 1)) };
+	}
 	void New(std::istringstream &in)
 	{
 		bool ask_peers = false;
@@ -76,17 +86,17 @@
 	}
 	void Peers(std::istringstream &in)
 	{
-		std::string contact;
+		std::string contact, ahead;
 		int64_t heard_ms = 0;
 
-		in >> peers_.rank >> contact >> peers_.ahead_revision >>
-		    heard_ms;
+		in >> peers_.rank >> contact >> ahead >> heard_ms;
+		peers_.ahead = Position(ahead);
 		peers_.heard_us = now_us_ - heard_ms * 1000;
 		peers_.contact_us = contact == "-"
 		    ? INT64_MIN
 		    : now_us_ - std::stoll(contact) * 1000;
 		peers_.ahead_ip =
-		    peers_.ahead_revision > sync_.revision ? 1 : 0;
+		    kf_store_position_compare(peers_.ahead, sync_.position) > 0;
 	}
 	std::string Next()
 	{
@@ -139,13 +149,13 @@
 			    { "gone", KF_SYNC_HISTORY_GONE },
 			    { "behind", KF_SYNC_BEHIND },
 		    };
-		std::string call, outcome;
-		uint64_t revision;
+		std::string call, outcome, position;
 
-		in >> call >> outcome >> revision;
+		in >> call >> outcome >> position;
 		kf_sync_call_done(&sync_, calls.at(call), outcomes.at(outcome),
-		    revision, 0.5, now_us_);
-		if (peers_.ahead_revision <= revision)
+		    Position(position), 0.5, now_us_);
+		if (kf_store_position_compare(peers_.ahead, sync_.position) <=
+		    0)
 			peers_.ahead_ip = 0;
 		return kf_sync_cancel_listing(&sync_, now_us_)
 		    ? "  cancel list\n"
@@ -161,7 +171,7 @@
 
 	int64_t bound_us_ = 60000000;
 	kf_sync_t sync_;
-	kf_sync_peers_t peers_ = { 0, INT64_MIN, INT64_MIN, 0, 0 };
+	kf_sync_peers_t peers_ = { 0, INT64_MIN, INT64_MIN, {}, 0 };
 	int64_t now_us_ = 1000000;
 };
 
