--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -3,52 +3,14 @@
 #include <string.h>
 
 #include "kf/clock.h"
-#include "kf/peering_codec.h"
 #include "kf/platform_store.h"
 
-#include "store_sync.h"
+#include "store_sync_internal.h"
 
 enum {
-	HTTP_OK = 200,
 	EXPIRY_INTERVAL_US = 5000000,
 };
 
-struct store_sync {
-	http_client_t *client;
-	applier_t *applier;
-	kf_eventlog_t *log;
-	kf_replica_t *replica;
-	kf_sync_t sync;
-	kf_addr_t store;
-	uint16_t peer_port;
-	uint32_t source_ip; /* of the current pull */
-	void (*pull_failed)(void *ctx, uint32_t ip);
-	void *ctx;
-	bool stale; /* the current listing may be stale */
-	char after_key[KF_PLATFORM_KEY_BYTES];
-	/* Of the current listing. */
-	uint32_t list_pages;
-	uint64_t list_era;
-	uint64_t newest_page_revision;
-	bool store_lost; /* store_lost was logged last */
-	/* Of the line reads_store logged last. */
-	bool own_read_logged;
-	int64_t logged_contact_us;
-	int64_t next_expiry_us;
-	unsigned random_state;
-	store_sync_stats_t stats;
-	/* Valid while changes from another VM are applied. */
-	int64_t now_us;
-	kf_changes_head_t pulled;
-	bool pulled_is_old;
-	/* Cache of the last full listing sent to another VM, so that it is not
-	 * compressed again for each of several VMs that start together. */
-	uint8_t *listing;
-	size_t listing_len;
-	kf_store_position_t listing_position;
-	bool has_lost; /* items lost by a restore of the store */
-};
-
 static void request_list(store_sync_t *s);
 
 static double
@@ -90,7 +52,7 @@
 	if (s == NULL)
 		return;
 	kf_replica_delete(s->replica);
-	free(s->listing);
+	change_feed_free(&s->feed);
 	free(s);
 }
 
@@ -106,8 +68,9 @@
 	kf_sync_set_bound(&s->sync, bound_us);
 }
 
-static void
-finish_call(store_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome)
+void
+store_sync_finish_call(
+    store_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome)
 {
 	kf_sync_call_done(&s->sync, call, outcome,
 	    kf_replica_position(s->replica), jitter(s), s->now_us);
@@ -155,7 +118,7 @@
 	kf_status_set(KF_ERR_STALE, "answer of era %llu is older than %llu",
 	    (unsigned long long)era_of(answer), (unsigned long long)expected);
 	record_store_result(s, call, answer, false);
-	finish_call(s, call, KF_SYNC_FAILED);
+	store_sync_finish_call(s, call, KF_SYNC_FAILED);
 }
 
 /* Ends a call whose answer shows that the store was restored: it is listed. */
@@ -168,18 +131,19 @@
 	    "call=%s store_era=%llu era=%llu revision=%llu",
 	    kf_sync_call_name(call), (unsigned long long)era_of(answer),
 	    (unsigned long long)at.era, (unsigned long long)at.revision);
-	finish_call(s, call, KF_SYNC_HISTORY_GONE);
+	store_sync_finish_call(s, call, KF_SYNC_HISTORY_GONE);
 }
 
 /* Logs that the replica has moved to another era. */
-static void
-record_era(store_sync_t *s, uint64_t era_before, const char *source)
+void
+store_sync_record_era(store_sync_t *s, uint64_t era_before, const char *source)
 {
 	kf_store_position_t at = kf_replica_position(s->replica);
 
 	if (at.era == era_before)
 		return;
 	s->has_lost = true;
+	s->lost_us = s->now_us;
 	kf_eventlog_write(s->log, KF_LOG_INFO, "store_era",
 	    "era=%llu before=%llu era_start=%llu revision=%llu source=%s",
 	    (unsigned long long)at.era, (unsigned long long)era_before,
@@ -194,8 +158,8 @@
 	    "key=%s reason=\"%s\"", key, kf_status_message());
 }
 
-static void
-apply_change(
+void
+store_sync_apply_change(
     store_sync_t *s, kf_source_t source, const kf_item_change_t *change)
 {
 	if (kf_replica_apply(s->replica, source, change, s->now_us) != KF_OK)
@@ -205,7 +169,7 @@
 static void
 apply_store_change(void *ctx, const kf_item_change_t *change)
 {
-	apply_change(ctx, KF_SOURCE_STORE, change);
+	store_sync_apply_change(ctx, KF_SOURCE_STORE, change);
 }
 
 static void
@@ -233,7 +197,7 @@
 	kf_status_t status =
 	    kf_replica_listing_end(s->replica, KF_SOURCE_STORE, s->now_us);
 
-	record_era(s, era, "store");
+	store_sync_record_era(s, era, "store");
 	kf_eventlog_write(s->log, KF_LOG_INFO, "listed",
 	    "pages=%u stale=%s oldest_page=%llu newest_page=%llu era=%llu "
 	    "revision=%llu",
@@ -243,7 +207,7 @@
 	    (unsigned long long)s->newest_page_revision,
 	    (unsigned long long)kf_replica_position(s->replica).era,
 	    (unsigned long long)kf_replica_position(s->replica).revision);
-	finish_call(s, KF_SYNC_LIST,
+	store_sync_finish_call(s, KF_SYNC_LIST,
 	    status == KF_OK		 ? KF_SYNC_OK
 		: status == KF_ERR_STALE ? KF_SYNC_BEHIND
 					 : KF_SYNC_FAILED);
@@ -288,7 +252,7 @@
 		    &page, begin_list_page, apply_store_change, s);
 	record_store_result(s, KF_SYNC_LIST, answer, status == KF_OK);
 	if (status != KF_OK) {
-		finish_call(s, KF_SYNC_LIST, KF_SYNC_FAILED);
+		store_sync_finish_call(s, KF_SYNC_LIST, KF_SYNC_FAILED);
 		return;
 	}
 	if (page.more && page.last_key[0] != '\0') {
@@ -323,7 +287,7 @@
 	kf_eventlog_write(s->log, KF_LOG_ERROR, "call_failed",
 	    "call=%s reason=\"%s\"", kf_sync_call_name(call),
 	    kf_status_message());
-	finish_call(s, call, KF_SYNC_FAILED);
+	store_sync_finish_call(s, call, KF_SYNC_FAILED);
 }
 
 static void
@@ -370,7 +334,7 @@
 		    (unsigned long long)kf_replica_position(s->replica).era,
 		    (unsigned long long)kf_replica_position(s->replica)
 			.revision);
-		finish_call(s, KF_SYNC_WATCH, KF_SYNC_HISTORY_GONE);
+		store_sync_finish_call(s, KF_SYNC_WATCH, KF_SYNC_HISTORY_GONE);
 		return;
 	}
 	if (answer->status == HTTP_OK) {
@@ -385,96 +349,12 @@
 	record_store_result(s, KF_SYNC_WATCH, answer, status == KF_OK);
 	if (status == KF_OK)
 		kf_replica_advance(s->replica, changes.revision);
-	finish_call(s, KF_SYNC_WATCH,
+	store_sync_finish_call(s, KF_SYNC_WATCH,
 	    status != KF_OK	     ? KF_SYNC_FAILED
 		: changes.count == 0 ? KF_SYNC_UNCHANGED
 				     : KF_SYNC_OK);
 }
 
-/* Refuses changes of an older era, which this VM has left during the pull. */
-static bool
-begin_pulled_changes(void *ctx, const kf_changes_head_t *head)
-{
-	store_sync_t *s = ctx;
-	uint64_t era = kf_replica_position(s->replica).era;
-
-	s->pulled = *head;
-	s->pulled_is_old = head->position.era < era ||
-	    (head->position.era > era && !head->listing);
-	if (s->pulled_is_old)
-		return false;
-	kf_replica_listing_cancel(s->replica, KF_SOURCE_PEER);
-	if (head->listing) {
-		kf_replica_listing_begin(
-		    s->replica, KF_SOURCE_PEER, head->position);
-		kf_replica_listing_era_start(
-		    s->replica, KF_SOURCE_PEER, head->era_start);
-	}
-	return true;
-}
-
-/* Ends the changes that have been applied. */
-static kf_status_t
-end_pulled_changes(store_sync_t *s)
-{
-	uint64_t era = kf_replica_position(s->replica).era;
-	kf_status_t status;
-
-	if (s->pulled_is_old)
-		return KF_OK;
-	if (!s->pulled.listing) {
-		kf_replica_advance(s->replica, s->pulled.position.revision);
-		return KF_OK;
-	}
-	status = kf_replica_listing_end(s->replica, KF_SOURCE_PEER, s->now_us);
-	record_era(s, era, "peer");
-	/* Newer local items are kept. */
-	return status == KF_ERR_STALE ? KF_OK : status;
-}
-
-static void
-apply_pulled_change(void *ctx, const kf_item_change_t *change)
-{
-	apply_change(ctx, KF_SOURCE_PEER, change);
-}
-
-static void
-record_pull_failure(store_sync_t *s, const http_answer_t *answer)
-{
-	kf_addr_t source = { .ip = s->source_ip, .port = s->peer_port };
-	char text[KF_ADDR_TEXT_BYTES];
-
-	s->stats.failures[KF_SYNC_PULL]++;
-	kf_eventlog_write(s->log, KF_LOG_WARN, "pull_failed",
-	    "peer=%s status=%ld reason=\"%s\"", kf_addr_format(source, text),
-	    answer->status,
-	    answer->error != NULL ? answer->error : kf_status_message());
-	s->pull_failed(s->ctx, s->source_ip);
-}
-
-static void
-on_pull(void *ctx, uint32_t tag, const http_answer_t *answer)
-{
-	store_sync_t *s = ctx;
-	kf_status_t status = KF_ERR_IO;
-
-	(void)tag;
-	s->now_us = kf_clock_now().mono_us;
-	applier_begin_batch(s->applier);
-	if (answer->status == HTTP_OK)
-		status = kf_changes_decode((const uint8_t *)answer->body,
-		    answer->len, begin_pulled_changes, apply_pulled_change, s);
-	if (status == KF_OK)
-		status = end_pulled_changes(s);
-	applier_end_batch(s->applier);
-	if (status != KF_OK)
-		record_pull_failure(s, answer);
-	finish_call(
-	    s, KF_SYNC_PULL, status == KF_OK ? KF_SYNC_OK : KF_SYNC_FAILED);
-	if (kf_sync_cancel_listing(&s->sync, s->now_us))
-		http_client_cancel(s->client, KF_SYNC_LIST);
-}
-
 static void
 start_store_call(store_sync_t *s, const kf_sync_actions_t *actions)
 {
@@ -526,7 +406,8 @@
 static void
 release_lost(store_sync_t *s, const kf_peering_view_t *view)
 {
-	if (!s->has_lost || view->contact_us == INT64_MIN)
+	if (!s->has_lost ||
+	    view->contact_us < s->lost_us + KF_TARGET_MISSING_GRACE_US)
 		return;
 	applier_begin_batch(s->applier);
 	s->has_lost =
@@ -561,7 +442,7 @@
 		    (unsigned long long)at.era);
 		s->source_ip = peer.ip;
 		request(s, KF_SYNC_PULL, peer, path, KF_SYNC_PULL_TIMEOUT_MS,
-		    on_pull);
+		    store_sync_on_pull);
 	}
 	if (actions.store) {
 		log_own_read(s, view, now_us);
@@ -616,68 +497,8 @@
 	return &s->stats;
 }
 
-/* Encodes all items, or those that have changed after a revision. */
-static uint8_t *
-encode_changes(const store_sync_t *s, bool listing, uint64_t after, size_t *len)
-{
-	size_t i, count = 0, known = kf_replica_count(s->replica);
-	kf_changes_head_t head = {
-		.position = kf_replica_position(s->replica),
-		.era_start = kf_replica_era_start(s->replica),
-		.listing = listing,
-	};
-	kf_item_change_t *items;
-	uint8_t *data;
-
-	items = calloc(known + 1, sizeof(*items));
-	if (items == NULL)
-		return NULL;
-	for (i = 0; i < known; i++) {
-		const kf_item_t *item = kf_replica_at(s->replica, i);
-
-		if (listing ? item->removed : item->revision <= after)
-			continue;
-		items[count++] = (kf_item_change_t){
-			.key = item->key,
-			.revision = item->revision,
-			.removed = item->removed,
-			.value = item->value,
-			.len = item->len,
-		};
-	}
-	data = kf_changes_encode(&head, items, count, len);
-	free(items);
-	return data;
-}
-
-static bool
-update_listing(store_sync_t *s)
-{
-	kf_store_position_t at = kf_replica_position(s->replica);
-
-	if (s->listing != NULL &&
-	    kf_store_position_compare(s->listing_position, at) == 0)
-		return true;
-	free(s->listing);
-	s->listing = encode_changes(s, true, 0, &s->listing_len);
-	s->listing_position = at;
-	return s->listing != NULL;
-}
-
 uint8_t *
 store_sync_changes(store_sync_t *s, kf_store_position_t after, size_t *len)
 {
-	uint8_t *copy;
-
-	if (after.era == kf_replica_position(s->replica).era &&
-	    kf_replica_has_changes_after(s->replica, after.revision))
-		return encode_changes(s, false, after.revision, len);
-	if (!update_listing(s))
-		return NULL;
-	copy = malloc(s->listing_len);
-	if (copy == NULL)
-		return NULL;
-	memcpy(copy, s->listing, s->listing_len);
-	*len = s->listing_len;
-	return copy;
+	return change_feed_encode(&s->feed, s->replica, after, len);
 }
--- /dev/null
+++ b/lib/fwdnet/store_sync_internal.h
@@ -0,0 +1,56 @@
+#ifndef KF_STORE_SYNC_INTERNAL_H
+#define KF_STORE_SYNC_INTERNAL_H
+
+#include "kf/peering_codec.h"
+#include "kf/platform_store.h"
+
+#include "change_feed.h"
+#include "store_sync.h"
+
+enum { HTTP_OK = 200 };
+
+struct store_sync {
+	http_client_t *client;
+	applier_t *applier;
+	kf_eventlog_t *log;
+	kf_replica_t *replica;
+	kf_sync_t sync;
+	kf_addr_t store;
+	uint16_t peer_port;
+	uint32_t source_ip; /* of the current pull */
+	void (*pull_failed)(void *ctx, uint32_t ip);
+	void *ctx;
+	bool stale; /* the current listing may be stale */
+	char after_key[KF_PLATFORM_KEY_BYTES];
+	/* Of the current listing. */
+	uint32_t list_pages;
+	uint64_t list_era;
+	uint64_t newest_page_revision;
+	bool store_lost; /* store_lost was logged last */
+	/* Of the line reads_store logged last. */
+	bool own_read_logged;
+	int64_t logged_contact_us;
+	int64_t next_expiry_us;
+	unsigned random_state;
+	store_sync_stats_t stats;
+	/* Valid while changes from another VM are applied. */
+	int64_t now_us;
+	kf_changes_head_t pulled;
+	bool pulled_is_old;
+	change_feed_t feed;
+	bool has_lost;	 /* items lost by a restore of the store */
+	int64_t lost_us; /* when that was last seen */
+};
+
+void store_sync_finish_call(
+    store_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome);
+void store_sync_apply_change(
+    store_sync_t *s, kf_source_t source, const kf_item_change_t *change);
+/* Logs that the replica has moved to another era than before. */
+void store_sync_record_era(
+    store_sync_t *s, uint64_t era_before, const char *source);
+
+/* Applies the changes pulled from another VM; an http_done_fn. */
+void store_sync_on_pull(void *ctx, uint32_t tag, const http_answer_t *answer);
+
+#endif
--- a/lib/replica/era.c
+++ b/lib/replica/era.c
@@ -17,6 +17,7 @@
 {
 	kf_replica_t *next = kf_replica_new(ignore_change, NULL);
 
+	r->collecting[source] = true;
 	if (next == NULL)
 		return kf_status_set(
 		    KF_ERR_NO_MEMORY, "no memory for a listing");
@@ -26,6 +27,17 @@
 	return KF_OK;
 }
 
+kf_status_t
+replica_collect_item(kf_replica_t *r, kf_source_t source, const char *key,
+    const uint8_t *value, size_t len, uint64_t revision, int64_t now_us)
+{
+	if (r->next_era[source] == NULL)
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "no memory for a listing");
+	return kf_replica_put(
+	    r->next_era[source], source, key, value, len, revision, now_us);
+}
+
 void
 kf_replica_listing_era_start(
     kf_replica_t *r, kf_source_t source, uint64_t revision)
@@ -41,6 +53,7 @@
 {
 	kf_replica_delete(r->next_era[source]);
 	r->next_era[source] = NULL;
+	r->collecting[source] = false;
 }
 
 static bool
@@ -161,6 +174,10 @@
 	kf_status_t status;
 
 	r->next_era[source] = NULL;
+	r->collecting[source] = false;
+	if (next == NULL)
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "no memory for a listing");
 	if (next->era > r->era)
 		status =
 		    enter_era(r, next, r->listing_revision[source], now_us);
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -136,9 +136,9 @@
 	kf_item_t *item;
 	uint8_t *copy;
 
-	if (r->next_era[source] != NULL)
-		return kf_replica_put(r->next_era[source], source, key, value,
-		    len, revision, now_us);
+	if (r->collecting[source])
+		return replica_collect_item(
+		    r, source, key, value, len, revision, now_us);
 	if (strlen(key) > KF_KEY_MAX_BYTES)
 		return kf_status_set(KF_ERR_INVALID,
 		    "key '%.40s...' is longer than 200 bytes", key);
@@ -254,7 +254,7 @@
 	kf_item_t *item;
 	size_t i;
 
-	if (r->next_era[source] != NULL)
+	if (r->collecting[source])
 		return replica_end_era_listing(r, source, now_us);
 	for (i = 0; i < r->count; i++) {
 		item = r->items[i];
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -18,6 +18,8 @@
  *	cold NAME MS		publish it with a remaining cold start
  *	gone NAME		remove its entry
  *	lapse NAME		remove its entry because of a store outage
+ *	backup NAME [earlier]	publish it as ready, as a backup of the store
+ *				shows it; its start may be an earlier one
  *	evacuate ZONE on|off	set whether a zone is evacuated
  *	hold			begin a batch of changes
  *	release			end the batch
@@ -77,6 +79,7 @@
 			{ "cold", &Session::Cold },
 			{ "gone", &Session::Gone },
 			{ "lapse", &Session::Lapse },
+			{ "backup", &Session::Backup },
 			{ "evacuate", &Session::Evacuate },
 			{ "hold", &Session::Hold },
 			{ "release", &Session::Release },
@@ -179,6 +182,17 @@
 	{
 		Unlist(in, true);
 	}
+	void Backup(std::istringstream &in)
+	{
+		std::string name, earlier;
+
+		in >> name >> earlier;
+		kf_upstream_info_t info = entries_[name];
+		info.draining = false;
+		info.born_ms -= earlier.empty() ? 0 : 1;
+		w_->log += std::string("  ") +
+		    kf_change_name(w_->PutBackup(info)) + "\n";
+	}
 	void Evacuate(std::istringstream &in)
 	{
 		std::string zone, word;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -128,6 +128,16 @@
     "\"akl-a\",\"Version\":\"v1\",\"Slots\":3,\"State\":\"ready\","
     "\"ColdLeftMs\":1500,\"Seq\":4,\"born\":1764800000123}";
 
+/* Guards against an era that is taken from what is no positive integer. */
+TEST(PlatformStore, EraIsAPositiveInteger)
+{
+	EXPECT_EQ(7u, kf_platform_store_era("7"));
+	for (const char *value :
+	    { "", "0", "-1", "+1", "1x", " 1", "99999999999999999999" })
+		EXPECT_EQ(0u, kf_platform_store_era(value)) << value;
+	EXPECT_EQ(0u, kf_platform_store_era(nullptr));
+}
+
 TEST(PlatformPublished, DecodesAnUpstream)
 {
 	kf_upstream_info_t info;
--- a/tests/unit/support/forwarder_world.h
+++ b/tests/unit/support/forwarder_world.h
@@ -51,6 +51,15 @@
 			now_us, &change));
 		return change;
 	}
+	kf_change_t PutBackup(const kf_upstream_info_t &info)
+	{
+		kf_change_t change = KF_CHANGE_NONE;
+
+		EXPECT_EQ(KF_OK,
+		    kf_directory_put_backup(kf_forwarder_directory(forwarder),
+			&info, now_us, &change));
+		return change;
+	}
 	kf_change_t Remove(uint64_t id, bool lapsed)
 	{
 		return kf_directory_remove(
