--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -21,6 +21,8 @@
  *	unheard			hear from no other VM from now on
  *	gone NAME		remove its entry
  *	lapse NAME		remove its entry because of a store outage
+ *	backup NAME [earlier]	publish it as ready, as a backup of the store
+ *				shows it; its start may be an earlier one
  *	evacuate ZONE on|off	set whether a zone is evacuated
  *	confirm	MS		what the VM knows is complete as of now, and the
  *				store has been in contact for MS
@@ -89,6 +91,7 @@
 			{ "unheard", &Session::Unheard },
 			{ "gone", &Session::Gone },
 			{ "lapse", &Session::Lapse },
+			{ "backup", &Session::Backup },
 			{ "evacuate", &Session::Evacuate },
 			{ "confirm", &Session::Confirm },
 			{ "hold", &Session::Hold },
@@ -219,6 +222,17 @@
 	{
 		Unlist(in, true);
 	}
+	void Backup(std::istringstream &in)
+	{
+		std::string name, earlier;
+
+		in >> name >> earlier;
+		kf_upstream_info_t info = entries_[name];
+		info.draining = false;
+		info.born_ms -= earlier.empty() ? 0 : 1;
+		w_->log += std::string("  ") +
+		    kf_change_name(w_->PutBackup(info)) + "\n";
+	}
 	void Evacuate(std::istringstream &in)
 	{
 		std::string zone, word;
