Probe reported upstreams only from VMs with flows there

A report makes a suspect only if the VM has a record of a flow at the upstream. A dead upstream is probed every 5 s after two times.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -216,6 +216,23 @@
 		now_us - flow->last_packet_us >= ANSWER_QUIET_US);
 }
 
+static bool
+has_flows(const kf_forwarder_t *f, kf_flow_state_t state, uint32_t token)
+{
+	const kf_flow_t *flow = kf_conntrack_first(f->flows, state);
+
+	while (flow != NULL && flow->token != token)
+		flow = kf_conntrack_next(f->flows, flow);
+	return flow != NULL;
+}
+
+bool
+dead_has_flows(const kf_forwarder_t *f, const kf_target_t *target)
+{
+	return has_flows(f, KF_FLOW_OPEN, target->token) ||
+	    has_flows(f, KF_FLOW_IDLE, target->token);
+}
+
 static void
 reset_flows(kf_forwarder_t *f, kf_flow_state_t state, int64_t now_us)
 {
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -153,6 +153,9 @@
 /* Calls outlier_scan if it is due. */
 void outlier_run_due(kf_forwarder_t *f, int64_t now_us);
 
+/* Returns true if this VM has records of open or idle flows of an upstream, so
+ * that it pays to know whether it is dead. */
+bool dead_has_flows(const kf_forwarder_t *f, const kf_target_t *target);
 /* Record a sign of life of an upstream, and a request or opening that it has
  * left unanswered; see kf_dead_upstream_unanswered.  target may be NULL. */
 void dead_note_alive(kf_forwarder_t *f, kf_target_t *target, int64_t now_us);
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -40,7 +40,7 @@
 	/* Interval between the first probes of a dead upstream, and between the
 	 * later ones.  Each probe is a new connection. */
 	KF_DEAD_CHECK_US = 1000000,
-	KF_DEAD_FIRST_CHECKS = 3,
+	KF_DEAD_FIRST_CHECKS = 2,
 	KF_DEAD_LATER_CHECK_US = 5000000,
 	/* Time for which an upstream that has accepted a probe is not suspected
 	 * again: it is slow, or overloaded. */
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -357,6 +357,6 @@
 	if (target == NULL)
 		return;
 	count_failed(f, target, now_us);
-	if (has_failed_often(target, now_us))
+	if (has_failed_often(target, now_us) && dead_has_flows(f, target))
 		dead_note_unanswered(f, target, now_us, true, now_us);
 }
