Mend what a review of the new parts found

- A lapsed entry counted as that of an upstream that has left: answers of any zone then sufficed to confirm it dead (kf_target_t.lapsed, also for draining upstreams).
- An overtaken acknowledgement counted as an answer, so that a flow whose request must run once could be reset.
- A probe that this VM could not make, ended early or was held up by a suspension counted as failed.
- Copies of a SYN that waited for the configuration were all placed at once.
- A watch sent before a pull moved the VM to another era was taken for one of the new era; a pull of a new era left a full listing due.
- The limit of a service could alternate, as the load that it follows from was kept as a share of the limit.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -198,7 +198,7 @@
 	kf_pool_usage_t usage = kf_pool_get_usage(pool, now_us);
 	kf_pool_load_t *load = &pool->load;
 	double decay = decay_factor(load->updated_us, now_us, LOAD_MEAN_US);
-	double per_slot, all_flows, share;
+	double per_slot, all_flows, share, most_flows;
 
 	if (usage.slots == 0) {
 		*load = (kf_pool_load_t){ .updated_us = now_us };
@@ -211,7 +211,11 @@
 	load->limit = all_flows * share;
 	load->current = (double)usage.flows / load->limit;
 	load->mean = update_mean_load(load->mean, load->current, decay);
-	load->mean_flows = load->mean * all_flows;
+	/* Not as a share of the limit, which follows from these flows. */
+	most_flows = (double)usage.slots * FULL_FLOWS_PER_SLOT;
+	load->mean_flows = most_flows *
+	    update_mean_load(load->mean_flows / most_flows,
+		(double)usage.flows / share / most_flows, decay);
 	load->mean_own_zone = update_mean_load(load->mean_own_zone,
 	    own_zone_load(f, pool, per_slot, now_us), decay);
 	load->ample_time = capacity_has_ample_time(pool, usage.slots, now_us);
--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -61,12 +61,20 @@
 		record_liveness(f, target, KF_FORWARD_ALIVE);
 }
 
+/* Returns true if the upstream is known to have left.  An entry that lapsed in
+ * an outage of the store says nothing about its upstream. */
+static bool
+has_left(const kf_target_t *target)
+{
+	return target->listing == KF_LISTING_GONE && !target->lapsed;
+}
+
 /* Returns true for an upstream that drains: it may have closed its listener
  * while it serves its flows. */
 static bool
 is_exempt(const kf_target_t *target)
 {
-	return target->info.draining && target->listing != KF_LISTING_GONE;
+	return target->info.draining && !has_left(target);
 }
 
 static bool
@@ -98,7 +106,10 @@
 	    flow->acknowledged_known &&
 	    (int32_t)(packet->acknowledged - flow->acknowledged) > 0)
 		dead_note_alive(f, target, now_us);
-	flow->acknowledged = packet->acknowledged;
+	/* A packet that was overtaken has an older number. */
+	if (!flow->acknowledged_known ||
+	    (int32_t)(packet->acknowledged - flow->acknowledged) > 0)
+		flow->acknowledged = packet->acknowledged;
 	flow->acknowledged_known = true;
 }
 
@@ -140,7 +151,8 @@
 		return false;
 	}
 	dead_note_packet(f, flow, packet, target, now_us);
-	if (packet->acknowledged != flow->request_ack)
+	if (flow->request_started_us != 0 &&
+	    (int32_t)(packet->acknowledged - flow->request_ack) > 0)
 		flow->answering = true;
 	flow->last_packet_us = now_us;
 	kf_conntrack_set_idle(f->flows, flow);
@@ -185,12 +197,12 @@
 	    !route->idempotent)
 		return false;
 	flow = kf_conntrack_find(f->flows, packet->client, packet->address);
-	if (flow == NULL) {
+	if (flow != NULL && flow->state == KF_FLOW_OPENING)
+		return false; /* the packet shows that the upstream answered */
+	if (flow == NULL || flow->token != packet->token) {
 		reset_unknown_flow(f, packet, target, now_us);
 		return true;
 	}
-	if (flow->state == KF_FLOW_OPENING)
-		return false; /* the packet shows that the upstream answered */
 	dead_note_packet(f, flow, packet, target, now_us);
 	if (!is_dead(target))
 		return false;
@@ -318,13 +330,23 @@
 	}
 }
 
-/* Returns true for a dead upstream without an entry.  If it starts again, it
- * publishes a new one. */
+/* Returns true for a dead upstream that has left.  If it starts again, it
+ * publishes a new entry. */
 static bool
-has_ended(const kf_target_t *target)
+is_dead_and_left(const kf_target_t *target)
 {
-	return target->dead.liveness == KF_LIVENESS_DEAD &&
-	    target->listing == KF_LISTING_GONE;
+	return target->dead.liveness == KF_LIVENESS_DEAD && has_left(target);
+}
+
+/* Returns true if clients alone will hardly show that the links to the zone
+ * work: no answer has been seen lately, or none was when a probe failed. */
+static bool
+needs_control(
+    const kf_target_t *target, const dead_zone_t *zone, int64_t now_us)
+{
+	return target->dead.liveness == KF_LIVENESS_SUSPECT &&
+	    (target->dead.wants_control ||
+		now_us - zone->alive_us > KF_DEAD_PROBE_TIMEOUT_US);
 }
 
 size_t
@@ -348,14 +370,14 @@
 		dead += target->dead.liveness == KF_LIVENESS_DEAD;
 		watched += target->dead.liveness != KF_LIVENESS_ALIVE;
 		/* One place is left for the control. */
-		if (count + 1 >= max || has_ended(target) ||
+		if (count + 1 >= max || is_dead_and_left(target) ||
 		    !kf_dead_upstream_probe_due(&target->dead, now_us))
 			continue;
 		add_probe(f, target, probes, &count, now_us);
 		zone = find_zone(f, target->info.zone);
 		if (zone != NULL)
-			zone->control_wanted =
-			    target->dead.wants_control || zone->control_wanted;
+			zone->control_wanted = zone->control_wanted ||
+			    needs_control(target, zone, now_us);
 	}
 	f->dead.dead_count = dead;
 	f->dead.watching = watched > 0;
@@ -372,7 +394,7 @@
 {
 	const dead_zone_t *zone = find_zone(f, target->info.zone);
 
-	if (target->listing == KF_LISTING_GONE)
+	if (has_left(target))
 		return f->dead.alive_us + KF_DEAD_CHECK_US;
 	return zone == NULL ? 0 : zone->alive_us;
 }
@@ -401,3 +423,12 @@
 	record_liveness(f, target, KF_FORWARD_DEAD);
 	return true;
 }
+
+void
+kf_forwarder_probe_cancelled(kf_forwarder_t *f, uint32_t token)
+{
+	kf_target_t *target = kf_directory_find(f->directory, token);
+
+	if (target != NULL)
+		target->dead.probing = false;
+}
--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -90,6 +90,8 @@
 kf_dead_upstream_probe_failed(kf_dead_upstream_t *d, int64_t links_us,
     int64_t dead_after_us, int64_t now_us)
 {
+	int64_t took_us = now_us - d->probe_sent_us;
+
 	if (!d->probing)
 		return false;
 	d->probing = false;
@@ -98,6 +100,13 @@
 	if (d->liveness != KF_LIVENESS_SUSPECT)
 		return false;
 	d->wants_control = true;
+	/* A timer that ran early, or a VM that was suspended meanwhile, does
+	 * not show that the upstream had the time to answer. */
+	if (took_us < KF_DEAD_PROBE_TIMEOUT_US * 9 / 10 ||
+	    took_us > KF_DEAD_PROBE_TIMEOUT_US * 5) {
+		d->failed_probes = 0;
+		return false;
+	}
 	/* The probe was sent before the upstream became a suspect, or its
 	 * failure may be due to the links. */
 	if (d->probe_sent_us < d->silent_since_us ||
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -385,7 +385,8 @@
 	if (target->info.born_ms != info->born_ms)
 		return target->info.born_ms > info->born_ms;
 	if (target->listing == KF_LISTING_GONE)
-		return !target->lapsed;
+		return !target->lapsed ||
+		    (target->info.draining && !info->draining);
 	return target->info.draining && !info->draining;
 }
 
@@ -427,6 +428,7 @@
 	}
 	target->listing = lapsed && !target->info.draining ? KF_LISTING_MISSING
 							   : KF_LISTING_GONE;
+	target->lapsed = lapsed;
 	target->unlisted_us = now_us;
 	/* If the index cannot be rebuilt, it still holds the target, but
 	 * kf_target_eligible returns false for it. */
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -311,6 +311,18 @@
 	}
 }
 
+static int64_t
+next_tick_us(const kf_forwarder_t *f, int64_t now_us)
+{
+	int64_t due_us = f->due_us;
+
+	if (f->pending_syns.count > 0 && now_us + PENDING_INTERVAL_US < due_us)
+		due_us = now_us + PENDING_INTERVAL_US;
+	if (f->dead.dead_count > 0 && f->dead.reset_us < due_us)
+		due_us = f->dead.reset_us;
+	return due_us;
+}
+
 int64_t
 kf_forwarder_tick(kf_forwarder_t *f, int64_t now_us)
 {
@@ -324,10 +336,7 @@
 		expire_idle(f, now_us);
 		f->expiry_us = now_us + EXPIRY_INTERVAL_US;
 	}
-	return f->pending_syns.count > 0 &&
-		now_us + PENDING_INTERVAL_US < f->due_us
-	    ? now_us + PENDING_INTERVAL_US
-	    : f->due_us;
+	return next_tick_us(f, now_us);
 }
 
 void
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -22,8 +22,8 @@
  *	and is probed with TCP connections to its published address.  It is dead
  *	when two probes have failed, the second sent KF_DEAD_RETRY_US after the
  *	first, and no answer has been seen meanwhile.  A failed probe counts
- *only if another upstream of the zone was seen alive after it was sent, which
- *	shows that the links of the VM work.  Any sign of life ends it.
+	only if another upstream of the zone was seen alive after it was sent,
+ which *	shows that the links of the VM work.  Any sign of life ends it.
  *
  *	One state for each upstream; a zeroed one is valid.  No I/O.
  */
@@ -45,8 +45,8 @@
 	/* Time for which an upstream that has accepted a probe is not suspected
 	 * again: it is slow, or overloaded. */
 	KF_DEAD_QUIET_US = 3000000,
-	/* A request that waits for this time makes a suspect without other
-	 * evidence; few answers of healthy upstreams take longer. */
+	/* A request that waits for this time makes a suspect even if no other
+	 * has failed; few answers of healthy upstreams take longer. */
 	KF_DEAD_ALONE_US = 300000,
 	/* Failed probes that confirm a suspect. */
 	KF_DEAD_FAILED_PROBES = 2,
@@ -61,8 +61,9 @@
 typedef struct kf_dead_upstream {
 	kf_liveness_t liveness;
 	bool probing;		 /* the result of a probe is due */
-	bool wants_control;	 /* a probe has failed: test the links, too */
-	uint32_t checks;	 /* probes of a dead one */
+	bool wants_control;	 /* a probe has failed: the next one goes with a
+				  * probe of another upstream, the control */
+	uint32_t checks;	 /* probes since it was found dead */
 	uint32_t failed_probes;	 /* consecutive, while the links worked */
 	int64_t silent_since_us; /* of a suspect */
 	int64_t alive_us;	 /* last sign of life; 0: none */
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -216,6 +216,9 @@
 size_t kf_forwarder_take_probes(
     kf_forwarder_t *forwarder, int64_t now_us, kf_probe_t *probes, size_t max);
 
+/* Ends a probe that this VM could not make. */
+void kf_forwarder_probe_cancelled(kf_forwarder_t *forwarder, uint32_t token);
+
 /* Returns true if an upstream is confirmed dead; its flows are reset by the
  * next kf_forwarder_tick. */
 bool kf_forwarder_probe_result(
--- a/lib/forwarder/include/kf/pending_syns.h
+++ b/lib/forwarder/include/kf/pending_syns.h
@@ -40,7 +40,7 @@
 	size_t cap;
 } kf_pending_syns_t;
 
-/* Returns false if the SYN cannot wait. */
+/* A copy replaces the SYN that waits.  Returns false if the SYN cannot wait. */
 bool kf_pending_syns_add(kf_pending_syns_t *pending, const kf_packet_t *packet,
     const uint8_t *datagram, size_t len, int64_t now_us);
 
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -82,7 +82,7 @@
 	uint32_t token;
 	kf_listing_t listing;
 	int64_t unlisted_us; /* time of its removal from the list */
-	bool lapsed; /* gone as its entry was missing, not known to have left */
+	bool lapsed; /* unlisted by a store outage, not known to have left */
 	int64_t cold_end_us; /* of the cold start, when it is slower */
 	uint32_t opening;    /* SYNs of this VM without an outcome */
 	uint32_t open;	     /* open flows of this VM */
--- a/lib/forwarder/outlier.c
+++ b/lib/forwarder/outlier.c
@@ -293,11 +293,15 @@
 	uint32_t answer_bytes = packet->acknowledged - flow->request_ack;
 	bool sends_request = packet->payload_bytes > 0;
 
+	/* A packet that was overtaken has an older acknowledgement number. */
+	if ((int32_t)answer_bytes < 0)
+		answer_bytes = 0;
 	check_late(f, flow, now_us);
 	if (flow->request_started_us != 0 && !flow->answering &&
 	    answer_bytes > 0)
 		begin_answer(f, flow, now_us);
-	if (flow->answering && (packet->fin || sends_request))
+	if (flow->answering && answer_bytes > 0 &&
+	    (packet->fin || sends_request))
 		end_answer(f, flow, answer_bytes, now_us);
 	if (flow->request_started_us == 0 && sends_request) {
 		flow->request_started_us = now_us;
@@ -357,6 +361,7 @@
 	if (target == NULL)
 		return;
 	count_failed(f, target, now_us);
-	if (has_failed_often(target, now_us) && dead_has_flows(f, target))
+	if (target->dead.liveness == KF_LIVENESS_ALIVE &&
+	    has_failed_often(target, now_us) && dead_has_flows(f, target))
 		dead_note_unanswered(f, target, now_us, true, now_us);
 }
--- a/lib/forwarder/pending_syns.c
+++ b/lib/forwarder/pending_syns.c
@@ -23,17 +23,36 @@
 	return true;
 }
 
+/* Returns the SYN of which packet is a copy, or NULL. */
+static kf_pending_syn_t *
+find(const kf_pending_syns_t *p, const kf_packet_t *packet)
+{
+	size_t i;
+
+	for (i = 0; i < p->count; i++) {
+		kf_pending_syn_t *syn = &p->list[i];
+
+		if (kf_addr_equal(syn->packet.client, packet->client) &&
+		    kf_addr_equal(syn->packet.address, packet->address) &&
+		    syn->packet.sequence == packet->sequence)
+			return syn;
+	}
+	return NULL;
+}
+
 bool
 kf_pending_syns_add(kf_pending_syns_t *p, const kf_packet_t *packet,
     const uint8_t *datagram, size_t len, int64_t now_us)
 {
-	kf_pending_syn_t *syn;
+	kf_pending_syn_t *syn = find(p, packet);
 
-	if (len > KF_FLOW_SYN_BYTES || !reserve(p))
+	if (len > KF_FLOW_SYN_BYTES || (syn == NULL && !reserve(p)))
 		return false;
-	syn = &p->list[p->count++];
+	if (syn == NULL) {
+		syn = &p->list[p->count++];
+		syn->received_us = now_us;
+	}
 	syn->packet = *packet;
-	syn->received_us = now_us;
 	memcpy(syn->datagram, datagram, len);
 	syn->len = len;
 	return true;
--- a/lib/fwdnet/io_loop.c
+++ b/lib/fwdnet/io_loop.c
@@ -111,11 +111,12 @@
 		.tv_usec = wait_ms % 1000 * 1000,
 	};
 
-	l->stop = false;
 	event_add(l->timer, &wait);
 	while (!l->stop && event_base_loop(l->base, EVLOOP_ONCE) == 0)
 		;
 	event_del(l->timer);
+	/* Not before the wait: a request may have ended since the last one. */
+	l->stop = false;
 }
 
 void
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -261,7 +261,9 @@
 		request_list(s);
 		return;
 	}
-	s->has_upstreams = true;
+	/* Items of another era are applied only when the listing has ended. */
+	if (s->list_era == kf_replica_position(s->replica).era)
+		s->has_upstreams = true;
 	if (++s->list_part < KF_PLATFORM_LIST_PARTS) {
 		s->after_key[0] = '\0';
 		request_list(s);
@@ -306,12 +308,23 @@
 	    s, KF_SYNC_LIST, s->store, path, KF_SYNC_LIST_TIMEOUT_MS, on_list);
 }
 
-/* Ends the watch if its answer is of another era than the replica. */
+/*
+ * Ends the watch if its answer is of another era than the replica, or if a pull
+ * has moved the replica to another era since it was sent: the answer then
+ * continues from a revision of the era before.
+ */
 static bool
 check_watch_era(store_sync_t *s, const http_answer_t *answer)
 {
 	uint64_t own = kf_replica_position(s->replica).era;
 
+	if (s->watch_era != own) {
+		kf_status_set(KF_ERR_STALE, "watch was sent in era %llu",
+		    (unsigned long long)s->watch_era);
+		record_store_result(s, KF_SYNC_WATCH, answer, false);
+		store_sync_finish_call(s, KF_SYNC_WATCH, KF_SYNC_FAILED);
+		return false;
+	}
 	if ((answer->status != HTTP_OK &&
 		answer->status != KF_PLATFORM_HTTP_HISTORY_GONE) ||
 	    era_of(answer) == own)
@@ -375,6 +388,7 @@
 		return;
 	}
 	kf_replica_listing_cancel(s->replica, KF_SOURCE_STORE);
+	s->watch_era = kf_replica_position(s->replica).era;
 	kf_platform_watch_path(
 	    path, kf_replica_position(s->replica).revision, actions->wait_ms);
 	request(
--- a/lib/fwdnet/store_sync_internal.h
+++ b/lib/fwdnet/store_sync_internal.h
@@ -24,6 +24,7 @@
 	char after_key[KF_PLATFORM_KEY_BYTES];
 	kf_platform_list_part_t list_part;
 	bool has_upstreams; /* all of a listing have been applied */
+	uint64_t watch_era; /* of the position that the watch was sent with */
 	/* Of the current listing. */
 	uint32_t list_pages;
 	uint64_t list_era;
--- a/lib/fwdnet/upstream_probe.c
+++ b/lib/fwdnet/upstream_probe.c
@@ -21,6 +21,7 @@
 	uint32_t token;
 	int fd; /* -1: refused, or not in use */
 	bool in_use;
+	bool cancelled; /* could not be made */
 	struct event *writable;
 	struct event *timeout;
 } connection_t;
@@ -61,6 +62,16 @@
 		packet_thread_wake(p->packets);
 }
 
+/* Ends a probe that could not be made. */
+static void
+connection_cancel(connection_t *c)
+{
+	c->in_use = false;
+	kf_forwarder_probe_cancelled(
+	    packet_thread_lock(c->probe->packets), c->token);
+	packet_thread_unlock(c->probe->packets);
+}
+
 static bool
 is_accepted(int fd)
 {
@@ -97,7 +108,10 @@
 
 	(void)fd;
 	(void)events;
-	connection_end(c, is_accepted(c->fd));
+	if (c->cancelled)
+		connection_cancel(c);
+	else
+		connection_end(c, is_accepted(c->fd));
 }
 
 static void
@@ -108,16 +122,23 @@
 
 	c->token = probe->token;
 	c->in_use = true;
+	c->cancelled = false;
+	event_base_update_cache_time(c->probe->base);
 	event_add(c->timeout, &timeout);
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (c->fd < 0)
-		return;
-	if (connect(c->fd, (struct sockaddr *)&to, sizeof(to)) == 0 ||
-	    errno == EINPROGRESS)
+	if (c->fd >= 0 &&
+	    (connect(c->fd, (struct sockaddr *)&to, sizeof(to)) == 0 ||
+		errno == EINPROGRESS)) {
 		c->writable =
 		    event_new(c->probe->base, c->fd, EV_WRITE, on_writable, c);
-	if (c->writable == NULL || event_add(c->writable, NULL) != 0)
-		connection_close(c);
+		if (c->writable != NULL && event_add(c->writable, NULL) == 0)
+			return;
+		errno = ENOMEM;
+	}
+	/* A fault of this VM, such as a lack of descriptors, says nothing about
+	 * the upstream. */
+	c->cancelled = errno != ECONNREFUSED;
+	connection_close(c);
 }
 
 static connection_t *
--- a/lib/replica/sync.c
+++ b/lib/replica/sync.c
@@ -259,12 +259,17 @@
 kf_sync_call_done(kf_sync_t *s, kf_sync_call_t call, kf_sync_outcome_t outcome,
     kf_store_position_t position, double jitter, int64_t now_us)
 {
+	bool new_era = position.era > s->position.era;
+
 	s->position = position;
 	if (call != KF_SYNC_PULL) {
 		store_call_done(s, call, outcome, jitter, now_us);
 		return;
 	}
 	s->peer_call_active = false;
+	/* The peer has listed the store. */
+	if (outcome == KF_SYNC_OK && new_era)
+		s->fresh_list_needed = false;
 	if (outcome == KF_SYNC_OK)
 		mark_listed(s, now_us);
 	else
--- a/tests/unit/dead_upstream_test.cc
+++ b/tests/unit/dead_upstream_test.cc
@@ -54,9 +54,28 @@
 	for (int i = 0; i < 10; i++)
 		EXPECT_FALSE(FailProbe(false));
 	EXPECT_FALSE(FailProbe());
+	EXPECT_FALSE(FailProbe(false));
+	EXPECT_FALSE(FailProbe());
 	EXPECT_TRUE(FailProbe());
 }
 
+/* Guards against a probe that ended before its time, or while the VM was
+ * suspended, and is taken as unanswered. */
+TEST_F(DeadUpstream, ProbesOutOfTimeDoNotCount)
+{
+	for (int64_t took_us : { 50000, 2000000 }) {
+		Suspect();
+		for (int i = 0; i < 3; i++) {
+			while (!kf_dead_upstream_probe_due(&d_, now_us_))
+				now_us_ += 1000;
+			kf_dead_upstream_probe_sent(&d_, now_us_);
+			now_us_ += took_us;
+			EXPECT_FALSE(kf_dead_upstream_probe_failed(
+			    &d_, now_us_, dead_after_us_, now_us_));
+		}
+	}
+}
+
 /* Guards against resets of flows whose upstream lost its link for 300 ms: both
  * probes must not fall into that time. */
 TEST_F(DeadUpstream, ProbesAreFurtherApartThanAShortLinkLoss)
