--- a/lib/forwarder/zone_balance.c
+++ b/lib/forwarder/zone_balance.c
@@ -22,8 +22,8 @@
 /* A sending zone goes on to send down to this multiple of the cost. */
 static const double end_factor = 0.5;
 /* A route's answers are large if they cost this multiple of the cheapest ones.
- * Its flows leave if this many flows are due, which shows that the other routes
- * are too few for the share. */
+ * Its flows leave once large_due flows are due: then the routes with small
+ * answers do not have enough flows for the share. */
 static const double large_factor = 1.5;
 static const double large_due = 2;
 /* More flows are not made up for later. */
--- a/lib/forwarder/zone_share.c
+++ b/lib/forwarder/zone_share.c
@@ -132,8 +132,8 @@
 }
 
 /*
- * Estimates the time of a request in a slot.  An answer takes the path of an
- * opening and the request's time, so the difference is the time.  Of its means
+ * Estimates the time of a request in a slot: the time of an answer less that of
+ * an opening, which takes the same path without work.  Of its means
  * while the service has little load the lowest of the last minute counts,
  * because some of these requests have waited for a slot.  Answers that seem to
  * take longer than the goal are acknowledged with the flow's next packet only
--- a/lib/fwdnet/store_sync_internal.h
+++ b/lib/fwdnet/store_sync_internal.h
@@ -41,7 +41,7 @@
 	kf_changes_head_t pulled;
 	bool pulled_is_old;
 	change_feed_t feed;
-	bool has_lost;	 /* items lost by a restore of the store */
+	bool has_lost;	 /* the replica has items that a restore has lost */
 	int64_t lost_us; /* when that was last seen */
 };
 
--- a/lib/replica/include/kf/replica.h
+++ b/lib/replica/include/kf/replica.h
@@ -87,8 +87,9 @@
 kf_store_position_t kf_replica_position(const kf_replica_t *replica);
 
 /*
- * Revision at which the store's current era began, as far as it is known: that
- * of the first listing.  Items above it were written in this era.
+ * Revision at which the store's current era began: that of the first listing
+ * that this VM knows of, so that items written before it count as part of the
+ * backup.  Items above it were written in this era.
  */
 uint64_t kf_replica_era_start(const kf_replica_t *replica);
 
