Count a VM's demand and mix bits in one place in peering

kf_peering_zone_demands and kf_peering_other_vms_demand_per_s had the same loop over a VM's demands, and the ranks a copy of the finalizer of splitmix64.

--- a/lib/peering/demand.c
+++ b/lib/peering/demand.c
@@ -7,8 +7,8 @@
 	uint64_t members;
 } demand_sum_t;
 
-static uint64_t
-member_demand_per_s(const member_t *m, uint64_t service)
+uint64_t
+peering_member_demand_per_s(const member_t *m, uint64_t service)
 {
 	uint64_t asked_per_s = 0;
 	uint32_t k;
@@ -48,7 +48,7 @@
 		    now_us - m->last_beacon_us > KF_PEERING_DEMAND_MAX_AGE_US)
 			continue;
 		sum->heard++;
-		sum->asked_per_s += member_demand_per_s(m, service);
+		sum->asked_per_s += peering_member_demand_per_s(m, service);
 	}
 	if (own.heard > 0 && others.heard > 0)
 		return (
--- a/lib/peering/peering.c
+++ b/lib/peering/peering.c
@@ -26,17 +26,21 @@
 	OTHER_ZONE_BEACON_PERIOD = 4,
 };
 
-/* splitmix64 */
-static uint64_t
-next_random(kf_peering_t *p)
+uint64_t
+peering_mix(uint64_t z)
 {
-	uint64_t z = p->random += UINT64_C(0x9e3779b97f4a7c15);
-
 	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
 	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
 	return z ^ (z >> 31);
 }
 
+/* splitmix64 */
+static uint64_t
+next_random(kf_peering_t *p)
+{
+	return peering_mix(p->random += UINT64_C(0x9e3779b97f4a7c15));
+}
+
 kf_peering_t *
 kf_peering_new(const kf_peering_config_t *config)
 {
--- a/lib/peering/peering_internal.h
+++ b/lib/peering/peering_internal.h
@@ -69,4 +69,10 @@
 /* The kind of members that this VM knows too few of. */
 peering_question peering_missing_members(const kf_peering_t *p);
 
+/* Finalizer of splitmix64: all bits of the result depend on all bits of z. */
+uint64_t peering_mix(uint64_t z);
+
+/* Returns the demand of a service that a VM has announced. */
+uint64_t peering_member_demand_per_s(const member_t *m, uint64_t service);
+
 #endif
--- a/lib/peering/zone_demands.c
+++ b/lib/peering/zone_demands.c
@@ -34,17 +34,6 @@
 	    now_us - m->last_beacon_us <= max_age_us;
 }
 
-static void
-add_member(zone_sum_t *sum, const member_t *m, uint64_t service)
-{
-	uint32_t k;
-
-	sum->heard++;
-	for (k = 0; k < m->demand_count; k++)
-		if (m->demands[k].service == service)
-			sum->asked_per_s += m->demands[k].asked_per_s;
-}
-
 size_t
 kf_peering_zone_demands(const kf_peering_t *p, uint64_t service, int64_t now_us,
     kf_zone_demand_t *zones, size_t max)
@@ -59,8 +48,10 @@
 		if (sum == NULL)
 			continue;
 		sum->known++;
-		if (is_recent(p, m, now_us))
-			add_member(sum, m, service);
+		if (!is_recent(p, m, now_us))
+			continue;
+		sum->heard++;
+		sum->asked_per_s += peering_member_demand_per_s(m, service);
 	}
 	for (i = 0; i < sum_count && count < max; i++)
 		if (sums[i].heard > 0)
--- a/lib/peering/zone_rank.c
+++ b/lib/peering/zone_rank.c
@@ -1,19 +1,11 @@
 #include "peering_internal.h"
 
-/* Finalizer of splitmix64: all bits of the result depend on all bits of z. */
-static uint64_t
-mix(uint64_t z)
-{
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
-}
-
 /* Score of a VM for a key (rendezvous hashing). */
 static uint64_t
 score(uint64_t key, uint32_t ip)
 {
-	return mix(mix(key + UINT64_C(0x9e3779b97f4a7c15)) + ip);
+	return peering_mix(
+	    peering_mix(key + UINT64_C(0x9e3779b97f4a7c15)) + ip);
 }
 
 uint32_t
