--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -23,8 +23,6 @@
  * requests while those of other zones are idle. */
 static const double full_zone_mean = 0.7;
 static const double full_zone_ratio = 1.1;
-/* Upstreams are 1.6 times slower in their cold start, on both deployments. */
-static const double cold_slot_factor = 1 / 1.6;
 
 typedef struct search {
 	const kf_flow_t *flow;
@@ -51,12 +49,9 @@
 kf_estimate_load(
     const kf_target_t *target, kf_position_t position, int64_t now_us)
 {
-	double slots = target->info.slots == 0 ? 1 : target->info.slots;
 	double flows = target->busy + target->opening;
 
-	if (now_us < target->cold_end_us)
-		slots *= cold_slot_factor;
-	return flows * position.vm_count / slots;
+	return flows * position.vm_count / kf_target_slots(target, now_us);
 }
 
 static void
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -117,6 +117,9 @@
  */
 bool kf_upstream_is_warm(const kf_upstream_info_t *info, int64_t wall_ms);
 
+/* Returns the slots of an upstream, fewer while it is cold. */
+double kf_target_slots(const kf_target_t *target, int64_t now_us);
+
 /* Returns true if the upstream may get new flows. */
 bool kf_target_eligible(const kf_target_t *target, int64_t now_us);
 
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -2,6 +2,10 @@
 #include "kf/packet.h"
 #include "kf/target.h"
 
+/* Upstreams are 1.6 times slower in their cold start, on the deployments
+ * served. */
+static const double cold_slot_factor = 1 / 1.6;
+
 static const char *const health_names[KF_HEALTH_COUNT] = {
 	[KF_HEALTH_GOOD] = "good",
 	[KF_HEALTH_PROBE] = "probe",
@@ -74,6 +78,14 @@
 		kf_cold_window_add(&target->cold_window, now_us);
 }
 
+double
+kf_target_slots(const kf_target_t *target, int64_t now_us)
+{
+	double slots = target->info.slots == 0 ? 1 : target->info.slots;
+
+	return now_us < target->cold_end_us ? slots * cold_slot_factor : slots;
+}
+
 bool
 kf_target_eligible(const kf_target_t *target, int64_t now_us)
 {
--- a/lib/forwarder/zone_share.c
+++ b/lib/forwarder/zone_share.c
@@ -15,7 +15,6 @@
 	SERVICE_TIME_RISE_US = 60000000,
 };
 
-static const double cold_slots = 1 / 1.6; /* as in choice.c */
 /* In a fleet of 99 VMs a VM knows 93% of the VMs of another zone, and its
  * estimate of their demand is low by as much. */
 static const double other_zone_factor = 1 / 0.93;
@@ -103,8 +102,7 @@
 			continue;
 		z = find_or_add(zones, count, t->info.zone);
 		if (z != NULL)
-			z->slots += t->info.slots *
-			    (now_us < t->cold_end_us ? cold_slots : 1);
+			z->slots += kf_target_slots(t, now_us);
 	}
 }
 
