Send a control when clients have not shown that the links work

A control went with a probe only if no answer had been seen in the 100 ms before. A VM that gets few requests often sees one before the probe and none while it waits, so that the failed probe did not count and a third was needed.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -312,7 +312,7 @@
 	return best;
 }
 
-/* Adds a probe that tests the links to each zone with a suspect under test. */
+/* Adds a control for each zone that needs one. */
 static void
 add_controls(kf_forwarder_t *f, kf_probe_t *probes, size_t *count, size_t max,
     int64_t now_us)
@@ -321,10 +321,13 @@
 	size_t i;
 
 	for (i = 0; i < f->dead.zone_count && *count < max; i++) {
-		if (!f->dead.zones[i].control_wanted)
+		dead_zone_t *zone = &f->dead.zones[i];
+
+		if (!zone->control_due)
 			continue;
-		f->dead.zones[i].control_wanted = false;
-		control = find_control(f, f->dead.zones[i].zone, now_us);
+		zone->control_due = false;
+		zone->control_us = now_us;
+		control = find_control(f, zone->zone, now_us);
 		if (control != NULL)
 			add_probe(f, control, probes, count, now_us);
 	}
@@ -338,15 +341,17 @@
 	return target->dead.liveness == KF_LIVENESS_DEAD && has_left(target);
 }
 
-/* Returns true if clients alone will hardly show that the links to the zone
- * work: no answer has been seen lately, or none was when a probe failed. */
-static bool
-needs_control(
-    const kf_target_t *target, const dead_zone_t *zone, int64_t now_us)
+/* Notes whether the probe of a suspect needs a control: its failure counts only
+ * if the links to the zone are known to work. */
+static void
+check_control(kf_forwarder_t *f, const kf_target_t *target, int64_t now_us)
 {
-	return target->dead.liveness == KF_LIVENESS_SUSPECT &&
-	    (target->dead.wants_control ||
-		now_us - zone->alive_us > KF_DEAD_PROBE_TIMEOUT_US);
+	dead_zone_t *zone = find_zone(f, target->info.zone);
+
+	if (zone != NULL &&
+	    kf_dead_upstream_needs_control(
+		&target->dead, zone->alive_us, zone->control_us, now_us))
+		zone->control_due = true;
 }
 
 size_t
@@ -354,7 +359,6 @@
     kf_forwarder_t *f, int64_t now_us, kf_probe_t *probes, size_t max)
 {
 	size_t i, count = 0, dead = 0, watched = 0;
-	dead_zone_t *zone;
 
 	outlier_run_due(f, now_us);
 	if (!f->dead.watching)
@@ -369,15 +373,12 @@
 			continue;
 		dead += target->dead.liveness == KF_LIVENESS_DEAD;
 		watched += target->dead.liveness != KF_LIVENESS_ALIVE;
+		check_control(f, target, now_us);
 		/* One place is left for the control. */
 		if (count + 1 >= max || is_dead_and_left(target) ||
 		    !kf_dead_upstream_probe_due(&target->dead, now_us))
 			continue;
 		add_probe(f, target, probes, &count, now_us);
-		zone = find_zone(f, target->info.zone);
-		if (zone != NULL)
-			zone->control_wanted = zone->control_wanted ||
-			    needs_control(target, zone, now_us);
 	}
 	f->dead.dead_count = dead;
 	f->dead.watching = watched > 0;
--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -10,7 +10,6 @@
 
 	d->liveness = KF_LIVENESS_ALIVE;
 	d->failed_probes = 0;
-	d->wants_control = false;
 	d->checks = 0;
 	d->alive_us = now_us;
 	return was_dead;
@@ -62,6 +61,15 @@
 	    !is_recent(d->control_failed_us, KF_DEAD_CHECK_US, now_us);
 }
 
+bool
+kf_dead_upstream_needs_control(const kf_dead_upstream_t *d, int64_t links_us,
+    int64_t control_us, int64_t now_us)
+{
+	return d->liveness == KF_LIVENESS_SUSPECT && d->probing &&
+	    now_us - d->probe_sent_us >= KF_DEAD_CONTROL_DELAY_US &&
+	    links_us < d->probe_sent_us && control_us < d->probe_sent_us;
+}
+
 static int64_t
 probe_interval_us(const kf_dead_upstream_t *d)
 {
@@ -99,7 +107,6 @@
 		d->control_failed_us = now_us;
 	if (d->liveness != KF_LIVENESS_SUSPECT)
 		return false;
-	d->wants_control = true;
 	/* A timer that ran early, or a VM that was suspended meanwhile, does
 	 * not show that the upstream had the time to answer. */
 	if (took_us < KF_DEAD_PROBE_TIMEOUT_US * 9 / 10 ||
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -66,8 +66,9 @@
 /* Evidence that this VM's links to the upstreams of a zone work. */
 typedef struct dead_zone {
 	uint64_t zone;
-	int64_t alive_us;    /* an upstream of it was seen alive */
-	bool control_wanted; /* by a probe sent now */
+	int64_t alive_us;   /* an upstream of it was seen alive */
+	int64_t control_us; /* the last control was due */
+	bool control_due;
 } dead_zone_t;
 
 typedef struct dead_state {
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -22,8 +22,10 @@
  *	and is probed with TCP connections to its published address.  It is dead
  *	when two probes have failed, the second sent KF_DEAD_RETRY_US after the
  *	first, and no answer has been seen meanwhile.  A failed probe counts
-	only if another upstream of the zone was seen alive after it was sent,
- which *	shows that the links of the VM work.  Any sign of life ends it.
+ *	only if another upstream of the zone was seen alive after it was sent,
+ *	which shows that the links of the VM work.  If clients have not shown it
+ *	KF_DEAD_CONTROL_DELAY_US after the probe, another upstream is probed as
+ *a control.  Any sign of life ends it.
  *
  *	One state for each upstream; a zeroed one is valid.  No I/O.
  */
@@ -33,6 +35,10 @@
 	KF_DEAD_SUSPECT_US = 100000,
 	/* Time within which a probe must be accepted. */
 	KF_DEAD_PROBE_TIMEOUT_US = 100000,
+	/* Time that clients have to show that the links work before a control
+	 * is sent.  It is below the interval of 20 ms at which probes are made,
+	 * so that the control has most of the probe's time to be accepted. */
+	KF_DEAD_CONTROL_DELAY_US = 15000,
 	/* Interval between the probes of a suspect.  An upstream that has lost
 	 * its link for 300 ms must accept one of two probes; the interval also
 	 * limits the probes of an upstream to 4 per second. */
@@ -61,8 +67,6 @@
 typedef struct kf_dead_upstream {
 	kf_liveness_t liveness;
 	bool probing;		 /* the result of a probe is due */
-	bool wants_control;	 /* a probe has failed: the next one goes with a
-				  * probe of another upstream, the control */
 	uint32_t checks;	 /* probes since it was found dead */
 	uint32_t failed_probes;	 /* consecutive, while the links worked */
 	int64_t silent_since_us; /* of a suspect */
@@ -91,6 +95,14 @@
 bool kf_dead_upstream_may_be_control(
     const kf_dead_upstream_t *upstream, int64_t now_us);
 
+/*
+ * Returns true if a control is due for the probe in progress.  links_us is the
+ * time of the last evidence that the links work, control_us that of the last
+ * control.
+ */
+bool kf_dead_upstream_needs_control(const kf_dead_upstream_t *upstream,
+    int64_t links_us, int64_t control_us, int64_t now_us);
+
 void kf_dead_upstream_probe_sent(kf_dead_upstream_t *upstream, int64_t now_us);
 
 /*
