Take an upstream whose address another one has as dead

An upstream whose entry is gone, not lapsed, while another one is published at its address, is dead for good and is not probed. Idle flows whose requests must run once are then reset also if VMs have come or gone since their last packet, as no request can be in progress.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -214,17 +214,20 @@
 /*
  * Returns true if a flow of a dead upstream may be reset now.  When the number
  * of VMs changes, routers move flows, and a request that must run once may be
- * in progress through another VM.
+ * in progress through another VM, unless the upstream has ended for certain.
  */
 static bool
-may_reset(const kf_forwarder_t *f, const kf_flow_t *flow, int64_t now_us)
+may_reset(const kf_forwarder_t *f, const kf_flow_t *flow,
+    const kf_target_t *target, int64_t now_us)
 {
 	const kf_route_t *route = kf_route_table_find(f->routes, flow->address);
 
 	if (route == NULL || route->removed || !flow->acknowledged_known)
 		return false;
 	return route->idempotent ||
-	    (flow->answering && flow->last_packet_us > f->vm_count_changed_us &&
+	    (flow->answering &&
+		(target->dead.replaced ||
+		    flow->last_packet_us > f->vm_count_changed_us) &&
 		now_us - flow->last_packet_us >= ANSWER_QUIET_US);
 }
 
@@ -263,7 +266,7 @@
 
 		next = kf_conntrack_next(f->flows, flow);
 		if (target == NULL || !is_dead(target) ||
-		    !may_reset(f, flow, now_us))
+		    !may_reset(f, flow, target, now_us))
 			continue;
 		reset_flow(f, flow, &packet, target, now_us);
 		flow_close(f, flow);
@@ -354,6 +357,26 @@
 		zone->control_due = true;
 }
 
+/* Finds the upstreams that another one has replaced dead. */
+static void
+end_replaced(kf_forwarder_t *f)
+{
+	size_t i;
+
+	for (i = 0; i < kf_directory_count(f->directory); i++) {
+		kf_target_t *target = kf_directory_find(
+		    f->directory, kf_directory_at(f->directory, i)->token);
+
+		if (target == NULL || !target->replaced ||
+		    target->dead.replaced)
+			continue;
+		if (kf_dead_upstream_replaced(&target->dead))
+			record_liveness(f, target, KF_FORWARD_DEAD);
+		f->dead.watching = true;
+		f->dead.reset_us = 0;
+	}
+}
+
 size_t
 kf_forwarder_take_probes(
     kf_forwarder_t *f, int64_t now_us, kf_probe_t *probes, size_t max)
@@ -361,6 +384,8 @@
 	size_t i, count = 0, dead = 0, watched = 0;
 
 	outlier_run_due(f, now_us);
+	if (f->dead.after_us > 0 && kf_directory_take_replaced(f->directory))
+		end_replaced(f);
 	if (!f->dead.watching)
 		return 0;
 	for (i = 0; i < kf_directory_count(f->directory); i++) {
@@ -408,7 +433,7 @@
 
 	if (target == NULL)
 		return false;
-	if (is_exempt(target))
+	if (is_exempt(target) && !target->dead.replaced)
 		target->dead.liveness = KF_LIVENESS_ALIVE;
 	if (accepted) {
 		note_links(f, target, now_us);
--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -3,11 +3,23 @@
 /* Interval after a probe that tests the links; 4 per second at most. */
 enum { CONTROL_INTERVAL_US = 250000 };
 
+bool
+kf_dead_upstream_replaced(kf_dead_upstream_t *d)
+{
+	bool was_dead = d->liveness == KF_LIVENESS_DEAD;
+
+	d->replaced = true;
+	d->liveness = KF_LIVENESS_DEAD;
+	return !was_dead;
+}
+
 bool
 kf_dead_upstream_alive(kf_dead_upstream_t *d, int64_t now_us)
 {
 	bool was_dead = d->liveness == KF_LIVENESS_DEAD;
 
+	if (d->replaced)
+		return false;
 	d->liveness = KF_LIVENESS_ALIVE;
 	d->failed_probes = 0;
 	d->checks = 0;
@@ -50,7 +62,7 @@
 kf_dead_upstream_probe_due(const kf_dead_upstream_t *d, int64_t now_us)
 {
 	return d->liveness != KF_LIVENESS_ALIVE && !d->probing &&
-	    now_us >= d->next_probe_us;
+	    !d->replaced && now_us >= d->next_probe_us;
 }
 
 bool
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -21,6 +21,7 @@
 	kf_target_t **pool_targets; /* holds the arrays of all pools */
 	bool in_batch;
 	bool index_stale; /* changes of the batch are not indexed yet */
+	bool replaced;	  /* see kf_directory_take_replaced */
 };
 
 static const char *const change_names[] = {
@@ -355,6 +356,46 @@
 	    : KF_CHANGE_UPDATED;
 }
 
+/* Notes whether an upstream has ended: its entry is gone, and another one is
+ * published at its address.  Before that the younger one is not known, as the
+ * clocks of upstreams may step, and one that drains may serve its flows
+ * without a listener. */
+static void
+check_replaced(kf_directory_t *d, kf_target_t *target, const kf_target_t *other)
+{
+	if (target->replaced || target->lapsed ||
+	    target->listing != KF_LISTING_GONE || other->listing != KF_LISTED)
+		return;
+	target->replaced = true;
+	d->replaced = true;
+}
+
+/* Finds upstreams that a changed one has replaced, or that have replaced it. */
+static void
+compare_addresses(kf_directory_t *d, kf_target_t *target)
+{
+	size_t i;
+
+	for (i = 0; i < d->count; i++) {
+		kf_target_t *other = d->targets[i];
+
+		if (other == target ||
+		    !kf_addr_equal(other->info.address, target->info.address))
+			continue;
+		check_replaced(d, other, target);
+		check_replaced(d, target, other);
+	}
+}
+
+bool
+kf_directory_take_replaced(kf_directory_t *d)
+{
+	bool replaced = d->replaced;
+
+	d->replaced = false;
+	return replaced;
+}
+
 kf_status_t
 kf_directory_put(kf_directory_t *d, const kf_upstream_info_t *info,
     int64_t now_us, kf_change_t *change)
@@ -368,14 +409,17 @@
 	*change = classify_change(target, info);
 	if (*change == KF_CHANGE_RESTARTED || target->info.id == 0 ||
 	    (*change == KF_CHANGE_ADDED &&
-		target->info.born_ms != info->born_ms))
+		(target->replaced || target->info.born_ms != info->born_ms)))
 		kf_target_reset(target);
 	target->info = *info;
 	target->evacuated = evacuated_index(d, info->zone) < d->evacuated_count;
 	target->listing = KF_LISTED;
 	target->lapsed = false;
 	target->cold_end_us = now_us + info->cold_left_us;
-	return *change == KF_CHANGE_NONE ? KF_OK : request_reindex(d);
+	if (*change == KF_CHANGE_NONE)
+		return KF_OK;
+	compare_addresses(d, target);
+	return request_reindex(d);
 }
 
 /* True if the state known of an upstream is newer than an entry of a backup. */
@@ -430,6 +474,7 @@
 							   : KF_LISTING_GONE;
 	target->lapsed = lapsed;
 	target->unlisted_us = now_us;
+	compare_addresses(d, target);
 	/* If the index cannot be rebuilt, it still holds the target, but
 	 * kf_target_eligible returns false for it. */
 	(void)request_reindex(d);
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -58,15 +58,16 @@
 	KF_DEAD_FAILED_PROBES = 2,
 };
 
-typedef enum kf_liveness {
+typedef enum kf_upstream_liveness {
 	KF_LIVENESS_ALIVE = 0,
 	KF_LIVENESS_SUSPECT,
 	KF_LIVENESS_DEAD,
-} kf_liveness_t;
+} kf_upstream_liveness_t;
 
 typedef struct kf_dead_upstream {
-	kf_liveness_t liveness;
+	kf_upstream_liveness_t liveness;
 	bool probing;		 /* the result of a probe is due */
+	bool replaced;		 /* another upstream has its address */
 	uint32_t checks;	 /* probes since it was found dead */
 	uint32_t failed_probes;	 /* consecutive, while the links worked */
 	int64_t silent_since_us; /* of a suspect */
@@ -77,6 +78,13 @@
 	int64_t control_failed_us; /* last failed probe of a non-suspect */
 } kf_dead_upstream_t;
 
+/*
+ * Records that another upstream was started at its address.  It is dead for
+ * good, as a connection to the address says nothing about it.  Returns true if
+ * it was not known to be dead.
+ */
+bool kf_dead_upstream_replaced(kf_dead_upstream_t *upstream);
+
 /* Records a sign of life; returns true if the upstream was dead. */
 bool kf_dead_upstream_alive(kf_dead_upstream_t *upstream, int64_t now_us);
 
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -129,6 +129,9 @@
 kf_change_t kf_directory_remove(
     kf_directory_t *directory, uint64_t id, bool lapsed, int64_t now_us);
 
+/* Returns true if an upstream has been replaced since the last call. */
+bool kf_directory_take_replaced(kf_directory_t *directory);
+
 /*
  * Sets whether a zone is evacuated.  Upstreams of an evacuated zone, also ones
  * that are published later, get no new flows; their open flows continue.
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -96,6 +96,7 @@
 	uint32_t outlier_ejections; /* consecutive */
 	int64_t outlier_until_us;   /* end of ejection for failed requests */
 	kf_dead_upstream_t dead;
+	bool replaced;	     /* has ended: another one has its address */
 	bool token_conflict; /* another upstream owns its token */
 	bool evacuated; /* its zone is; gets no new flows until the zone returns
 			 */
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -134,6 +134,7 @@
 	target->outlier_ejections = 0;
 	target->outlier_until_us = 0;
 	target->dead = (kf_dead_upstream_t){ 0 };
+	target->replaced = false;
 }
 
 bool
--- a/tests/unit/dead_upstream_test.cc
+++ b/tests/unit/dead_upstream_test.cc
@@ -139,4 +139,35 @@
 	EXPECT_GE(now_us_ - start_us, 9900000);
 }
 
+/* Guards against a probe that another upstream at the same address accepts and
+ * that counts for the former one. */
+TEST_F(DeadUpstream, ReplacedOneStaysDead)
+{
+	Suspect();
+	kf_dead_upstream_probe_sent(&d_, now_us_);
+	EXPECT_TRUE(kf_dead_upstream_replaced(&d_));
+	EXPECT_FALSE(kf_dead_upstream_accepted(&d_, now_us_ + 1000));
+	EXPECT_FALSE(kf_dead_upstream_alive(&d_, now_us_ + 1000));
+	EXPECT_EQ(KF_LIVENESS_DEAD, d_.liveness);
+	EXPECT_FALSE(kf_dead_upstream_probe_due(&d_, now_us_ + 60000000));
+	EXPECT_FALSE(kf_dead_upstream_replaced(&d_));
+}
+
+/* Guards against a control that is sent although clients have shown that the
+ * links work, and against several for one probe. */
+TEST_F(DeadUpstream, ControlIsSentOnceAndOnlyIfNeeded)
+{
+	int64_t sent_us = now_us_, due_us = now_us_ + KF_DEAD_CONTROL_DELAY_US;
+
+	Suspect();
+	kf_dead_upstream_probe_sent(&d_, sent_us);
+	EXPECT_FALSE(
+	    kf_dead_upstream_needs_control(&d_, sent_us - 1, 0, due_us - 1));
+	EXPECT_TRUE(
+	    kf_dead_upstream_needs_control(&d_, sent_us - 1, 0, due_us));
+	EXPECT_FALSE(kf_dead_upstream_needs_control(&d_, sent_us, 0, due_us));
+	EXPECT_FALSE(kf_dead_upstream_needs_control(
+	    &d_, sent_us - 1, due_us, due_us + 20000));
+}
+
 } // namespace
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -13,6 +13,8 @@
  *				this rank among COUNT VMs
  *	up NAME SERVICE ZONE SLOTS	publish an upstream; its id is the
  *				number in its name
+ *	replace NAME SERVICE OTHER	publish one that was started after
+ *				another one, at its address
  *	drain NAME		publish it as draining
  *	restart NAME		publish a new incarnation of it
  *	cold NAME MS		publish it with a remaining cold start
@@ -112,6 +114,7 @@
 			{ "late", &Session::Late },
 			{ "run", &Session::RunFor },
 			{ "probe", &Session::Probe },
+			{ "replace", &Session::Replace },
 			{ "silent", &Session::Silent },
 			{ "responds", &Session::Responds },
 			{ "spread", &Session::Spread },
@@ -158,6 +161,17 @@
 		    MakeUpstream(IdOf(name), name, service, zone, slots);
 		Put(name);
 	}
+	void Replace(std::istringstream &in)
+	{
+		std::string name, service, other;
+
+		in >> name >> service >> other;
+		entries_[name] = MakeUpstream(IdOf(name), name, service,
+		    entries_[other].zone_name, entries_[other].slots);
+		entries_[name].address = entries_[other].address;
+		entries_[name].born_ms = entries_[other].born_ms + 1;
+		Put(name);
+	}
 	void Drain(std::istringstream &in)
 	{
 		std::string name;
