Explain admission and each upstream in knapctl packets

/explain showed the choice of an upstream, but not whether the flow would be refused, to which zone the load leaves, or why an upstream is not the one. It now runs the decisions about an opening packet on a copy of the state of the service, and names the reason for each upstream.

The golden session explain compares each explanation with what the packet then causes.

--- a/lib/forwarder/admission.c
+++ b/lib/forwarder/admission.c
@@ -393,14 +393,11 @@
 }
 
 bool
-admission_refuses(kf_forwarder_t *f, const kf_route_t *route, uint64_t service,
-    uint32_t copies, int64_t now_us)
+admission_pool_refuses(const kf_forwarder_t *f, kf_pool_t *pool,
+    const kf_route_t *route, uint32_t copies, int64_t now_us)
 {
-	kf_pool_t *pool = kf_directory_pool(f->directory, service);
 	size_t priority = priority_of(route);
 
-	if (pool == NULL)
-		return false;
 	add_demand(pool, priority, now_us);
 	capacity_add_goal(pool, route->latency_goal_us, now_us);
 	update_load(f, pool, now_us);
@@ -412,3 +409,13 @@
 	pool->refused_us = now_us;
 	return true;
 }
+
+bool
+admission_refuses(kf_forwarder_t *f, const kf_route_t *route, uint64_t service,
+    uint32_t copies, int64_t now_us)
+{
+	kf_pool_t *pool = kf_directory_pool(f->directory, service);
+
+	return pool != NULL &&
+	    admission_pool_refuses(f, pool, route, copies, now_us);
+}
--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -169,6 +169,7 @@
 
 	if (pool == NULL)
 		return s.best;
+	s.best.all_zones = zone == 0 && is_own_zone_full(pool);
 	pool_cursor = zone == 0 ? pool->cursor++
 				: kf_zone_plan_take_turn(&pool->zones, zone);
 	consider_window(&s, pool->own_zone, pool->own_zone_count,
@@ -177,7 +178,7 @@
 	consider_window(&s, pool->other_zones, pool->other_zones_count,
 	    OTHER_ZONES_WINDOW,
 	    start_index(position, pool->other_zones_count) + pool_cursor,
-	    is_own_zone_full(pool) ? 0 : other_zones_penalty);
+	    s.best.all_zones ? 0 : other_zones_penalty);
 	if (s.tie_count > 0)
 		s.best.target =
 		    s.ties[(start_index(position, s.tie_count) + pool_cursor) %
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -353,36 +353,6 @@
 	return f->position;
 }
 
-kf_flow_explanation_t
-kf_forwarder_explain(
-    kf_forwarder_t *f, kf_addr_t client, kf_addr_t address, int64_t now_us)
-{
-	kf_flow_explanation_t e = {
-		.route = kf_route_table_find(f->routes, address),
-		.flow = kf_conntrack_find(f->flows, client, address),
-	};
-	kf_zone_plan_t zones;
-	kf_pool_t *pool;
-	uint32_t cursor;
-
-	if (e.flow != NULL && e.flow->state == KF_FLOW_IDLE)
-		e.flow = NULL;
-	if (e.route == NULL || e.route->removed)
-		return e;
-	e.service = kf_route_service(e.route, kf_flow_hash(client, address));
-	pool = kf_directory_pool(f->directory, e.service);
-	if (pool == NULL)
-		return e;
-	/* The choice advances the cursor and the plan; restore them. */
-	cursor = pool->cursor;
-	zones = pool->zones;
-	e.choice = kf_choose(pool, e.flow, f->position,
-	    zone_share_next(f, pool, e.route, now_us), now_us);
-	pool->cursor = cursor;
-	pool->zones = zones;
-	return e;
-}
-
 size_t
 kf_forwarder_demands(
     kf_forwarder_t *f, int64_t now_us, kf_service_demand_t *demands, size_t max)
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -141,6 +141,9 @@
  */
 bool admission_refuses(kf_forwarder_t *f, const kf_route_t *route,
     uint64_t service, uint32_t copies, int64_t now_us);
+/* The same for a pool, whose state it updates; a copy will do. */
+bool admission_pool_refuses(const kf_forwarder_t *f, kf_pool_t *pool,
+    const kf_route_t *route, uint32_t copies, int64_t now_us);
 
 /* Returns the zone to which a new flow of the route leaves; 0: none. */
 uint64_t zone_share_next(kf_forwarder_t *f, kf_pool_t *pool,
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -34,6 +34,7 @@
 	kf_target_t *target;  /* NULL: none is eligible */
 	uint32_t eligible;    /* eligible upstreams that were compared */
 	uint32_t cold_passed; /* cold ones without allowance */
+	bool all_zones; /* the own zone was not preferred, as it is full */
 	kf_health_t health;
 	double load; /* estimated flows per slot */
 } kf_choice_t;
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -139,18 +139,6 @@
 void kf_forwarder_stats(
     const kf_forwarder_t *forwarder, kf_forwarder_stats_t *stats);
 
-/* The upstream that a new flow would be placed on, and the flow's record. */
-typedef struct kf_flow_explanation {
-	const kf_route_t *route; /* NULL: no route */
-	uint64_t service;
-	kf_choice_t choice;
-	const kf_flow_t *flow; /* NULL: this VM has no record of it */
-} kf_flow_explanation_t;
-
-/* Explains the placement of a flow without placing it. */
-kf_flow_explanation_t kf_forwarder_explain(kf_forwarder_t *forwarder,
-    kf_addr_t client, kf_addr_t address, int64_t now_us);
-
 /* Fills in the new flows per second of up to max services, including refused
  * ones.  Returns the number of services. */
 size_t kf_forwarder_demands(kf_forwarder_t *forwarder, int64_t now_us,
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "kf/clock.h"
+#include "kf/flow_explanation.h"
 
 #include "forward_state.h"
 #include "zone_balancing.h"
@@ -42,7 +43,7 @@
 	    "state=%s listing=%s health=%s eligible=%s evacuated=%s load=%.2f "
 	    "open=%u "
 	    "opening=%u failures=%u cold_left_ms=%lld "
-	    "cold_allowance=%s\n",
+	    "cold_allowance=%s",
 	    record, t->info.name, t->info.service_name, t->info.zone_name,
 	    kf_addr_format(t->info.address, address), t->info.slots,
 	    t->info.draining ? "draining" : "ready",
@@ -88,20 +89,39 @@
 	}
 }
 
-/* Writes the upstreams of a service, or all upstreams if service is 0. */
 static void
-write_targets(FILE *out, const char *record, kf_forwarder_t *forwarder,
-    uint64_t service, int64_t now_us)
+write_targets(FILE *out, kf_forwarder_t *forwarder, int64_t now_us)
 {
 	const kf_directory_t *directory = kf_forwarder_directory(forwarder);
 	size_t i;
 
+	for (i = 0; i < kf_directory_count(directory); i++) {
+		write_target(out, "upstream", kf_directory_at(directory, i),
+		    kf_forwarder_position(forwarder), now_us);
+		fputc('\n', out);
+	}
+}
+
+/* Writes the upstreams of the service of a flow, each with the reason why it
+ * gets the flow or does not. */
+static void
+write_candidates(FILE *out, kf_forwarder_t *forwarder,
+    const kf_flow_explanation_t *e, int64_t now_us)
+{
+	const kf_directory_t *directory = kf_forwarder_directory(forwarder);
+	kf_position_t position = kf_forwarder_position(forwarder);
+	kf_candidate_t reason;
+	size_t i;
+
 	for (i = 0; i < kf_directory_count(directory); i++) {
 		const kf_target_t *target = kf_directory_at(directory, i);
 
-		if (service == 0 || target->info.service == service)
-			write_target(out, record, target,
-			    kf_forwarder_position(forwarder), now_us);
+		if (target->info.service != e->service)
+			continue;
+		reason =
+		    kf_flow_explanation_candidate(e, target, position, now_us);
+		write_target(out, "candidate", target, position, now_us);
+		fprintf(out, " reason=%s\n", kf_candidate_name(reason));
 	}
 }
 
@@ -120,37 +140,55 @@
 	write_vm(out, s, forwarder);
 	zone_balancing_render(out, forwarder, 0);
 	write_services(out, forwarder, s->now_us);
-	write_targets(out, "upstream", forwarder, 0, s->now_us);
+	write_targets(out, forwarder, s->now_us);
 	packet_thread_unlock(packets);
 	fclose(out);
 	return text;
 }
 
-static void
-write_route(FILE *out, const kf_flow_explanation_t *e)
+/* Returns the text for a refusal, or for the choice of an upstream. */
+static const char *
+outcome_text(const kf_flow_explanation_t *e)
 {
+	if (e->outcome == KF_FLOW_KNOWN)
+		return "its packets go where its record says";
 	if (e->route == NULL)
+		return "no route has the address";
+	if (e->route->removed)
+		return "the route was removed";
+	if (e->reason == KF_REASON_OVERLOAD)
+		return "the service is overloaded";
+	if (e->choice.target == NULL)
+		return e->choice.cold_passed > 0
+		    ? "cold upstreams have no opening left"
+		    : "no upstream is eligible";
+	if (e->zone != 0 && e->choice.target->info.zone == e->zone)
+		return "a share of the load leaves the zone";
+	return "healthiest, then least load, then in turn";
+}
+
+/* The load is as of this decision. */
+static void
+write_route(FILE *out, const kf_flow_explanation_t *e, kf_position_t position)
+{
+	const kf_target_t *target = e->choice.target;
+
+	fprintf(out, "record=route route=%s outcome=%s",
+	    e->route == NULL ? "-" : e->route->name,
+	    kf_flow_outcome_name(e->outcome));
+	if (target != NULL)
 		fprintf(out,
-		    "record=route route=- outcome=refused "
-		    "reason=\"no route has the address\"\n");
-	else if (e->route->removed)
-		fprintf(out,
-		    "record=route route=%s outcome=refused "
-		    "reason=\"the route was removed\"\n",
-		    e->route->name);
-	else if (e->choice.target == NULL)
-		fprintf(out,
-		    "record=route route=%s outcome=refused "
-		    "reason=\"no upstream is eligible\"\n",
-		    e->route->name);
-	else
-		fprintf(out,
-		    "record=route route=%s outcome=placed upstream=%s "
-		    "health=%s load=%.2f eligible=%u reason=\"healthiest, then "
-		    "least load, then in turn\"\n",
-		    e->route->name, e->choice.target->info.name,
+		    " upstream=%s zone=%s health=%s load=%.2f eligible=%u",
+		    target->info.name, target->info.zone_name,
 		    kf_health_name(e->choice.health), e->choice.load,
 		    e->choice.eligible);
+	if (e->outcome != KF_FLOW_KNOWN && e->service != 0)
+		fprintf(out,
+		    " priority=%u service_load=%.2f service_mean_load=%.2f "
+		    "limit=%.1f rank=%u zone_vms=%u",
+		    e->route->priority, e->load.current, e->load.mean,
+		    e->load.limit, position.rank, position.vm_count);
+	fprintf(out, " reason=\"%s\"\n", outcome_text(e));
 }
 
 static void
@@ -183,13 +221,12 @@
 		return NULL;
 	forwarder = packet_thread_lock(packets);
 	explanation = kf_forwarder_explain(forwarder, client, address, now_us);
-	write_route(out, &explanation);
+	write_route(out, &explanation, kf_forwarder_position(forwarder));
 	if (explanation.flow != NULL)
 		write_flow(out, explanation.flow, forwarder, now_us);
 	if (explanation.service != 0) {
 		zone_balancing_render(out, forwarder, explanation.service);
-		write_targets(
-		    out, "candidate", forwarder, explanation.service, now_us);
+		write_candidates(out, forwarder, &explanation, now_us);
 	}
 	packet_thread_unlock(packets);
 	fclose(out);
--- a/tests/process/packets-calm.sh
+++ b/tests/process/packets-calm.sh
@@ -61,6 +61,8 @@
 grep -q '^record=route route=r2 outcome=placed upstream=i-0000a[12] ' \
     "$work/explain" || fail "not placed: $(cat "$work/explain")"
 expect candidates "$(grep -c '^record=candidate' "$work/explain")" 4
+expect "chosen candidates" \
+    "$(grep -c '^record=candidate .* reason=chosen$' "$work/explain")" 1
 "$bin/knapctl" packets --server "$net.1:7720" --client 127.0.0.9:4000 \
     --address 198.18.0.9:1 >"$work/explain" || fail "cannot explain"
 grep -q 'reason="no route has the address"' "$work/explain" ||
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "kf/flow_explanation.h"
 #include "support/forwarder_world.h"
 #include "support/golden_files.h"
 
@@ -46,6 +47,8 @@
  *	again FIRST COUNT PORT	open flows with copies of SYNs, as clients do
  *				after a failure of VMs
  *	late NAME		another VM reports a failed request
+ *	explain CLIENT PORT	show where a SYN would go, without sending it,
+ *				and the reason for each upstream of the service
  *	run MS			advance the time
  *	probe MS		the same, making the probes that are due
  *	silent|responds NAME ...	set whether upstreams accept probes
@@ -115,6 +118,7 @@
 			{ "run", &Session::RunFor },
 			{ "probe", &Session::Probe },
 			{ "replace", &Session::Replace },
+			{ "explain", &Session::Explain },
 			{ "silent", &Session::Silent },
 			{ "responds", &Session::Responds },
 			{ "spread", &Session::Spread },
@@ -480,6 +484,36 @@
 		if (news_.bounds.excess > 0)
 			UpdateColdView();
 	}
+	void Explain(std::istringstream &in)
+	{
+		uint16_t client, port;
+
+		in >> client >> port;
+		kf_packet_t packet = MakePacket(client, port);
+		kf_flow_explanation_t e = kf_forwarder_explain(
+		    w_->forwarder, packet.client, packet.address, w_->now_us);
+		const kf_directory_t *directory =
+		    kf_forwarder_directory(w_->forwarder);
+
+		w_->log += std::string("  ") + kf_flow_outcome_name(e.outcome) +
+		    (e.outcome == KF_FLOW_REFUSED
+			    ? std::string(" ") + kf_reason_name(e.reason)
+			    : "") +
+		    "\n";
+		for (size_t i = 0; i < kf_directory_count(directory); i++) {
+			const kf_target_t *t = kf_directory_at(directory, i);
+
+			if (t->info.service == e.service)
+				w_->log += std::string("  ") + t->info.name +
+				    " " +
+				    kf_candidate_name(
+					kf_flow_explanation_candidate(&e, t,
+					    kf_forwarder_position(
+						w_->forwarder),
+					    w_->now_us)) +
+				    "\n";
+		}
+	}
 	void Probe(std::istringstream &in)
 	{
 		int64_t ms;
