Test a VM that wakes while the store shows a backup

packets-restore woke the suspended VM after all had been written again, and did not check that the backup lacked anything. A third restore now wakes it before the operator's items are written again, and the stand-in tells how many changes a restore has lost.

--- a/tests/process/packets-restore.sh
+++ b/tests/process/packets-restore.sh
@@ -31,6 +31,13 @@
 	done
 }
 
+# Restores the store from a backup, which must lack at least COUNT changes.
+restore() { # AGE_S COUNT
+	world store restore "$1"
+	[ "$(value lost "$work/answer")" -ge "$2" ] ||
+	    fail "the backup lacks too little: $(cat "$work/answer")"
+}
+
 runs_of() { # UPSTREAM
 	world runs
 	value "$1" "$work/answer"
@@ -52,7 +59,7 @@
 	wait_metric "$vm" knapweed_zones_evacuated 1
 done
 left=$(runs_of i-0000b2)
-world store restore 3
+restore 3 4
 for vm in 1 2 3; do
 	wait_metric "$vm" knapweed_store_era 1
 done
@@ -63,7 +70,7 @@
 # A second restore, across which a VM is suspended.  It lists nothing of the
 # first era and does not serve from a backup that shows the zone in use.
 kill -STOP "$(pid_of v2)"
-world store restore 6
+restore 6 4
 sleep 4
 kill -CONT "$(pid_of v2)"
 for vm in 1 2 3; do
@@ -73,6 +80,21 @@
 check_kept
 expect "requests at the removed upstream" "$(runs_of i-0000b2)" "$left"
 
+# A third one: the VM wakes when the store shows the backup, 1.2 s before the
+# operator's items are written again.
+kill -STOP "$(pid_of v2)"
+restore 9 4
+sleep 1
+kill -CONT "$(pid_of v2)"
+sleep 0.5
+check_kept
+for vm in 1 2 3; do
+	wait_metric "$vm" knapweed_store_era 3
+done
+run_requests 300
+check_kept
+expect "requests at the removed upstream" "$(runs_of i-0000b2)" "$left"
+
 # What is written in the new era is in force.
 world evacuate zone-3 no
 world config 10 "$route=orders" 198.18.0.3:443=certs
@@ -84,12 +106,12 @@
 # A VM that starts takes the new era.
 stop v3 KILL
 start_vm 3
-wait_metric 3 knapweed_store_era 2
+wait_metric 3 knapweed_store_era 3
 wait_stat in_rotation 3
 run_requests 100
 end_clients
 check_rules
 grep -q 'event=store_restored' "$work"/v?.log || fail "no line store_restored"
-grep -q 'event=store_era era=2' "$work/v2.log" || fail "v2 logs no era"
+grep -q 'event=store_era era=3' "$work/v2.log" || fail "v2 logs no era"
 world stats
 echo "$(cat "$work/answer")"
