Limit the expected wait in a queue by the fair share of its class

The mean interval between dispatches of its class rested on two of them, 0.57 and 0.27 s apart, as urgent requests had gone first.

A class with queued requests has its fair share of the slots, so the interval counts at most as the service time divided by that share.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -482,6 +482,18 @@
 	return work_us;
 }
 
+/* Number of slots that a class with queued requests has at least. */
+static double
+class_fair_share(const kf_admission_t *adm, const upstream_t *upstream, int cls)
+{
+	double weights = 0;
+	int i;
+
+	for (i = 0; i < KF_CLASS_COUNT; i++)
+		weights += class_weight(adm, i);
+	return upstream_limit(upstream) * class_weight(adm, cls) / weights;
+}
+
 /*
  * Number of slots available to a class: those that the other classes did not
  * use recently, but at least the fair share of the class.
@@ -490,20 +502,33 @@
 class_available_slots(
     const kf_admission_t *adm, const upstream_t *upstream, int cls)
 {
-	double limit = upstream_limit(upstream);
-	double weights = 0, available = limit, share;
+	double available = upstream_limit(upstream);
+	double share = class_fair_share(adm, upstream, cls);
 	int i;
 
-	for (i = 0; i < KF_CLASS_COUNT; i++) {
-		weights += class_weight(adm, i);
+	for (i = 0; i < KF_CLASS_COUNT; i++)
 		if (i != cls)
 			available -= class_recent_slots(
 			    &upstream->classes[i], adm->now_us);
-	}
-	share = limit * class_weight(adm, cls) / weights;
 	return available > share ? available : share;
 }
 
+/*
+ * Interval between dispatches of a class while it has queued requests.  The
+ * mean follows few dispatches and may be several times too long; the fair
+ * share of the class limits it.
+ */
+static double
+class_dispatch_interval_us(
+    const kf_admission_t *adm, const upstream_t *upstream, int cls)
+{
+	double longest_us = (double)class_service_us(upstream, cls) /
+	    class_fair_share(adm, upstream, cls);
+	double mean_us = (double)upstream->classes[cls].dispatch_interval_us;
+
+	return mean_us < longest_us ? mean_us : longest_us;
+}
+
 /*
  * Expected time until a request is answered if `ahead` requests of its class
  * are dispatched before it.  The wait is the longest of three estimates:
@@ -521,7 +546,7 @@
 	double stalled_us = (double)(adm->now_us - upstream->last_progress_us);
 	double limit = upstream_limit(upstream);
 	double wait_by_interval_us =
-	    (double)upstream->classes[cls].dispatch_interval_us * (ahead + 1);
+	    class_dispatch_interval_us(adm, upstream, cls) * (ahead + 1);
 	double wait_us, wait_by_free_slots_us;
 	double work_us = ahead * service_us +
 	    other_classes_work_us(adm, upstream, cls, (ahead + 1) * service_us);
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -375,6 +375,35 @@
 	EXPECT_LE(queued, 10);
 }
 
+/*
+ * Guards against refusals by a mean of few dispatches: after one long interval
+ * every request behind three others was refused, although the fair share of
+ * its class serves it in half of its deadline.
+ */
+TEST(Admission, FewDispatchesDoNotMakeTheWaitLong)
+{
+	RequestTracker tracker(1 << 20);
+
+	tracker.SetSlots(1, 3);
+	for (int i = 0; i < 3; i++)
+		tracker.Offer(1, KF_CLASS_NORMAL, tracker.now_us + 2000000);
+	tracker.now_us += 200000;
+	for (int i = 0; i < 3; i++)
+		tracker.Release(1, 200000);
+	/* All slots are in use; five requests wait. */
+	for (int i = 0; i < 8; i++)
+		tracker.Offer(1, KF_CLASS_NORMAL, tracker.now_us + 2500000);
+	/* The second dispatch from the queue comes 0.8 s after the first. */
+	for (int64_t wait_us : { 100000, 800000 }) {
+		tracker.now_us += wait_us;
+		tracker.Release(1, 200000);
+		EXPECT_NE(nullptr, tracker.Next(1));
+	}
+	EXPECT_EQ(KF_ADMIT_QUEUED,
+	    tracker.Offer(1, KF_CLASS_NORMAL, tracker.now_us + 2000000));
+	EXPECT_EQ("", tracker.first_violation);
+}
+
 /* Guards against dispatching expired requests after a pause of the process. */
 TEST(Admission, ExpiredRequestsAreRefusedAfterAPause)
 {
