Use the upstreams of an evacuated zone that is cut off as a last resort

Its VMs reach no upstream that may get new flows, cannot learn that the zone was taken back, and all their callers failed until the cut ended.

A VM is isolated if it has heard of no contact with the store for 2.5 s and no upstream of another zone answers. It then sends new flows to the upstreams of its own zone, limited as if these were cold. The setting zones.last_resort turns this off.

--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -109,7 +109,8 @@
 		const kf_target_t *target = targets[i];
 
 		if (!kf_target_eligible(target, now_us) ||
-		    kf_target_cold_limited(target, now_us) ||
+		    (kf_target_cold_limited(target, now_us) &&
+			!target->last_resort) ||
 		    kf_target_health(target, now_us) == KF_HEALTH_EJECTED)
 			continue;
 		pool_usage->flows += target->busy + target->opening;
--- a/lib/forwarder/connect.c
+++ b/lib/forwarder/connect.c
@@ -61,6 +61,9 @@
 	attempt->unanswered_counted = true;
 	target = kf_directory_find(f->directory, attempt->token);
 	dead_note_unanswered(f, target, attempt->sent_us, false, now_us);
+	if (target != NULL &&
+	    target->info.zone != kf_directory_zone(f->directory))
+		kf_isolation_unanswered(&f->isolation);
 	if (target != NULL && kf_target_unanswered(target, now_us))
 		record_target_event(f, target, KF_FORWARD_EJECTED);
 }
@@ -109,10 +112,13 @@
 
 	if (flow->tries == KF_FLOW_MAX_TRIES)
 		return false;
+	forwarder_check_isolation(f, now_us);
 	if (flow->tries == 0)
 		zone = zone_share_next(f, pool,
 		    kf_route_table_find(f->routes, flow->address), now_us);
 	choice = kf_choose(pool, flow, f->position, zone, now_us);
+	if (choice.target != NULL && choice.target->last_resort)
+		f->stats.last_resort++;
 	if (choice.cold_passed > 0)
 		record_cold_limited(f, flow, NULL, now_us);
 	if (choice.target == NULL)
--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -54,7 +54,11 @@
 void
 dead_note_alive(kf_forwarder_t *f, kf_target_t *target, int64_t now_us)
 {
-	if (target == NULL || f->dead.after_us == 0)
+	if (target == NULL)
+		return;
+	if (target->info.zone != kf_directory_zone(f->directory))
+		kf_isolation_heard(&f->isolation, now_us);
+	if (f->dead.after_us == 0)
 		return;
 	note_links(f, target, now_us);
 	if (kf_dead_upstream_alive(&target->dead, now_us))
@@ -436,6 +440,8 @@
 	if (is_exempt(target) && !target->dead.replaced)
 		target->dead.liveness = KF_LIVENESS_ALIVE;
 	if (accepted) {
+		if (target->info.zone != kf_directory_zone(f->directory))
+			kf_isolation_heard(&f->isolation, now_us);
 		note_links(f, target, now_us);
 		if (kf_dead_upstream_accepted(&target->dead, now_us))
 			record_liveness(f, target, KF_FORWARD_ALIVE);
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -22,6 +22,7 @@
 	bool in_batch;
 	bool index_stale; /* changes of the batch are not indexed yet */
 	bool replaced;	  /* see kf_directory_take_replaced */
+	bool last_resort; /* see kf_directory_set_last_resort */
 };
 
 static const char *const change_names[] = {
@@ -294,6 +295,32 @@
 	return i;
 }
 
+static void
+set_evacuated(const kf_directory_t *d, kf_target_t *target, bool evacuated)
+{
+	target->evacuated = evacuated;
+	target->last_resort =
+	    evacuated && d->last_resort && target->info.zone == d->zone;
+}
+
+bool
+kf_directory_own_zone_evacuated(const kf_directory_t *d)
+{
+	return evacuated_index(d, d->zone) < d->evacuated_count;
+}
+
+void
+kf_directory_set_last_resort(kf_directory_t *d, bool last_resort)
+{
+	size_t i;
+
+	if (d->last_resort == last_resort)
+		return;
+	d->last_resort = last_resort;
+	for (i = 0; i < d->count; i++)
+		set_evacuated(d, d->targets[i], d->targets[i]->evacuated);
+}
+
 kf_status_t
 kf_directory_set_evacuated(kf_directory_t *d, uint64_t zone, bool evacuated)
 {
@@ -309,7 +336,7 @@
 		d->evacuated[at] = d->evacuated[--d->evacuated_count];
 	for (i = 0; i < d->count; i++)
 		if (d->targets[i]->info.zone == zone)
-			d->targets[i]->evacuated = evacuated;
+			set_evacuated(d, d->targets[i], evacuated);
 	return KF_OK;
 }
 
@@ -412,7 +439,8 @@
 		(target->replaced || target->info.born_ms != info->born_ms)))
 		kf_target_reset(target);
 	target->info = *info;
-	target->evacuated = evacuated_index(d, info->zone) < d->evacuated_count;
+	set_evacuated(
+	    d, target, evacuated_index(d, info->zone) < d->evacuated_count);
 	target->listing = KF_LISTED;
 	target->lapsed = false;
 	target->cold_end_us = now_us + info->cold_left_us;
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -1,6 +1,7 @@
 #ifndef KF_FORWARDER_INTERNAL_H
 #define KF_FORWARDER_INTERNAL_H
 
+#include "kf/isolation.h"
 #include "kf/answer_sizes.h"
 #include "kf/forwarder.h"
 #include "kf/pending_syns.h"
@@ -105,9 +106,13 @@
 	uint32_t failed[KF_FORWARDER_MAX_FAILED]; /* tokens, not taken yet */
 	size_t failed_count;
 	dead_state_t dead;
+	kf_isolation_t isolation;
+	bool isolation_logged;
 	kf_forwarder_stats_t stats;
 };
 
+/* Updates whether evacuated upstreams of the own zone may get new flows. */
+void forwarder_check_isolation(kf_forwarder_t *f, int64_t now_us);
 /* Counts the event and passes the record to the callback. */
 void forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record);
 /* Fills in the fields that all records about a flow have. */
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -140,6 +140,13 @@
 kf_status_t kf_directory_set_evacuated(
     kf_directory_t *directory, uint64_t zone, bool evacuated);
 
+/* Sets whether evacuated upstreams of the own zone get new flows as the last
+ * resort. */
+void kf_directory_set_last_resort(kf_directory_t *directory, bool last_resort);
+
+/* Returns true if the own zone is evacuated. */
+bool kf_directory_own_zone_evacuated(const kf_directory_t *directory);
+
 /* Returns the openings that this VM may send to a cold upstream in every 1.1 s.
  */
 typedef uint32_t kf_cold_allowance_fn(
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -97,6 +97,7 @@
 	uint64_t events[KF_FORWARD_EVENT_COUNT];
 	uint64_t by_reason[KF_REASON_COUNT]; /* refusals and drops */
 	uint64_t probes;
+	uint64_t last_resort; /* flows to evacuated upstreams */
 	uint64_t opening;
 	uint64_t open;
 	uint64_t other_zone; /* new flows placed in another zone */
@@ -151,6 +152,7 @@
 
 typedef struct kf_zone_settings {
 	bool balance;
+	bool last_resort; /* whether an isolated VM uses evacuated upstreams */
 	uint32_t transfer_us_per_kb; /* between zones */
 } kf_zone_settings_t;
 
@@ -159,6 +161,10 @@
 typedef size_t kf_zone_demands_fn(
     void *ctx, uint64_t service, kf_zone_demand_t *zones, size_t max);
 
+/* Returns true if the VM has become isolated or has ceased to be (isolated)
+ * since the last call that returned true; see kf_isolation. */
+bool kf_forwarder_take_isolation(kf_forwarder_t *forwarder, bool *isolated);
+
 /* Updates the share of each service's new flows that leave this zone; called
  * every 200 ms. */
 void kf_forwarder_balance_zones(kf_forwarder_t *forwarder,
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -98,8 +98,9 @@
 	kf_dead_upstream_t dead;
 	bool replaced;	     /* has ended: another one has its address */
 	bool token_conflict; /* another upstream owns its token */
-	bool evacuated; /* its zone is; gets no new flows until the zone returns
-			 */
+	bool evacuated;	     /* its zone is; gets no new flows until the zone
+			      * returns */
+	bool last_resort;    /* it gets some all the same: the VM is isolated */
 	/* Shared by all upstreams of the directory; NULL: no limit. */
 	const kf_cold_view_t *cold_view;
 	uint32_t
@@ -124,7 +125,8 @@
 /* Returns true if the upstream may get new flows. */
 bool kf_target_eligible(const kf_target_t *target, int64_t now_us);
 
-/* Returns true if the upstream's openings are limited because it is cold. */
+/* Returns true if the upstream's openings are limited because it is cold.  One
+ * used as the last resort may have turned cold unnoticed. */
 bool kf_target_cold_limited(const kf_target_t *target, int64_t now_us);
 
 /* Returns the openings that this VM may send to it now while it is limited. */
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -50,9 +50,10 @@
 bool
 kf_target_cold_limited(const kf_target_t *target, int64_t now_us)
 {
-	return target->cold_view != NULL &&
-	    target->cold_view->bounds.excess > 0 && !target->info.warm &&
-	    now_us < target->cold_end_us;
+	if (target->cold_view == NULL || target->cold_view->bounds.excess <= 0)
+		return false;
+	return target->last_resort ||
+	    (!target->info.warm && now_us < target->cold_end_us);
 }
 
 uint32_t
@@ -90,7 +91,8 @@
 kf_target_eligible(const kf_target_t *target, int64_t now_us)
 {
 	if (target->info.draining || target->token_conflict ||
-	    target->evacuated || kf_target_cold_refuses(target, now_us))
+	    (target->evacuated && !target->last_resort) ||
+	    kf_target_cold_refuses(target, now_us))
 		return false;
 	switch (target->listing) {
 	case KF_LISTED:
--- a/lib/forwarder/zone_share.c
+++ b/lib/forwarder/zone_share.c
@@ -187,6 +187,7 @@
 	size_t i, count;
 
 	f->zone_settings = *settings;
+	forwarder_check_isolation(f, now_us);
 	if (f->balance_since_us == 0)
 		f->balance_since_us = now_us;
 	for (i = 0; i < kf_directory_pool_count(f->directory); i++) {
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -95,6 +95,9 @@
 	write_value(out, "zones_evacuated", "gauge",
 	    "zones whose upstreams get no new flows",
 	    (long long)m->packets.zones_evacuated);
+	write_value(out, "flows_last_resort_total", "counter",
+	    "new flows to evacuated upstreams because the zone is cut off",
+	    (long long)m->packets.forwarder.last_resort);
 	write_value(out, "probes_total", "counter",
 	    "TCP connections that test whether an upstream is alive",
 	    (long long)m->packets.forwarder.probes);
--- a/lib/fwdnet/settings_watch.c
+++ b/lib/fwdnet/settings_watch.c
@@ -73,6 +73,7 @@
 	w->settings.apply_bound_ms = read.apply_bound_ms;
 	w->settings.evacuate_bound_ms = read.evacuate_bound_ms;
 	w->settings.zone_balance = read.zone_balance;
+	w->settings.last_resort = read.last_resort;
 	w->settings.transfer_us_per_kb = read.transfer_us_per_kb;
 	w->settings.cold_excess = read.cold_excess;
 	w->settings.cold_slack = read.cold_slack;
--- a/lib/fwdnet/zone_balancing.c
+++ b/lib/fwdnet/zone_balancing.c
@@ -43,19 +43,31 @@
 	}
 }
 
+static void
+log_isolation(kf_forwarder_t *forwarder, kf_eventlog_t *log)
+{
+	bool isolated;
+
+	if (kf_forwarder_take_isolation(forwarder, &isolated))
+		kf_eventlog_write(log, KF_LOG_WARN, "zone_isolated",
+		    "isolated=%s", isolated ? "yes" : "no");
+}
+
 void
 zone_balancing_update(kf_forwarder_t *forwarder, const kf_peering_t *peering,
     const kf_forwarder_settings_t *settings, kf_eventlog_t *log, int64_t now_us)
 {
 	demand_source_t source = { .peering = peering, .now_us = now_us };
 	kf_zone_settings_t zones = {
-		.balance = settings->zone_balance == KF_ZONE_BALANCE_ON,
+		.balance = settings->zone_balance == KF_SWITCH_ON,
+		.last_resort = settings->last_resort == KF_SWITCH_ON,
 		.transfer_us_per_kb = settings->transfer_us_per_kb,
 	};
 
 	kf_forwarder_balance_zones(
 	    forwarder, &zones, zone_demands, &source, now_us);
 	log_changes(forwarder, log);
+	log_isolation(forwarder, log);
 }
 
 void
--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -19,7 +19,7 @@
 	MAX_COLD_SLACK = 1000000,
 };
 
-static const char *const zone_balances[] = { "on", "off", NULL };
+static const char *const switches[] = { "on", "off", NULL };
 
 static kf_status_t
 set_seeds(void *object, const char *value)
@@ -111,9 +111,13 @@
 	    .text = "time within which an evacuated zone gets no new flows; "
 		    "0: none is evacuated" },
 	{ "zones", "balance", KF_FIELD_CHOICE, MEMBER_OFFSET(zone_balance),
-	    .choices = zone_balances, .default_value = "on",
+	    .choices = switches, .default_value = "on",
 	    .text = "whether new flows leave a zone with too few upstreams "
 		    "for its demand" },
+	{ "zones", "last_resort", KF_FIELD_CHOICE, MEMBER_OFFSET(last_resort),
+	    .choices = switches, .default_value = "on",
+	    .text = "whether VMs of an evacuated zone that reach neither the "
+		    "store nor other zones use its upstreams" },
 	{ "zones", "transfer_us_per_kb", KF_FIELD_U32,
 	    MEMBER_OFFSET(transfer_us_per_kb), .unit = "us/KB", .min = 0,
 	    .max = MAX_TRANSFER_US_PER_KB, .default_value = "500",
--- a/lib/settings/include/kf/forwarder_settings.h
+++ b/lib/settings/include/kf/forwarder_settings.h
@@ -20,10 +20,10 @@
 	KF_FORWARDER_LOG_PATH_BYTES = 256,
 };
 
-typedef enum kf_zone_balance {
-	KF_ZONE_BALANCE_ON = 0,
-	KF_ZONE_BALANCE_OFF,
-} kf_zone_balance_t;
+typedef enum kf_switch {
+	KF_SWITCH_ON = 0,
+	KF_SWITCH_OFF,
+} kf_switch_t;
 
 typedef struct kf_forwarder_settings {
 	/* [vm] */
@@ -47,7 +47,8 @@
 	double cold_slack;	   /* openings a second */
 
 	/* [zones] */
-	kf_zone_balance_t zone_balance;
+	kf_switch_t zone_balance;
+	kf_switch_t last_resort;
 	uint32_t transfer_us_per_kb;
 	/* [upstreams] */
 	int64_t dead_after_ms; /* 0: flows of dead upstreams are not reset */
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -345,7 +345,7 @@
 	void Zones(std::istringstream &in)
 	{
 		std::vector<kf_zone_demand_t> demands;
-		kf_zone_settings_t settings = { true, 500 };
+		kf_zone_settings_t settings = { true, true, 500 };
 		std::string service, word;
 		int64_t ms;
 
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -87,15 +87,18 @@
 	kf_forwarder_settings_t s;
 
 	ASSERT_EQ(KF_OK, Parse(kText, &s)) << errors;
-	EXPECT_EQ(KF_ZONE_BALANCE_ON, s.zone_balance);
+	EXPECT_EQ(KF_SWITCH_ON, s.zone_balance);
 	EXPECT_EQ(500u, s.transfer_us_per_kb);
 	ASSERT_EQ(KF_OK,
 	    Parse(
 		kText + "[zones]\nbalance = off\ntransfer_us_per_kb = 0\n", &s))
 	    << errors;
-	EXPECT_EQ(KF_ZONE_BALANCE_OFF, s.zone_balance);
+	EXPECT_EQ(KF_SWITCH_OFF, s.zone_balance);
 	EXPECT_EQ(0u, s.transfer_us_per_kb);
 	EXPECT_EQ(KF_ERR_INVALID, Parse(kText + "[zones]\nbalance = 1\n", &s));
+	EXPECT_EQ(KF_SWITCH_ON, s.last_resort);
+	EXPECT_EQ(KF_OK, Parse(kText + "[zones]\nlast_resort = off\n", &s));
+	EXPECT_EQ(KF_SWITCH_OFF, s.last_resort);
 }
 
 /* Guards against a bound that the platform does not give and that is 0. */
