--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -361,7 +361,7 @@
 		zone->control_due = true;
 }
 
-/* Finds the upstreams that another one has replaced dead. */
+/* Marks replaced upstreams as dead and has their flows reset. */
 static void
 end_replaced(kf_forwarder_t *f)
 {
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -383,10 +383,12 @@
 	    : KF_CHANGE_UPDATED;
 }
 
-/* Notes whether an upstream has ended: its entry is gone, and another one is
- * published at its address.  Before that the younger one is not known, as the
- * clocks of upstreams may step, and one that drains may serve its flows
- * without a listener. */
+/*
+ * Notes that an upstream has ended if its entry is gone and another one is
+ * published at its address.  While both are listed, their start times do not
+ * show which one has ended, as clocks may step, and one that drains may serve
+ * its flows without a listener.
+ */
 static void
 check_replaced(kf_directory_t *d, kf_target_t *target, const kf_target_t *other)
 {
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -71,7 +71,7 @@
 typedef struct dead_zone {
 	uint64_t zone;
 	int64_t alive_us;   /* an upstream of it was seen alive */
-	int64_t control_us; /* the last control was due */
+	int64_t control_us; /* time of the last control */
 	bool control_due;
 } dead_zone_t;
 
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -162,6 +162,8 @@
 		return e->choice.cold_passed > 0
 		    ? "cold upstreams have no opening left"
 		    : "no upstream is eligible";
+	if (e->choice.target->last_resort)
+		return "the zone is cut off and evacuated: last resort";
 	if (e->zone != 0 && e->choice.target->info.zone == e->zone)
 		return "a share of the load leaves the zone";
 	return "healthiest, then least load, then in turn";
