--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -184,7 +184,7 @@
 		    target->info.name, target->info.zone_name,
 		    kf_health_name(e->choice.health), e->choice.load,
 		    e->choice.eligible);
-	if (e->outcome != KF_FLOW_KNOWN && e->service != 0)
+	if (e->outcome != KF_FLOW_KNOWN && e->route != NULL && e->service != 0)
 		fprintf(out,
 		    " priority=%u service_load=%.2f service_mean_load=%.2f "
 		    "limit=%.1f rank=%u zone_vms=%u",
