Take only an upstream that was started later as a replacement

A process that serves two services has two entries at one address. When it leaves one of the services it lives on, and its flows must not be reset.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -384,16 +384,18 @@
 }
 
 /*
- * Notes that an upstream has ended if its entry is gone and another one is
- * published at its address.  While both are listed, their start times do not
- * show which one has ended, as clocks may step, and one that drains may serve
- * its flows without a listener.
+ * Notes that an upstream has ended if its entry is gone and one that was
+ * started later is published at its address.  A process that serves two
+ * services has entries with the same start, and clocks may step, so that the
+ * start alone does not show it; one that drains may serve its flows without a
+ * listener.
  */
 static void
 check_replaced(kf_directory_t *d, kf_target_t *target, const kf_target_t *other)
 {
 	if (target->replaced || target->lapsed ||
-	    target->listing != KF_LISTING_GONE || other->listing != KF_LISTED)
+	    target->listing != KF_LISTING_GONE || other->listing != KF_LISTED ||
+	    other->info.born_ms <= target->info.born_ms)
 		return;
 	target->replaced = true;
 	d->replaced = true;
--- a/tests/unit/forwarder_golden_test.cc
+++ b/tests/unit/forwarder_golden_test.cc
@@ -14,8 +14,9 @@
  *				this rank among COUNT VMs
  *	up NAME SERVICE ZONE SLOTS	publish an upstream; its id is the
  *				number in its name
- *	replace NAME SERVICE OTHER	publish one that was started after
- *				another one, at its address
+ *	replace NAME SERVICE OTHER [same]	publish one that was started
+ *				after another one, or at the same time, at its
+ *				address
  *	drain NAME		publish it as draining
  *	restart NAME		publish a new incarnation of it
  *	cold NAME MS		publish it with a remaining cold start
@@ -167,13 +168,14 @@
 	}
 	void Replace(std::istringstream &in)
 	{
-		std::string name, service, other;
+		std::string name, service, other, same;
 
-		in >> name >> service >> other;
+		in >> name >> service >> other >> same;
 		entries_[name] = MakeUpstream(IdOf(name), name, service,
 		    entries_[other].zone_name, entries_[other].slots);
 		entries_[name].address = entries_[other].address;
-		entries_[name].born_ms = entries_[other].born_ms + 1;
+		entries_[name].born_ms =
+		    entries_[other].born_ms + (same.empty() ? 1 : 0);
 		Put(name);
 	}
 	void Drain(std::istringstream &in)
