Derive what two flags stored, and share four twin pieces of code

Found on reading the change once more; behaviour stays as it is.

- Whether an upstream was replaced is derived when upstreams have changed, not stored in the target and the directory too.
Each put compared the address with those of all others, also in the first listing, when none can have left.
- Whether a VM is isolated is a pure function; the directory alone holds that the last resort is in use.
- One sign of life of another zone is noted in one place.

--- a/lib/forwarder/choice.c
+++ b/lib/forwarder/choice.c
@@ -34,8 +34,8 @@
 	kf_choice_t best;
 } search_t;
 
-static bool
-has_tried(const kf_flow_t *flow, uint32_t token)
+bool
+kf_flow_has_tried(const kf_flow_t *flow, uint32_t token)
 {
 	uint8_t i;
 
@@ -62,7 +62,7 @@
 
 	s->best.cold_passed += kf_target_cold_refuses(target, s->now_us);
 	if (!kf_target_eligible(target, s->now_us) ||
-	    has_tried(s->flow, target->token))
+	    kf_flow_has_tried(s->flow, target->token))
 		return;
 	s->best.eligible++;
 	health = kf_target_health(target, s->now_us);
@@ -118,6 +118,15 @@
 	}
 }
 
+const char *
+kf_pool_service_name(const kf_pool_t *pool)
+{
+	const kf_target_t *target =
+	    pool->own_zone_count > 0 ? pool->own_zone[0] : pool->other_zones[0];
+
+	return target->info.service_name;
+}
+
 kf_pool_usage_t
 kf_pool_get_usage(const kf_pool_t *pool, int64_t now_us)
 {
--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -49,6 +49,8 @@
 	if (zone != NULL)
 		zone->alive_us = now_us;
 	f->dead.alive_us = now_us;
+	if (target->info.zone != kf_directory_zone(f->directory))
+		kf_isolation_heard(&f->isolation, now_us);
 }
 
 void
@@ -56,29 +58,18 @@
 {
 	if (target == NULL)
 		return;
-	if (target->info.zone != kf_directory_zone(f->directory))
-		kf_isolation_heard(&f->isolation, now_us);
-	if (f->dead.after_us == 0)
-		return;
 	note_links(f, target, now_us);
-	if (kf_dead_upstream_alive(&target->dead, now_us))
+	if (f->dead.after_us > 0 &&
+	    kf_dead_upstream_alive(&target->dead, now_us))
 		record_liveness(f, target, KF_FORWARD_ALIVE);
 }
 
-/* Returns true if the upstream is known to have left.  An entry that lapsed in
- * an outage of the store says nothing about its upstream. */
-static bool
-has_left(const kf_target_t *target)
-{
-	return target->listing == KF_LISTING_GONE && !target->lapsed;
-}
-
 /* Returns true for an upstream that drains: it may have closed its listener
  * while it serves its flows. */
 static bool
 is_exempt(const kf_target_t *target)
 {
-	return target->info.draining && !has_left(target);
+	return target->info.draining && !kf_target_has_left(target);
 }
 
 static bool
@@ -345,7 +336,8 @@
 static bool
 is_dead_and_left(const kf_target_t *target)
 {
-	return target->dead.liveness == KF_LIVENESS_DEAD && has_left(target);
+	return target->dead.liveness == KF_LIVENESS_DEAD &&
+	    kf_target_has_left(target);
 }
 
 /* Notes whether the probe of a suspect needs a control: its failure counts only
@@ -371,8 +363,8 @@
 		kf_target_t *target = kf_directory_find(
 		    f->directory, kf_directory_at(f->directory, i)->token);
 
-		if (target == NULL || !target->replaced ||
-		    target->dead.replaced)
+		if (target == NULL || target->dead.replaced ||
+		    !kf_directory_is_replaced(f->directory, target))
 			continue;
 		if (kf_dead_upstream_replaced(&target->dead))
 			record_liveness(f, target, KF_FORWARD_DEAD);
@@ -388,7 +380,7 @@
 	size_t i, count = 0, dead = 0, watched = 0;
 
 	outlier_run_due(f, now_us);
-	if (f->dead.after_us > 0 && kf_directory_take_replaced(f->directory))
+	if (f->dead.after_us > 0 && kf_directory_take_changed(f->directory))
 		end_replaced(f);
 	if (!f->dead.watching)
 		return 0;
@@ -424,7 +416,7 @@
 {
 	const dead_zone_t *zone = find_zone(f, target->info.zone);
 
-	if (has_left(target))
+	if (kf_target_has_left(target))
 		return f->dead.alive_us + KF_DEAD_CHECK_US;
 	return zone == NULL ? 0 : zone->alive_us;
 }
@@ -440,8 +432,6 @@
 	if (is_exempt(target) && !target->dead.replaced)
 		target->dead.liveness = KF_LIVENESS_ALIVE;
 	if (accepted) {
-		if (target->info.zone != kf_directory_zone(f->directory))
-			kf_isolation_heard(&f->isolation, now_us);
 		note_links(f, target, now_us);
 		if (kf_dead_upstream_accepted(&target->dead, now_us))
 			record_liveness(f, target, KF_FORWARD_ALIVE);
--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -21,7 +21,7 @@
 	kf_target_t **pool_targets; /* holds the arrays of all pools */
 	bool in_batch;
 	bool index_stale; /* changes of the batch are not indexed yet */
-	bool replaced;	  /* see kf_directory_take_replaced */
+	bool changed;	  /* see kf_directory_take_changed */
 	bool last_resort; /* see kf_directory_set_last_resort */
 };
 
@@ -309,6 +309,12 @@
 	return evacuated_index(d, d->zone) < d->evacuated_count;
 }
 
+bool
+kf_directory_last_resort(const kf_directory_t *d)
+{
+	return d->last_resort;
+}
+
 void
 kf_directory_set_last_resort(kf_directory_t *d, bool last_resort)
 {
@@ -383,48 +389,31 @@
 	    : KF_CHANGE_UPDATED;
 }
 
-/*
- * Notes that an upstream has ended if its entry is gone and one that was
- * started later is published at its address.  A process that serves two
- * services has entries with the same start, and clocks may step, so that the
- * start alone does not show it; one that drains may serve its flows without a
- * listener.
- */
-static void
-check_replaced(kf_directory_t *d, kf_target_t *target, const kf_target_t *other)
-{
-	if (target->replaced || target->lapsed ||
-	    target->listing != KF_LISTING_GONE || other->listing != KF_LISTED ||
-	    other->info.born_ms <= target->info.born_ms)
-		return;
-	target->replaced = true;
-	d->replaced = true;
-}
-
-/* Finds upstreams that a changed one has replaced, or that have replaced it. */
-static void
-compare_addresses(kf_directory_t *d, kf_target_t *target)
+bool
+kf_directory_is_replaced(const kf_directory_t *d, const kf_target_t *target)
 {
 	size_t i;
 
+	if (!kf_target_has_left(target))
+		return false;
 	for (i = 0; i < d->count; i++) {
-		kf_target_t *other = d->targets[i];
+		const kf_target_t *other = d->targets[i];
 
-		if (other == target ||
-		    !kf_addr_equal(other->info.address, target->info.address))
-			continue;
-		check_replaced(d, other, target);
-		check_replaced(d, target, other);
+		if (other->listing == KF_LISTED &&
+		    other->info.born_ms > target->info.born_ms &&
+		    kf_addr_equal(other->info.address, target->info.address))
+			return true;
 	}
+	return false;
 }
 
 bool
-kf_directory_take_replaced(kf_directory_t *d)
+kf_directory_take_changed(kf_directory_t *d)
 {
-	bool replaced = d->replaced;
+	bool changed = d->changed;
 
-	d->replaced = false;
-	return replaced;
+	d->changed = false;
+	return changed;
 }
 
 kf_status_t
@@ -440,7 +429,8 @@
 	*change = classify_change(target, info);
 	if (*change == KF_CHANGE_RESTARTED || target->info.id == 0 ||
 	    (*change == KF_CHANGE_ADDED &&
-		(target->replaced || target->info.born_ms != info->born_ms)))
+		(target->dead.replaced ||
+		    target->info.born_ms != info->born_ms)))
 		kf_target_reset(target);
 	target->info = *info;
 	set_evacuated(
@@ -450,7 +440,7 @@
 	target->cold_end_us = now_us + info->cold_left_us;
 	if (*change == KF_CHANGE_NONE)
 		return KF_OK;
-	compare_addresses(d, target);
+	d->changed = true;
 	return request_reindex(d);
 }
 
@@ -506,7 +496,7 @@
 							   : KF_LISTING_GONE;
 	target->lapsed = lapsed;
 	target->unlisted_us = now_us;
-	compare_addresses(d, target);
+	d->changed = true;
 	/* If the index cannot be rebuilt, it still holds the target, but
 	 * kf_target_eligible returns false for it. */
 	(void)request_reindex(d);
--- a/lib/forwarder/flow_explanation.c
+++ b/lib/forwarder/flow_explanation.c
@@ -128,17 +128,6 @@
 	    : KF_CANDIDATE_IN_TURN;
 }
 
-static bool
-has_tried(const kf_flow_t *flow, uint32_t token)
-{
-	uint8_t i;
-
-	for (i = 0; i < flow->tries; i++)
-		if (flow->attempt[i].token == token)
-			return true;
-	return false;
-}
-
 kf_candidate_t
 kf_flow_explanation_candidate(const kf_flow_explanation_t *e,
     const kf_target_t *target, kf_position_t position, int64_t now_us)
@@ -148,7 +137,7 @@
 	if (e->outcome == KF_FLOW_KNOWN && e->flow->token == target->token)
 		return KF_CANDIDATE_CHOSEN;
 	if (e->outcome == KF_FLOW_KNOWN)
-		return has_tried(e->flow, target->token)
+		return kf_flow_has_tried(e->flow, target->token)
 		    ? KF_CANDIDATE_TRIED
 		    : KF_CANDIDATE_NO_CHOICE;
 	if (target == e->choice.target)
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -350,19 +350,17 @@
 void
 forwarder_check_isolation(kf_forwarder_t *f, int64_t now_us)
 {
-	bool isolated = f->zone_settings.last_resort &&
-	    kf_directory_own_zone_evacuated(f->directory) &&
-	    kf_isolation_update(
-		&f->isolation, f->store_view.confirmed_us, now_us);
-
-	kf_directory_set_last_resort(f->directory, isolated);
-	f->isolation.isolated = isolated;
+	kf_directory_set_last_resort(f->directory,
+	    f->zone_settings.last_resort &&
+		kf_directory_own_zone_evacuated(f->directory) &&
+		kf_isolation_is_isolated(
+		    &f->isolation, f->store_view.confirmed_us, now_us));
 }
 
 bool
 kf_forwarder_take_isolation(kf_forwarder_t *f, bool *isolated)
 {
-	*isolated = f->isolation.isolated;
+	*isolated = kf_directory_last_resort(f->directory);
 	if (*isolated == f->isolation_logged)
 		return false;
 	f->isolation_logged = *isolated;
--- a/lib/forwarder/include/kf/choice.h
+++ b/lib/forwarder/include/kf/choice.h
@@ -39,6 +39,10 @@
 	double load; /* estimated flows per slot */
 } kf_choice_t;
 
+/* Returns true if a flow's SYN was sent to the upstream with this token; flow
+ * may be NULL. */
+bool kf_flow_has_tried(const kf_flow_t *flow, uint32_t token);
+
 /* Estimates the flows per slot that all VMs of the zone have on an upstream. */
 double kf_estimate_load(
     const kf_target_t *target, kf_position_t position, int64_t now_us);
@@ -50,6 +54,9 @@
 			 * limited because they are cold */
 } kf_pool_usage_t;
 
+/* Returns the name of the service of a pool, which has an upstream. */
+const char *kf_pool_service_name(const kf_pool_t *pool);
+
 kf_pool_usage_t kf_pool_get_usage(const kf_pool_t *pool, int64_t now_us);
 /* The same for the upstreams of this VM's zone only. */
 kf_pool_usage_t kf_pool_get_own_zone_usage(
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -23,9 +23,9 @@
  *	when two probes have failed, the second sent KF_DEAD_RETRY_US after the
  *	first, and no answer has been seen meanwhile.  A failed probe counts
  *	only if another upstream of the zone was seen alive after it was sent,
- *	which shows that the links of the VM work.  If clients have not shown it
- *	KF_DEAD_CONTROL_DELAY_US after the probe, another upstream is probed as
- *a control.  Any sign of life ends it.
+ *	which shows that the links of the VM work.  If clients have not shown
+ *	that KF_DEAD_CONTROL_DELAY_US after the probe, another upstream is
+ *	probed as a control.  Any sign of life ends it.
  *
  *	One state for each upstream; a zeroed one is valid.  No I/O.
  */
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -129,8 +129,19 @@
 kf_change_t kf_directory_remove(
     kf_directory_t *directory, uint64_t id, bool lapsed, int64_t now_us);
 
-/* Returns true if an upstream has been replaced since the last call. */
-bool kf_directory_take_replaced(kf_directory_t *directory);
+/*
+ * Returns true if an upstream has ended: its entry is gone, and one that was
+ * started later is published at its address.  A process that serves two
+ * services has entries with the same start, and clocks may step, so that the
+ * start alone does not show it; one that drains may serve its flows without a
+ * listener.
+ */
+bool kf_directory_is_replaced(
+    const kf_directory_t *directory, const kf_target_t *target);
+
+/* Returns true if an upstream was added, changed or removed since the last
+ * call. */
+bool kf_directory_take_changed(kf_directory_t *directory);
 
 /*
  * Sets whether a zone is evacuated.  Upstreams of an evacuated zone, also ones
@@ -144,6 +155,8 @@
  * resort. */
 void kf_directory_set_last_resort(kf_directory_t *directory, bool last_resort);
 
+bool kf_directory_last_resort(const kf_directory_t *directory);
+
 /* Returns true if the own zone is evacuated. */
 bool kf_directory_own_zone_evacuated(const kf_directory_t *directory);
 
--- a/lib/forwarder/include/kf/isolation.h
+++ b/lib/forwarder/include/kf/isolation.h
@@ -37,7 +37,6 @@
 typedef struct kf_isolation {
 	int64_t heard_us;    /* last sign of life of another zone */
 	uint32_t unanswered; /* openings there since then */
-	bool isolated;
 } kf_isolation_t;
 
 /* Records a sign of life of an upstream of another zone. */
@@ -46,10 +45,10 @@
 /* Records an unanswered opening at an upstream of another zone. */
 void kf_isolation_unanswered(kf_isolation_t *isolation);
 
-/* Updates and returns whether the VM is isolated.  contact_us is the time of
- * the last contact with the store, INT64_MIN if there was none. */
-bool kf_isolation_update(
-    kf_isolation_t *isolation, int64_t contact_us, int64_t now_us);
+/* Returns true if the VM is isolated.  contact_us is the time of the last
+ * contact with the store, INT64_MIN if there was none. */
+bool kf_isolation_is_isolated(
+    const kf_isolation_t *isolation, int64_t contact_us, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -96,7 +96,6 @@
 	uint32_t outlier_ejections; /* consecutive */
 	int64_t outlier_until_us;   /* end of ejection for failed requests */
 	kf_dead_upstream_t dead;
-	bool replaced;	     /* has ended: another one has its address */
 	bool token_conflict; /* another upstream owns its token */
 	bool evacuated;	     /* its zone is; gets no new flows until the zone
 			      * returns */
@@ -108,6 +107,10 @@
 	kf_cold_window_t cold_window; /* openings of this VM while limited */
 } kf_target_t;
 
+/* Returns true if the upstream is known to have left.  An entry that lapsed in
+ * an outage of the store says nothing about its upstream. */
+bool kf_target_has_left(const kf_target_t *target);
+
 /* Derives the token from an upstream's id; never KF_TOKEN_NONE. */
 uint32_t kf_token_of(uint64_t upstream_id);
 
--- a/lib/forwarder/isolation.c
+++ b/lib/forwarder/isolation.c
@@ -15,11 +15,11 @@
 }
 
 bool
-kf_isolation_update(kf_isolation_t *i, int64_t contact_us, int64_t now_us)
+kf_isolation_is_isolated(
+    const kf_isolation_t *i, int64_t contact_us, int64_t now_us)
 {
-	i->isolated = contact_us != INT64_MIN &&
+	return contact_us != INT64_MIN &&
 	    now_us - contact_us > KF_ISOLATION_CONTACT_US &&
 	    now_us - i->heard_us > KF_ISOLATION_SILENCE_US &&
 	    i->unanswered >= KF_ISOLATION_MIN_UNANSWERED;
-	return i->isolated;
 }
--- a/lib/forwarder/target.c
+++ b/lib/forwarder/target.c
@@ -39,6 +39,12 @@
 	return token == KF_TOKEN_NONE ? 1 : token;
 }
 
+bool
+kf_target_has_left(const kf_target_t *target)
+{
+	return target->listing == KF_LISTING_GONE && !target->lapsed;
+}
+
 bool
 kf_upstream_is_warm(const kf_upstream_info_t *info, int64_t wall_ms)
 {
@@ -136,7 +142,6 @@
 	target->outlier_ejections = 0;
 	target->outlier_until_us = 0;
 	target->dead = (kf_dead_upstream_t){ 0 };
-	target->replaced = false;
 }
 
 bool
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -19,8 +19,8 @@
 #include "http_server.h"
 #include "settings_watch.h"
 #include "store_sync.h"
-#include "zone_balancing.h"
 #include "upstream_probe.h"
+#include "zone_balancing.h"
 
 enum {
 	MAX_WAIT_MS = 100,
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -62,14 +62,12 @@
 static void
 write_service(FILE *out, const kf_pool_t *pool, int64_t now_us)
 {
-	const kf_target_t *target =
-	    pool->own_zone_count > 0 ? pool->own_zone[0] : pool->other_zones[0];
 	kf_pool_usage_t usage = kf_pool_get_usage(pool, now_us);
 
 	fprintf(out,
 	    "record=service service=%s slots=%llu requests=%llu limit=%.1f "
 	    "flows_per_slot=%.2f load=%.2f mean_load=%.2f own_zone_load=%.2f\n",
-	    target->info.service_name, (unsigned long long)usage.slots,
+	    kf_pool_service_name(pool), (unsigned long long)usage.slots,
 	    (unsigned long long)usage.flows, pool->load.limit,
 	    pool->load.flows_per_slot, pool->load.current, pool->load.mean,
 	    pool->load.mean_own_zone);
--- a/lib/fwdnet/http_client.c
+++ b/lib/fwdnet/http_client.c
@@ -3,7 +3,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include <arpa/inet.h>
+#include <sys/socket.h>
+
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -165,18 +166,17 @@
 static bool
 request_start(request_t *r, kf_addr_t host, const char *path)
 {
-	struct in_addr ip = { .s_addr = htonl(host.ip) };
 	struct timeval timeout = {
 		.tv_sec = r->timeout_ms / 1000,
 		.tv_usec = r->timeout_ms % 1000 * 1000,
 	};
 	struct event_base *base = io_loop_base(r->client->loop);
-	char text[INET_ADDRSTRLEN], host_header[KF_ADDR_TEXT_BYTES];
+	char ip[KF_IP_TEXT_BYTES], host_header[KF_ADDR_TEXT_BYTES];
 	struct evhttp_request *request;
 	struct evkeyvalq *headers;
 
-	inet_ntop(AF_INET, &ip, text, sizeof(text));
-	r->connection = evhttp_connection_base_new(base, NULL, text, host.port);
+	r->connection = evhttp_connection_base_new(
+	    base, NULL, kf_ip_format(host.ip, ip), host.port);
 	r->timer = evtimer_new(base, on_timeout, r);
 	if (r->connection == NULL || r->timer == NULL)
 		return false;
--- a/lib/fwdnet/http_server.c
+++ b/lib/fwdnet/http_server.c
@@ -2,7 +2,6 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include <arpa/inet.h>
 #include <sys/queue.h>
 
 #include <stdlib.h>
@@ -84,11 +83,9 @@
 http_server_new(
     io_loop_t *loop, kf_addr_t address, http_handler_fn *handler, void *ctx)
 {
-	struct in_addr ip = { .s_addr = htonl(address.ip) };
-	char text[KF_ADDR_TEXT_BYTES], ip_text[INET_ADDRSTRLEN];
+	char text[KF_ADDR_TEXT_BYTES], ip[KF_IP_TEXT_BYTES];
 	http_server_t *server;
 
-	inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
 	server = calloc(1, sizeof(*server));
 	if (server == NULL)
 		return NULL;
@@ -96,7 +93,8 @@
 	server->ctx = ctx;
 	server->http = evhttp_new(io_loop_base(loop));
 	if (server->http == NULL ||
-	    evhttp_bind_socket(server->http, ip_text, address.port) != 0) {
+	    evhttp_bind_socket(server->http, kf_ip_format(address.ip, ip),
+		address.port) != 0) {
 		kf_status_set(KF_ERR_IO, "cannot listen for HTTP on %s",
 		    kf_addr_format(address, text));
 		http_server_delete(server);
--- a/lib/fwdnet/zone_balancing.c
+++ b/lib/fwdnet/zone_balancing.c
@@ -14,15 +14,6 @@
 	    source->peering, service, source->now_us, zones, max);
 }
 
-static const char *
-service_name(const kf_pool_t *pool)
-{
-	const kf_target_t *target =
-	    pool->own_zone_count > 0 ? pool->own_zone[0] : pool->other_zones[0];
-
-	return target->info.service_name;
-}
-
 static void
 log_changes(kf_forwarder_t *forwarder, kf_eventlog_t *log)
 {
@@ -37,7 +28,7 @@
 		kf_eventlog_write(log, KF_LOG_INFO, "zone_balance",
 		    "service=%s share=%.2f wait_home_us=%.0f "
 		    "wait_away_us=%.0f",
-		    service_name(pool), pool->zones.share,
+		    kf_pool_service_name(pool), pool->zones.share,
 		    pool->zones.shares.wait_home_us,
 		    pool->zones.shares.wait_away_us);
 	}
@@ -86,8 +77,8 @@
 		    "record=zone_balance service=%s share=%.2f "
 		    "wait_home_us=%.0f wait_away_us=%.0f service_us=%.0f "
 		    "leave_us=%.0f\n",
-		    service_name(pool), plan->share, plan->shares.wait_home_us,
-		    plan->shares.wait_away_us, plan->costs.service_us,
-		    plan->costs.leave_us);
+		    kf_pool_service_name(pool), plan->share,
+		    plan->shares.wait_home_us, plan->shares.wait_away_us,
+		    plan->costs.service_us, plan->costs.leave_us);
 	}
 }
--- a/lib/peering/demand.c
+++ b/lib/peering/demand.c
@@ -1,14 +1,7 @@
 #include "peering_internal.h"
 
-/* Demand of a service at the VMs of a group whose beacons are recent. */
-typedef struct demand_sum {
-	uint64_t asked_per_s;
-	uint64_t heard; /* VMs with a recent beacon */
-	uint64_t members;
-} demand_sum_t;
-
-uint64_t
-peering_member_demand_per_s(const member_t *m, uint64_t service)
+static uint64_t
+member_demand_per_s(const member_t *m, uint64_t service)
 {
 	uint64_t asked_per_s = 0;
 	uint32_t k;
@@ -19,10 +12,20 @@
 	return asked_per_s;
 }
 
-/* Returns the demand of a group in which each VM without a recent beacon has as
- * much as the others on average. */
-static uint64_t
-estimate_demand(demand_sum_t sum)
+void
+peering_add_demand(demand_sum_t *sum, const member_t *m, uint64_t service,
+    int64_t max_age_us, int64_t now_us)
+{
+	sum->members++;
+	if (m->last_beacon_us == INT64_MIN ||
+	    now_us - m->last_beacon_us > max_age_us)
+		return;
+	sum->heard++;
+	sum->asked_per_s += member_demand_per_s(m, service);
+}
+
+uint64_t
+peering_estimate_demand(demand_sum_t sum)
 {
 	return sum.heard == 0 ? 0 : sum.asked_per_s * sum.members / sum.heard;
 }
@@ -41,21 +44,16 @@
 
 	for (i = 0; i < p->members.count; i++) {
 		const member_t *m = &p->members.list[i];
-		demand_sum_t *sum = m->zone == p->config.zone ? &own : &others;
 
-		sum->members++;
-		if (m->last_beacon_us == INT64_MIN ||
-		    now_us - m->last_beacon_us > KF_PEERING_DEMAND_MAX_AGE_US)
-			continue;
-		sum->heard++;
-		sum->asked_per_s += peering_member_demand_per_s(m, service);
+		peering_add_demand(m->zone == p->config.zone ? &own : &others,
+		    m, service, KF_PEERING_DEMAND_MAX_AGE_US, now_us);
 	}
 	if (own.heard > 0 && others.heard > 0)
-		return (
-		    uint32_t)(estimate_demand(own) + estimate_demand(others));
+		return (uint32_t)(peering_estimate_demand(own) +
+		    peering_estimate_demand(others));
 	/* A group that was not heard counts like the other one. */
 	own.asked_per_s += others.asked_per_s;
 	own.heard += others.heard;
 	own.members += others.members;
-	return (uint32_t)estimate_demand(own);
+	return (uint32_t)peering_estimate_demand(own);
 }
--- a/lib/peering/peering_internal.h
+++ b/lib/peering/peering_internal.h
@@ -72,7 +72,20 @@
 /* Finalizer of splitmix64: all bits of the result depend on all bits of z. */
 uint64_t peering_mix(uint64_t z);
 
-/* Returns the demand of a service that a VM has announced. */
-uint64_t peering_member_demand_per_s(const member_t *m, uint64_t service);
+/* Demand of a service at the VMs of a group whose beacons are recent. */
+typedef struct demand_sum {
+	uint64_t asked_per_s;
+	uint64_t heard; /* VMs with a recent beacon */
+	uint64_t members;
+} demand_sum_t;
+
+/* Adds a VM to a group; its demand counts if its beacon is at most max_age_us
+ * old. */
+void peering_add_demand(demand_sum_t *sum, const member_t *m, uint64_t service,
+    int64_t max_age_us, int64_t now_us);
+
+/* Returns the demand of a group in which each VM without a recent beacon has as
+ * much as the others on average. */
+uint64_t peering_estimate_demand(demand_sum_t sum);
 
 #endif
--- a/lib/peering/zone_demands.c
+++ b/lib/peering/zone_demands.c
@@ -4,9 +4,7 @@
 
 typedef struct zone_sum {
 	uint64_t zone;
-	uint64_t asked_per_s; /* at the VMs heard */
-	uint64_t heard;
-	uint64_t known;
+	demand_sum_t demand;
 } zone_sum_t;
 
 static zone_sum_t *
@@ -23,15 +21,12 @@
 	return &sums[(*count)++];
 }
 
-static bool
-is_recent(const kf_peering_t *p, const member_t *m, int64_t now_us)
+static int64_t
+max_age_us(const kf_peering_t *p, const member_t *m)
 {
-	int64_t max_age_us = m->zone == p->config.zone
+	return m->zone == p->config.zone
 	    ? KF_PEERING_DEMAND_MAX_AGE_US
 	    : KF_PEERING_OTHER_ZONE_DEMAND_MAX_AGE_US;
-
-	return m->last_beacon_us != INT64_MIN &&
-	    now_us - m->last_beacon_us <= max_age_us;
 }
 
 size_t
@@ -45,20 +40,17 @@
 		const member_t *m = &p->members.list[i];
 
 		sum = find_or_add(sums, &sum_count, m->zone);
-		if (sum == NULL)
-			continue;
-		sum->known++;
-		if (!is_recent(p, m, now_us))
-			continue;
-		sum->heard++;
-		sum->asked_per_s += peering_member_demand_per_s(m, service);
+		if (sum != NULL)
+			peering_add_demand(
+			    &sum->demand, m, service, max_age_us(p, m), now_us);
 	}
 	for (i = 0; i < sum_count && count < max; i++)
-		if (sums[i].heard > 0)
+		if (sums[i].demand.heard > 0)
 			zones[count++] = (kf_zone_demand_t){
 				.zone = sums[i].zone,
-				.asked_per_s = (uint32_t)(sums[i].asked_per_s *
-				    sums[i].known / sums[i].heard),
+				.asked_per_s =
+				    (uint32_t)peering_estimate_demand(
+					sums[i].demand),
 			};
 	return count;
 }
--- a/lib/standin/include/kf/standin.h
+++ b/lib/standin/include/kf/standin.h
@@ -2,6 +2,7 @@
 #define KF_STANDIN_H
 
 #include <argp.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -65,6 +66,8 @@
 /* Parses "127.a.b.c" without a port. */
 kf_status_t kf_sim_ip_parse(const char *text, uint32_t *ip);
 
+struct sockaddr_in kf_sim_sockaddr(kf_addr_t addr);
+
 /* Opens a non-blocking UDP socket; port 0 binds an ephemeral port. */
 kf_status_t kf_sim_udp_open(kf_addr_t addr, int *fd);
 /*
--- a/lib/standin/udp.c
+++ b/lib/standin/udp.c
@@ -17,8 +17,8 @@
 	return ip >> 24 == 127;
 }
 
-static struct sockaddr_in
-to_sockaddr(kf_addr_t addr)
+struct sockaddr_in
+kf_sim_sockaddr(kf_addr_t addr)
 {
 	struct sockaddr_in sin;
 
@@ -61,7 +61,7 @@
 kf_status_t
 kf_sim_udp_open(kf_addr_t addr, int *fd)
 {
-	struct sockaddr_in sin = to_sockaddr(addr);
+	struct sockaddr_in sin = kf_sim_sockaddr(addr);
 	int size = SOCKET_BUFFER_BYTES;
 	char text[KF_ADDR_TEXT_BYTES];
 
@@ -108,7 +108,7 @@
 bool
 kf_sim_udp_send(int fd, kf_addr_t dst, const uint8_t *buf, size_t len)
 {
-	struct sockaddr_in sin = to_sockaddr(dst);
+	struct sockaddr_in sin = kf_sim_sockaddr(dst);
 
 	if (!is_loopback(dst.ip) || dst.port == 0)
 		return false;
--- a/lib/status/addr.c
+++ b/lib/status/addr.c
@@ -39,11 +39,20 @@
 	return KF_OK;
 }
 
+const char *
+kf_ip_format(uint32_t ip, char buf[KF_IP_TEXT_BYTES])
+{
+	snprintf(buf, KF_IP_TEXT_BYTES, "%u.%u.%u.%u", ip >> 24,
+	    ip >> 16 & 0xff, ip >> 8 & 0xff, ip & 0xff);
+	return buf;
+}
+
 const char *
 kf_addr_format(kf_addr_t addr, char buf[KF_ADDR_TEXT_BYTES])
 {
-	snprintf(buf, KF_ADDR_TEXT_BYTES, "%u.%u.%u.%u:%u", addr.ip >> 24,
-	    addr.ip >> 16 & 0xff, addr.ip >> 8 & 0xff, addr.ip & 0xff,
+	char ip[KF_IP_TEXT_BYTES];
+
+	snprintf(buf, KF_ADDR_TEXT_BYTES, "%s:%u", kf_ip_format(addr.ip, ip),
 	    addr.port);
 	return buf;
 }
--- a/lib/status/include/kf/addr.h
+++ b/lib/status/include/kf/addr.h
@@ -27,11 +27,14 @@
 	int64_t wall_ms; /* UTC, since 1970-01-01 */
 } kf_time_t;
 
-enum { KF_ADDR_TEXT_BYTES = 24 };
+enum { KF_IP_TEXT_BYTES = 16, KF_ADDR_TEXT_BYTES = 24 };
 
 /* Parses "a.b.c.d:port". */
 kf_status_t kf_addr_parse(const char *text, kf_addr_t *addr);
 
+/* Writes "a.b.c.d" and returns buf. */
+const char *kf_ip_format(uint32_t ip, char buf[KF_IP_TEXT_BYTES]);
+
 /* Writes "a.b.c.d:port" and returns buf. */
 const char *kf_addr_format(kf_addr_t addr, char buf[KF_ADDR_TEXT_BYTES]);
 
