--- a/review/standin-2/flows.c
+++ b/review/standin-2/flows.c
@@ -60,8 +60,7 @@
 	uint32_t dst;
 	uint16_t dport;
 	uint16_t sport;
-	int64_t syn_sent_ms; /* when the client sent it first */
-	uint32_t request;    /* id in progress or answered last */
+	uint32_t request; /* id in progress or answered last */
 	bool queued;
 	int64_t done_ms; /* 0: not at work */
 	bool answered;
@@ -284,11 +283,10 @@
 
 	snprintf(out, size,
 	    "{\"Service\":\"%s\",\"Address\":\"%s:%d\",\"Zone\":\"%s\","
-	    "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\","
+	    "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"ready\","
 	    "\"ColdLeftMs\":%lld,%s\"born\":%lld}",
 	    b->service, ip_text(b->host), BACKEND_PORT, b->zone, b->slots,
-	    b->state == STATE_DRAINING ? "draining" : "ready", (long long)cold,
-	    seq, (long long)b->born_ms);
+	    (long long)cold, seq, (long long)b->born_ms);
 }
 
 /* Removes "Seq":N, from an entry. */
@@ -321,8 +319,6 @@
 	char seq[32], entry[512], wanted[512], present[512];
 	const char *stored = store_get(entry_key(b));
 
-	if (!b->reaches_store)
-		return;
 	b->next_beat_ms = now_ms() + bounds.heartbeat_ms;
 	b->seq++;
 	entry_text(b, "", wanted, sizeof(wanted));
@@ -469,7 +465,6 @@
 	if (r->flow_backend < 0)
 		return;
 	if (r->flow_backend == (int)(b - backends)) {
-		r->own_packets++;
 		r->other_packets = 0;
 		return;
 	}
@@ -538,7 +533,6 @@
 			damaged_at_backends++;
 			continue;
 		}
-		b->packets++;
 		if (number == 0 || number == b->number)
 			on_backend_packet(b, &p);
 	}
@@ -602,8 +596,7 @@
 	b->tcp_fd = tcp_listen(b->host, BACKEND_PORT);
 	watch(b->udp_fd, on_backend_datagram, b);
 	watch(b->tcp_fd, on_health, b);
-	b->state = STATE_ON;
-	b->reaches_store = true;
+	b->runs = true;
 	b->born_ms = wall_ms();
 	b->seq = 0;
 	b->busy = 0;
@@ -614,32 +607,6 @@
 	publish(b);
 }
 
-void
-backend_drain(int i)
-{
-	record("backend drain id=%s", backends[i].id);
-	backends[i].state = STATE_DRAINING;
-	publish(&backends[i]);
-}
-
-void
-backend_end(int i, bool removes_entry)
-{
-	backend_t *b = &backends[i];
-	int port;
-
-	record("backend end id=%s", b->id);
-	unwatch(b->udp_fd);
-	unwatch(b->tcp_fd);
-	close(b->udp_fd);
-	close(b->tcp_fd);
-	b->state = STATE_OFF;
-	for (port = 0; port < PORTS; port++)
-		drop_flow(b, port);
-	if (removes_entry)
-		store_remove(entry_key(b));
-}
-
 void
 backend_turn_cold(int i, int64_t cold_ms)
 {
@@ -738,8 +705,6 @@
 	*r = (request_t){
 		.id = (uint32_t)request_count + 1,
 		.route = route,
-		.is_long = is_long,
-		.port = port,
 		.sent_ms = now_ms(),
 		.ran_at = -1,
 		.flow_backend = -1,
@@ -1045,7 +1010,7 @@
 	int i;
 
 	for (i = 0; i < backend_count; i++)
-		if (backends[i].state != STATE_OFF)
+		if (backends[i].runs)
 			backend_tick(&backends[i]);
 	for (i = FIRST_PORT; i < next_port; i++)
 		if (flows[i].phase != PHASE_FREE &&
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -23,6 +24,9 @@
 enum {
 	MAX_FDS = 256,
 	LIMIT_MS = 115000,
+	/* A longer gap shows that the machine did not run the stand-ins. */
+	STALL_MS = 500,
+	RECORD_BYTES = 4 << 20,
 	CLIENT_PORT = 8172,
 	STORE_PORT = 8169,
 	STORE_HOST = 100,
@@ -159,7 +163,7 @@
 {
 	int fd = bind_socket(SOCK_STREAM, host, port);
 
-	if (listen(fd, 128) < 0)
+	if (listen(fd, 128) < 0 || fcntl(fd, F_SETFL, O_NONBLOCK) < 0)
 		cannot_run("cannot listen");
 	return fd;
 }
@@ -223,9 +227,13 @@
 void
 run_for(int64_t ms)
 {
-	int64_t until_ms = now_ms() + ms;
+	int64_t until_ms = now_ms() + ms, before_ms = now_ms();
 
 	while (now_ms() < until_ms) {
+		if (now_ms() - before_ms > STALL_MS)
+			cannot_run("the machine stalled for %lld ms",
+			    (long long)(now_ms() - before_ms));
+		before_ms = now_ms();
 		if (now_ms() > LIMIT_MS)
 			cannot_run("the case took too long");
 		if (interrupted)
@@ -256,6 +264,8 @@
 	record_file = fopen(path, "w");
 	if (record_file == NULL)
 		cannot_run("cannot write %s", path);
+	/* Writes to the disk may take long. */
+	setvbuf(record_file, NULL, _IOFBF, RECORD_BYTES);
 	signal(SIGINT, on_signal);
 	signal(SIGTERM, on_signal);
 	signal(SIGPIPE, SIG_IGN);
--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -23,7 +23,6 @@
 	char *value; /* NULL: the item was removed */
 	uint64_t revision;
 	uint64_t created;
-	int64_t time_ms;
 } change_t;
 
 typedef struct connection {
@@ -36,12 +35,10 @@
 } connection_t;
 
 static struct {
-	store_mode_t mode;
 	change_t *changes;
 	size_t count;
 	uint64_t revision;
 	uint64_t era;
-	unsigned calls;
 	connection_t connections[MAX_CONNECTIONS];
 } store = { .revision = 1000, .era = 1 };
 
@@ -145,7 +142,6 @@
 		.created = before != NULL && before->value != NULL
 		    ? before->created
 		    : revision,
-		.time_ms = now_ms(),
 	};
 	record("store key=%s rev=%llu value=%s", key,
 	    (unsigned long long)revision, value == NULL ? "(removed)" : value);
@@ -172,41 +168,6 @@
 		add_change(key, NULL);
 }
 
-void
-store_set_mode(store_mode_t mode)
-{
-	store.mode = mode;
-	record("store mode=%s",
-	    mode == STORE_UP	       ? "up"
-		: mode == STORE_SILENT ? "silent"
-				       : "busy");
-}
-
-unsigned
-store_calls(void)
-{
-	return store.calls;
-}
-
-void
-store_restore(int64_t age_ms)
-{
-	int64_t copy_ms = now_ms() - age_ms;
-
-	while (store.count > 0 &&
-	    store.changes[store.count - 1].time_ms > copy_ms) {
-		store.count--;
-		free(store.changes[store.count].key);
-		free(store.changes[store.count].value);
-	}
-	store.revision =
-	    store.count == 0 ? 1000 : store.changes[store.count - 1].revision;
-	store.era++;
-	record("store restored age_ms=%lld era=%llu rev=%llu",
-	    (long long)age_ms, (unsigned long long)store.era,
-	    (unsigned long long)store.revision);
-}
-
 static void
 add_item(text_t *t, const change_t *c)
 {
@@ -374,12 +335,6 @@
 {
 	char line[REQUEST_BYTES], *path, *query, *end;
 
-	if (store.mode == STORE_SILENT)
-		return;
-	if (store.mode == STORE_BUSY) {
-		respond(c, "503 Service Unavailable", NULL);
-		return;
-	}
 	memcpy(line, c->request, sizeof(line));
 	path = strchr(line, ' ');
 	end = path == NULL ? NULL : strchr(path + 1, ' ');
@@ -424,7 +379,6 @@
 	if (strstr(c->request, "\r\n\r\n") == NULL)
 		return;
 	c->complete = true;
-	store.calls++;
 	serve(c);
 }
 
@@ -453,7 +407,7 @@
 	watch(tcp_listen(host, port), on_connection, NULL);
 }
 
-/* Answers the requests that wait: watches, and those of a silent store. */
+/* Answers the watches that have events or whose wait is over. */
 void
 store_tick(void)
 {
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -22,12 +22,6 @@
 	PORTS = 65536,
 };
 
-typedef enum state {
-	STATE_OFF = 0,	/* not started, or ended: its addresses are closed */
-	STATE_ON,	/* runs */
-	STATE_DRAINING, /* serves, and takes new flows that still come */
-} state_t;
-
 typedef struct bounds {
 	int grace_s;
 	int drain_ms;
@@ -65,23 +59,13 @@
 void run_for(int64_t ms);
 
 /* store.c */
-typedef enum store_mode {
-	STORE_UP = 0,
-	STORE_SILENT, /* does not answer */
-	STORE_BUSY,   /* answers 503 */
-} store_mode_t;
-
 void store_open(int host, int port);
-void store_set_mode(store_mode_t mode);
 /* Keys are given as they stand in JSON, with its escapes. */
 void store_put(const char *key, const char *value);
 void store_remove(const char *key);
 /* The current value of a key, or NULL. */
 const char *store_get(const char *key);
-/* Replaces the store by a copy that is this old, and counts up the era. */
-void store_restore(int64_t age_ms);
 void store_tick(void);
-unsigned store_calls(void);
 
 /* vms.c */
 typedef struct vm {
@@ -115,8 +99,7 @@
 	int host;
 	int slots;
 	int work_ms;
-	state_t state;
-	bool reaches_store;
+	bool runs;
 	int64_t born_ms;
 	int64_t cold_until_ms; /* 0: not cold */
 	int64_t cold_from_ms;
@@ -127,7 +110,6 @@
 	int busy;		     /* requests at work */
 	int queued;		     /* requests that wait for a slot */
 	struct backend_flow **flows; /* by the client's port */
-	uint64_t packets;
 } backend_t;
 
 typedef struct route {
@@ -145,8 +127,6 @@
 	uint32_t id;
 	int route;
 	char zone[NAME_BYTES];
-	bool is_long; /* its flow was open before it */
-	int port;
 	int64_t sent_ms;      /* of the flow's first SYN, or of the request */
 	int64_t arrived_ms;   /* at the backend that began to work; 0: none */
 	int64_t answered_ms;  /* 0: not answered */
@@ -156,10 +136,9 @@
 	int64_t ended_ms;     /* 0: in progress */
 	int ran_at;	      /* index of the backend, -1: none */
 	int runs;
-	int flow_backend; /* at which its flow is open, -1: none */
-	int reset_by;	  /* index of the backend */
-	int own_packets; /* of its flow since the last answer, at its backend */
-	int other_packets;
+	int flow_backend;  /* at which its flow is open, -1: none */
+	int reset_by;	   /* index of the backend */
+	int other_packets; /* of its flow, since the last at its backend */
 	int64_t other_from_ms;
 	int64_t other_longest_ms;
 } request_t;
@@ -175,8 +154,6 @@
 int backend_add(const char *id, const char *service, const char *zone,
     int slots, int work_ms);
 void backend_start(int i, int64_t cold_ms);
-void backend_drain(int i);
-void backend_end(int i, bool removes_entry);
 /* The backend turns cold without a start. */
 void backend_turn_cold(int i, int64_t cold_ms);
 int route_add(const char *name, const char *service, int host, int port,
