--- a/review/standin-2/flows.c
+++ b/review/standin-2/flows.c
@@ -932,7 +932,7 @@
 on_client_datagram(void *ctx, int fd)
 {
 	uint8_t in[PACKET_BYTES + 1];
-	struct sockaddr_in from;
+	struct sockaddr_in from = { 0 };
 	socklen_t from_len = sizeof(from);
 	ssize_t n;
 
