--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -1,8 +1,8 @@
 /*
- * world-2 CASE: runs a case of the review, in the repository's root.  Writes
- * record.txt into the folder REVIEW_DIR.  Exits with 1 if the rule was broken,
- * 0 if it held, 2 if the case could not run.  TROUBLE=0 in the environment
- * leaves the disruption out.
+ * world-2 CASE trouble|calm: runs a case of the review, in the repository's
+ * root; calm leaves the disruption out.  Writes record.txt into the folder
+ * REVIEW_DIR.  Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+ * could not run.
  */
 #include <sys/socket.h>
 
@@ -253,12 +253,12 @@
 main(int argc, char **argv)
 {
 	const char *dir = getenv("REVIEW_DIR");
-	const char *trouble = getenv("TROUBLE");
 	char path[512];
 	int status;
 
-	if (argc != 2 || dir == NULL)
-		cannot_run("usage: REVIEW_DIR=DIR world-2 CASE");
+	if (argc != 3 || dir == NULL ||
+	    (strcmp(argv[2], "trouble") != 0 && strcmp(argv[2], "calm") != 0))
+		cannot_run("usage: REVIEW_DIR=DIR world-2 CASE trouble|calm");
 	started_ms = clock_ms(CLOCK_MONOTONIC);
 	snprintf(path, sizeof(path), "%s/record.txt", dir);
 	record_file = fopen(path, "w");
@@ -271,8 +271,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	store_open(STORE_HOST, STORE_PORT);
 	flows_open(CLIENT_PORT);
-	status =
-	    run_case(argv[1], trouble == NULL || strcmp(trouble, "0") != 0);
+	status = run_case(argv[1], strcmp(argv[2], "trouble") == 0);
 	record("result=%s",
 	    status == 0	      ? "held"
 		: status == 1 ? "broken"
