Give a route as many services as its Split lists

Cause: a route held its services in an array of eight, and a ninth was an error of the whole configuration (item_refused, "Split has more than 8 services" on every VM); a VM without a configuration is never ready.

The services now have the size that the configuration gives them, in one array of the table; a flow finds its service by binary search over sums of weights. Removed routes are kept without services.

--- a/lib/forwarder/include/kf/route_table.h
+++ b/lib/forwarder/include/kf/route_table.h
@@ -24,22 +24,22 @@
 
 enum {
 	KF_ROUTE_NAME_BYTES = 48,
-	KF_ROUTE_MAX_SHARES = 8,
 	/* Limits the memory that removed routes use. */
 	KF_ROUTE_MAX_REMOVED = 4096,
 };
 
+/* One of the services among which a route divides its flows. */
 typedef struct kf_route_share {
-	uint64_t service; /* kf_name_key */
-	uint32_t weight;
+	uint64_t service;    /* kf_name_key */
+	uint64_t weight_sum; /* of this share and those before it */
 } kf_route_share_t;
 
 typedef struct kf_route {
 	kf_addr_t address;
 	char name[KF_ROUTE_NAME_BYTES];
-	kf_route_share_t shares[KF_ROUTE_MAX_SHARES];
-	uint32_t share_count;
-	uint32_t priority; /* 0 is the most urgent */
+	const kf_route_share_t *shares; /* any number */
+	uint32_t share_count;		/* 0: gets no new flows */
+	uint32_t priority;		/* 0 is the most urgent */
 	int64_t latency_goal_us;
 	int64_t timeout_us;
 	bool idempotent;
@@ -58,6 +58,7 @@
 	int64_t idle_timeout_us; /* after which a flow may be removed */
 	kf_route_t *routes;	 /* sorted by address */
 	size_t count;
+	kf_route_share_t *shares; /* those of all routes */
 	kf_service_cold_t *services;
 	size_t service_count;
 } kf_route_table_t;
@@ -66,9 +67,10 @@
 uint64_t kf_name_key(const char *name);
 
 /*
- * Builds a table from a copy of count routes.  Routes that only previous has
- * are kept as removed; previous may be NULL.  Returns NULL with the status set
- * to KF_ERR_CONFLICT if two routes have the same address.
+ * Builds a table from a copy of count routes and of their shares.  Routes that
+ * only previous has are kept as removed, without shares; previous may be NULL.
+ * Returns NULL with the status set to KF_ERR_CONFLICT if two routes have the
+ * same address.
  */
 kf_route_table_t *kf_route_table_new(uint64_t version, int64_t idle_timeout_us,
     const kf_route_t *routes, size_t count, const kf_route_table_t *previous);
@@ -90,7 +92,7 @@
     const kf_route_table_t *table, kf_addr_t address);
 
 /* Selects the service of a flow by its hash and the weights of the shares;
- * returns 0 if all weights are 0. */
+ * returns 0 if all weights are 0, or the route has no shares. */
 uint64_t kf_route_service(const kf_route_t *route, uint64_t flow_hash);
 
 #ifdef __cplusplus
--- a/lib/forwarder/route_table.c
+++ b/lib/forwarder/route_table.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "kf/route_table.h"
+#include "kf/search.h"
 
 uint64_t
 kf_name_key(const char *name)
@@ -50,6 +51,8 @@
 		if (kf_route_table_find(&current, route->address) != NULL)
 			continue;
 		table->routes[table->count] = *route;
+		table->routes[table->count].shares = NULL;
+		table->routes[table->count].share_count = 0;
 		table->routes[table->count].removed = true;
 		table->count++;
 		kept++;
@@ -71,6 +74,46 @@
 	return KF_OK;
 }
 
+/*
+ * Copies the shares of the table's routes.  They lie side by side in the order
+ * of the routes, so that the table needs two blocks of memory at any size.
+ */
+static kf_status_t
+copy_shares(kf_route_table_t *table)
+{
+	size_t i, count = 0;
+
+	for (i = 0; i < table->count; i++)
+		count += table->routes[i].share_count;
+	table->shares = calloc(count + 1, sizeof(*table->shares));
+	if (table->shares == NULL)
+		return kf_status_set(KF_ERR_NO_MEMORY, "no memory for shares");
+	for (count = 0, i = 0; i < table->count; i++) {
+		kf_route_t *route = &table->routes[i];
+
+		if (route->share_count == 0)
+			continue;
+		memcpy(table->shares + count, route->shares,
+		    route->share_count * sizeof(*route->shares));
+		route->shares = table->shares + count;
+		count += route->share_count;
+	}
+	return KF_OK;
+}
+
+static kf_status_t
+copy_routes(
+    kf_route_table_t *table, const kf_route_t *routes, size_t count, size_t cap)
+{
+	table->routes = calloc(cap + 1, sizeof(*table->routes));
+	if (table->routes == NULL)
+		return kf_status_set(KF_ERR_NO_MEMORY, "no memory for routes");
+	if (count > 0)
+		memcpy(table->routes, routes, count * sizeof(*routes));
+	table->count = count;
+	return copy_shares(table);
+}
+
 kf_route_table_t *
 kf_route_table_new(uint64_t version, int64_t idle_timeout_us,
     const kf_route_t *routes, size_t count, const kf_route_table_t *previous)
@@ -83,15 +126,10 @@
 		return NULL;
 	table->version = version;
 	table->idle_timeout_us = idle_timeout_us;
-	table->routes = calloc(cap == 0 ? 1 : cap, sizeof(*table->routes));
-	if (table->routes == NULL) {
-		kf_status_set(KF_ERR_NO_MEMORY, "no memory for routes");
-		free(table);
+	if (copy_routes(table, routes, count, cap) != KF_OK) {
+		kf_route_table_delete(table);
 		return NULL;
 	}
-	if (count > 0)
-		memcpy(table->routes, routes, count * sizeof(*routes));
-	table->count = count;
 	qsort(table->routes, count, sizeof(*table->routes), route_compare);
 	if (check_addresses(table) != KF_OK) {
 		kf_route_table_delete(table);
@@ -111,6 +149,7 @@
 	if (table == NULL)
 		return;
 	free(table->routes);
+	free(table->shares);
 	free(table->services);
 	free(table);
 }
@@ -140,21 +179,29 @@
 	return 0;
 }
 
+static int
+share_compare(const void *key, const void *element)
+{
+	uint64_t point = *(const uint64_t *)key;
+
+	return point < ((const kf_route_share_t *)element)->weight_sum ? -1 : 1;
+}
+
 uint64_t
 kf_route_service(const kf_route_t *route, uint64_t flow_hash)
 {
-	uint64_t total = 0, point;
-	uint32_t i;
+	uint64_t total, point;
 
-	for (i = 0; i < route->share_count; i++)
-		total += route->shares[i].weight;
+	if (route->share_count == 0)
+		return 0;
+	total = route->shares[route->share_count - 1].weight_sum;
 	if (total == 0)
 		return 0;
+	if (route->share_count == 1)
+		return route->shares[0].service;
 	point = flow_hash % total;
-	for (i = 0; i + 1 < route->share_count; i++) {
-		if (point < route->shares[i].weight)
-			break;
-		point -= route->shares[i].weight;
-	}
-	return route->shares[i].service;
+	return route
+	    ->shares[kf_lower_bound(&point, route->shares, route->share_count,
+		sizeof(*route->shares), share_compare)]
+	    .service;
 }
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -263,6 +263,70 @@
 	kf_route_table_delete(t);
 }
 
+/* Returns a Split of count services s0, s1 ... with weights 1, 2 ... */
+std::string
+SplitJson(size_t count)
+{
+	std::string list;
+
+	for (size_t i = 0; i < count; i++)
+		list += (i == 0 ? "" : ",") + std::string("{\"Service\":\"s") +
+		    std::to_string(i) +
+		    "\",\"Weight\":" + std::to_string(i + 1) + "}";
+	return "\"Split\":[" + list + "]";
+}
+
+/* Guards against a configuration that is refused for the number of services
+ * that a route names, and against flows divided by other weights. */
+TEST(PlatformPublished, SplitMayNameAnyNumberOfServices)
+{
+	for (size_t count : { 1, 8, 9, 1000, 20000 }) {
+		kf_route_table_t *t = DecodeRouteTable(ConfigJson(
+		    RouteJson("198.18.0.1", "/443/", SplitJson(count)) + "," +
+		    RouteJson("198.18.0.1", "/80/", "\"Service\":\"orders\"")));
+
+		ASSERT_NE(nullptr, t) << count;
+		const kf_route_t *split =
+		    kf_route_table_find(t, { 0xc6120001u, 443 });
+		ASSERT_NE(nullptr, split);
+		ASSERT_EQ(count, split->share_count);
+		uint64_t sum = 0;
+		for (size_t i = 0; i < count; i++) {
+			std::string name = "s" + std::to_string(i);
+
+			EXPECT_EQ(kf_name_key(name.c_str()),
+			    kf_route_service(split, sum));
+			sum += i + 1;
+			EXPECT_EQ(kf_name_key(name.c_str()),
+			    kf_route_service(split, sum - 1));
+		}
+		EXPECT_EQ(kf_name_key("s0"), kf_route_service(split, sum));
+		EXPECT_EQ(kf_name_key("orders"),
+		    kf_route_service(
+			kf_route_table_find(t, { 0xc6120001u, 80 }), 7));
+		kf_route_table_delete(t);
+	}
+}
+
+/* Guards against shares of a table that has been deleted, in the routes that
+ * the next one keeps as removed. */
+TEST(PlatformPublished, RemovedRoutesHaveNoShares)
+{
+	kf_route_table_t *first = DecodeRouteTable(
+	    ConfigJson(RouteJson("198.18.0.1", "/443/", SplitJson(9))));
+	ASSERT_NE(nullptr, first);
+	kf_route_table_t *second = DecodeRouteTable(
+	    ConfigJson(RouteJson("198.18.0.1", "/80/", SplitJson(9))), first);
+	ASSERT_NE(nullptr, second);
+	kf_route_table_delete(first);
+	const kf_route_t *route =
+	    kf_route_table_find(second, { 0xc6120001u, 443 });
+	ASSERT_NE(nullptr, route);
+	EXPECT_TRUE(route->removed);
+	EXPECT_EQ(0u, kf_route_service(route, 12345));
+	kf_route_table_delete(second);
+}
+
 std::string
 ServicesJson(const std::string &services)
 {
--- a/tests/unit/support/forwarder_world.h
+++ b/tests/unit/support/forwarder_world.h
@@ -3,6 +3,7 @@
 
 #include <cstring>
 #include <functional>
+#include <list>
 #include <map>
 #include <set>
 #include <string>
@@ -209,14 +210,19 @@
 MakeRoute(
     uint16_t port, const std::vector<std::pair<std::string, uint32_t>> &shares)
 {
+	/* Tables copy the shares of a route, but routes refer to them. */
+	static std::list<std::vector<kf_route_share_t>> all_shares;
+	std::vector<kf_route_share_t> &list = all_shares.emplace_back();
 	kf_route_t route = {};
+	uint64_t sum = 0;
 
 	route.address = { 0xc6120001u, port };
 	snprintf(route.name, sizeof(route.name), "r-%u", port);
 	for (const auto &share : shares)
-		route.shares[route.share_count++] = {
-			kf_name_key(share.first.c_str()), share.second
-		};
+		list.push_back(
+		    { kf_name_key(share.first.c_str()), sum += share.second });
+	route.shares = list.data();
+	route.share_count = (uint32_t)list.size();
 	return route;
 }
 
