Leave out what cannot be read of a configuration, not all of it

Found by reading, and shown by the new test.

The decoder now leaves out such a part, reports it (config_part_refused, at most eight lines a version; knapweed_config_parts_refused; knapctl packets) and goes on. A value without a version or a list of routes is still refused. A route without a readable service refuses new flows at once and keeps its open ones. Weights, times and priorities may be fractions or large; so may Slots and ColdLeftMs of an upstream's entry.

--- a/lib/forwarder/include/kf/route_table.h
+++ b/lib/forwarder/include/kf/route_table.h
@@ -38,12 +38,13 @@
 	kf_addr_t address;
 	char name[KF_ROUTE_NAME_BYTES];
 	const kf_route_share_t *shares; /* any number */
-	uint32_t share_count;		/* 0: gets no new flows */
+	uint32_t share_count;		/* 0: new flows are refused */
 	uint32_t priority;		/* 0 is the most urgent */
 	int64_t latency_goal_us;
 	int64_t timeout_us;
 	bool idempotent;
 	bool removed;
+	uint32_t order; /* in the configuration; set by the table */
 } kf_route_t;
 
 /* What the configuration says of a service's upstreams after their start. */
@@ -61,16 +62,18 @@
 	kf_route_share_t *shares; /* those of all routes */
 	kf_service_cold_t *services;
 	size_t service_count;
+	size_t same_address;  /* routes left out for an earlier one's address */
+	size_t parts_refused; /* of the configuration, which are left out */
 } kf_route_table_t;
 
 /* Returns the 64-bit key (a hash) of a service, zone or upstream name. */
 uint64_t kf_name_key(const char *name);
 
 /*
- * Builds a table from a copy of count routes and of their shares.  Routes that
- * only previous has are kept as removed, without shares; previous may be NULL.
- * Returns NULL with the status set to KF_ERR_CONFLICT if two routes have the
- * same address.
+ * Builds a table from a copy of count routes and of their shares.  Of routes
+ * with the same address the first one is kept.  Routes that only previous has
+ * are kept as removed, without shares; previous may be NULL.  Returns NULL if
+ * memory is short.
  */
 kf_route_table_t *kf_route_table_new(uint64_t version, int64_t idle_timeout_us,
     const kf_route_t *routes, size_t count, const kf_route_table_t *previous);
--- a/lib/forwarder/route_table.c
+++ b/lib/forwarder/route_table.c
@@ -27,6 +27,16 @@
 	    ((const kf_route_t *)a)->address, ((const kf_route_t *)b)->address);
 }
 
+static int
+order_compare(const void *a, const void *b)
+{
+	uint32_t x = ((const kf_route_t *)a)->order;
+	uint32_t y = ((const kf_route_t *)b)->order;
+	int order = route_compare(a, b);
+
+	return order != 0 ? order : (x > y) - (x < y);
+}
+
 const kf_route_t *
 kf_route_table_find(const kf_route_table_t *table, kf_addr_t address)
 {
@@ -59,19 +69,30 @@
 	}
 }
 
-static kf_status_t
-check_addresses(const kf_route_table_t *table)
+/* Sorts the routes and keeps the first one of each address. */
+static void
+sort_routes(kf_route_table_t *table)
 {
-	size_t i;
+	size_t i, kept = 0;
 
-	for (i = 1; i < table->count; i++) {
-		if (route_compare(&table->routes[i - 1], &table->routes[i]) ==
-		    0)
-			return kf_status_set(KF_ERR_CONFLICT,
+	for (i = 0; i < table->count; i++)
+		table->routes[i].order = (uint32_t)i;
+	qsort(
+	    table->routes, table->count, sizeof(*table->routes), order_compare);
+	for (i = 0; i < table->count; i++) {
+		kf_route_t *route = &table->routes[i];
+
+		if (kept > 0 &&
+		    route_compare(&table->routes[kept - 1], route) == 0) {
+			kf_status_set(KF_ERR_CONFLICT,
 			    "routes %s and %s have the same address",
-			    table->routes[i - 1].name, table->routes[i].name);
+			    table->routes[kept - 1].name, route->name);
+			continue;
+		}
+		table->routes[kept++] = *route;
 	}
-	return KF_OK;
+	table->same_address = table->count - kept;
+	table->count = kept;
 }
 
 /*
@@ -111,6 +132,7 @@
 	if (count > 0)
 		memcpy(table->routes, routes, count * sizeof(*routes));
 	table->count = count;
+	sort_routes(table);
 	return copy_shares(table);
 }
 
@@ -130,11 +152,6 @@
 		kf_route_table_delete(table);
 		return NULL;
 	}
-	qsort(table->routes, count, sizeof(*table->routes), route_compare);
-	if (check_addresses(table) != KF_OK) {
-		kf_route_table_delete(table);
-		return NULL;
-	}
 	if (previous != NULL) {
 		keep_removed(table, previous);
 		qsort(table->routes, table->count, sizeof(*table->routes),
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -10,6 +10,9 @@
 	/* An entry that is removed within this time after an outage may have
 	 * expired during the outage. */
 	EXPIRY_WINDOW_US = 2000000,
+	/* Lines about the parts of one configuration; the line config has their
+	 * number. */
+	MAX_PART_LINES = 8,
 };
 
 void
@@ -122,6 +125,17 @@
 	log_upstream(a, item, change);
 }
 
+static void
+on_part_refused(void *ctx, const char *part, const char *name)
+{
+	applier_t *a = ctx;
+
+	if (a->part_lines++ < MAX_PART_LINES)
+		kf_eventlog_write(a->log, KF_LOG_WARN, "config_part_refused",
+		    "part=%s name=%s reason=\"%s\"", part, name,
+		    kf_status_message());
+}
+
 static void
 put_routes(applier_t *a, const kf_item_t *item)
 {
@@ -129,7 +143,9 @@
 	kf_forwarder_t *forwarder;
 	kf_status_t status = KF_ERR_INVALID;
 
-	table = kf_platform_routes_decode(item->value, item->len, a->routes);
+	a->part_lines = 0;
+	table = kf_platform_routes_decode(
+	    item->value, item->len, a->routes, on_part_refused, a);
 	if (table != NULL) {
 		forwarder = packet_thread_lock(a->packets);
 		status = kf_forwarder_set_routes(forwarder, table);
@@ -141,9 +157,9 @@
 	}
 	a->routes = table;
 	kf_eventlog_write(a->log, KF_LOG_INFO, "config",
-	    "version=%llu routes=%zu revision=%llu",
+	    "version=%llu routes=%zu parts_refused=%zu revision=%llu",
 	    (unsigned long long)table->version, table->count,
-	    (unsigned long long)item->revision);
+	    table->parts_refused, (unsigned long long)item->revision);
 }
 
 /* The key of an evacuation names the zone; the item's presence evacuates it. */
@@ -180,6 +196,12 @@
 	return a->routes == NULL ? 0 : a->routes->version;
 }
 
+size_t
+applier_config_parts_refused(const applier_t *a)
+{
+	return a->routes == NULL ? 0 : a->routes->parts_refused;
+}
+
 void
 applier_begin_batch(applier_t *a)
 {
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -13,8 +13,9 @@
  * DESCRIPTION
  *	Decodes each changed item and updates the upstreams, the routes or the
  *	evacuated zones of the forwarder.  An upstream whose entry cannot be
- *	decoded is removed.  If a configuration cannot be decoded, the previous
- *	one stays in use.  A zone is evacuated also if the item's value cannot
+ *	decoded is removed.  If a configuration cannot be decoded at all, the
+ *	previous one stays in use; a part of it that cannot be read is left out.
+ *	A zone is evacuated also if the item's value cannot
  *	be decoded, because sending nothing there breaks nothing.
  *
  *	After the store was restored from a backup, what is known holds where
@@ -30,8 +31,9 @@
 	int64_t contact_us;		/* latest contact with the store */
 	int64_t outage_end_us; /* of the last store outage; INT64_MIN: none */
 	int64_t first_contact_us; /* INT64_MIN: none yet */
-	uint64_t refused; /* items that could not be decoded or applied */
-	bool loaded;	  /* the first batch of items has been applied */
+	uint64_t refused;    /* items that could not be decoded or applied */
+	bool loaded;	     /* the first batch of items has been applied */
+	uint32_t part_lines; /* logged of the configuration being decoded */
 } applier_t;
 
 /*
@@ -47,6 +49,9 @@
 /* Returns the version of the configuration in use, 0 if there is none. */
 uint64_t applier_config_version(const applier_t *applier);
 
+/* Returns the number of its parts that are left out, as they cannot be read. */
+size_t applier_config_parts_refused(const applier_t *applier);
+
 /* Passes to the forwarder that its data are complete as of confirmed_us. */
 void applier_set_confirmed(applier_t *applier, int64_t confirmed_us);
 
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -153,6 +153,8 @@
 		.opening = &l->forward_log->opening,
 		.position = store_sync_position(l->sync),
 		.config_version = applier_config_version(&l->applier),
+		.config_parts_refused =
+		    applier_config_parts_refused(&l->applier),
 		.items_refused = l->applier.refused,
 		.log_dropped = kf_eventlog_dropped(l->log),
 		.contact_age_ms = kf_age_ms(l->view.contact_us, l->now_us),
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -86,6 +86,9 @@
 	write_value(out, "config_version", "gauge",
 	    "version of the configuration in force",
 	    (long long)m->config_version);
+	write_value(out, "config_parts_refused", "gauge",
+	    "parts of that configuration that are left out as unreadable",
+	    (long long)m->config_parts_refused);
 	write_value(out, "contact_age_ms", "gauge",
 	    "age of the latest contact with the store, -1 if none",
 	    m->contact_age_ms);
--- a/lib/fwdnet/forward_metrics.h
+++ b/lib/fwdnet/forward_metrics.h
@@ -15,6 +15,7 @@
 	const histogram_t *opening;
 	kf_store_position_t position; /* of the data */
 	uint64_t config_version;
+	size_t config_parts_refused;
 	uint64_t items_refused;
 	uint64_t log_dropped;
 	int64_t contact_age_ms; /* -1: no contact yet */
--- a/lib/fwdnet/forward_state.c
+++ b/lib/fwdnet/forward_state.c
@@ -17,12 +17,14 @@
 	fprintf(out,
 	    "record=vm vm=%s zone=%s ready=%s leaving=%s era=%llu "
 	    "revision=%llu "
-	    "config_version=%llu own_contact_age_ms=%lld contact_age_ms=%lld "
+	    "config_version=%llu config_parts_refused=%zu "
+	    "own_contact_age_ms=%lld contact_age_ms=%lld "
 	    "rank=%u zone_vms=%u known_vms=%u patience_us=%lld\n",
 	    s->vm, s->zone, s->ready ? "yes" : "no", s->leaving ? "yes" : "no",
 	    (unsigned long long)s->position.era,
 	    (unsigned long long)s->position.revision,
 	    routes == NULL ? 0ULL : (unsigned long long)routes->version,
+	    routes == NULL ? 0 : routes->parts_refused,
 	    (long long)kf_age_ms(s->own_contact_us, s->now_us),
 	    (long long)kf_age_ms(s->view.contact_us, s->now_us), s->view.rank,
 	    s->view.zone_count, s->view.vm_count,
@@ -154,6 +156,8 @@
 		return "no route has the address";
 	if (e->route->removed)
 		return "the route was removed";
+	if (e->route->share_count == 0)
+		return "no service of the route can be read";
 	if (e->reason == KF_REASON_OVERLOAD)
 		return "the service is overloaded";
 	if (e->choice.target == NULL)
