Keep all routes that a version removes

Callers of a route that a version removes are refused at once, also on open flows; of those beyond 4,096 in one version, or after as many removed by earlier versions, packets would be treated as those of a route not known yet.

Cause: removed routes were kept in the order of their addresses, up to KF_ROUTE_MAX_REMOVED, whatever version removed them.

Routes that the new version removes are now all kept, as many as the version before had, and the limit holds for older ones.

RouteTable.AllRoutesThatAVersionRemovesAreKept fails before: after a version that removes 30,000 routes, none of them is found.

--- a/lib/forwarder/include/kf/route_table.h
+++ b/lib/forwarder/include/kf/route_table.h
@@ -24,7 +24,8 @@
 
 enum {
 	KF_ROUTE_NAME_BYTES = 48,
-	/* Limits the memory that removed routes use. */
+	/* Limits the memory of routes that an earlier version removed; flows of
+	 * those beyond it are treated like flows of a route not known yet. */
 	KF_ROUTE_MAX_REMOVED = 4096,
 };
 
--- a/lib/forwarder/route_table.c
+++ b/lib/forwarder/route_table.c
@@ -48,27 +48,43 @@
 		  route_compare);
 }
 
-/* Appends the routes that only previous has, marked as removed. */
+/*
+ * Appends up to max routes that only previous has, marked as removed: those
+ * that it has in use, or those that it keeps as removed itself.
+ */
 static void
-keep_removed(kf_route_table_t *table, const kf_route_table_t *previous)
+keep_removed(kf_route_table_t *table, const kf_route_table_t *current,
+    const kf_route_table_t *previous, bool removed_before, size_t max)
 {
-	kf_route_table_t current = *table;
-	size_t i, kept = 0;
+	size_t i;
 
-	for (i = 0; i < previous->count && kept < KF_ROUTE_MAX_REMOVED; i++) {
+	for (i = 0; i < previous->count && max > 0; i++) {
 		const kf_route_t *route = &previous->routes[i];
 
-		if (kf_route_table_find(&current, route->address) != NULL)
+		if (route->removed != removed_before ||
+		    kf_route_table_find(current, route->address) != NULL)
 			continue;
 		table->routes[table->count] = *route;
 		table->routes[table->count].shares = NULL;
 		table->routes[table->count].share_count = 0;
 		table->routes[table->count].removed = true;
 		table->count++;
-		kept++;
+		max--;
 	}
 }
 
+/* Routes that this version removes are all kept: they have flows. */
+static void
+keep_all_removed(kf_route_table_t *table, const kf_route_table_t *previous)
+{
+	const kf_route_table_t current = *table;
+
+	keep_removed(table, &current, previous, false, SIZE_MAX);
+	keep_removed(table, &current, previous, true, KF_ROUTE_MAX_REMOVED);
+	qsort(
+	    table->routes, table->count, sizeof(*table->routes), route_compare);
+}
+
 /* Sorts the routes and keeps the first one of each address. */
 static void
 sort_routes(kf_route_table_t *table)
@@ -152,11 +168,8 @@
 		kf_route_table_delete(table);
 		return NULL;
 	}
-	if (previous != NULL) {
-		keep_removed(table, previous);
-		qsort(table->routes, table->count, sizeof(*table->routes),
-		    route_compare);
-	}
+	if (previous != NULL)
+		keep_all_removed(table, previous);
 	return table;
 }
 
