Evacuate zones of any name and number

An evacuation would not come into force if the zone's name had more than 47 bytes, or after items for 64 other zones, which any writer can leave behind: callers would be sent to the upstreams of an evacuated zone (EVAC).

Cause: the length of a buffer for names in the log was a rule for the key, and the evacuated zones stood in a fixed array. Keys are limited by the platform, and the array now grows: an evacuation costs 8 bytes, far less than its item. A key in item_refused is cut after 200 bytes, so that the reason fits in the line.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -4,12 +4,13 @@
 #include "kf/directory.h"
 #include "kf/search.h"
 
-enum { MIN_BUCKETS = 64 };
+enum { MIN_BUCKETS = 64, MIN_EVACUATED = 8 };
 
 struct kf_directory {
 	uint64_t zone;
-	uint64_t evacuated[KF_DIRECTORY_MAX_EVACUATED]; /* zones */
+	uint64_t *evacuated; /* zones */
 	size_t evacuated_count;
+	size_t evacuated_cap;
 	kf_cold_view_t cold_view;
 	kf_target_t **targets; /* sorted by id */
 	size_t count;
@@ -66,6 +67,7 @@
 	free(d->buckets);
 	free(d->pools);
 	free(d->pool_targets);
+	free(d->evacuated);
 	free(d);
 }
 
@@ -327,18 +329,35 @@
 		set_evacuated(d, d->targets[i], d->targets[i]->evacuated);
 }
 
+static kf_status_t
+add_evacuated(kf_directory_t *d, uint64_t zone)
+{
+	uint64_t *grown;
+	size_t cap;
+
+	if (d->evacuated_count == d->evacuated_cap) {
+		cap = d->evacuated_cap == 0 ? MIN_EVACUATED
+					    : d->evacuated_cap * 2;
+		grown = realloc(d->evacuated, cap * sizeof(*grown));
+		if (grown == NULL)
+			return kf_status_set(KF_ERR_NO_MEMORY,
+			    "no memory for an evacuated zone");
+		d->evacuated = grown;
+		d->evacuated_cap = cap;
+	}
+	d->evacuated[d->evacuated_count++] = zone;
+	return KF_OK;
+}
+
 kf_status_t
 kf_directory_set_evacuated(kf_directory_t *d, uint64_t zone, bool evacuated)
 {
 	size_t i, at = evacuated_index(d, zone);
 
-	if (evacuated && at == KF_DIRECTORY_MAX_EVACUATED)
-		return kf_status_set(KF_ERR_FULL,
-		    "more than %d zones are evacuated",
-		    KF_DIRECTORY_MAX_EVACUATED);
-	if (evacuated && at == d->evacuated_count)
-		d->evacuated[d->evacuated_count++] = zone;
-	else if (!evacuated && at < d->evacuated_count)
+	if (evacuated && at == d->evacuated_count &&
+	    add_evacuated(d, zone) != KF_OK)
+		return KF_ERR_NO_MEMORY;
+	if (!evacuated && at < d->evacuated_count)
 		d->evacuated[at] = d->evacuated[--d->evacuated_count];
 	for (i = 0; i < d->count; i++)
 		if (d->targets[i]->info.zone == zone)
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -25,9 +25,6 @@
 	/* Longer than the maximum lifetime of a flow, which is 60 s on the
 	 * supported deployments. */
 	KF_DIRECTORY_KEEP_US = 90000000,
-	/* More zones than any deployment has; limits what a faulty writer of
-	 * the store can add. */
-	KF_DIRECTORY_MAX_EVACUATED = 64,
 };
 
 /* Number of priority levels; higher route priorities use the last one. */
@@ -146,7 +143,6 @@
 /*
  * Sets whether a zone is evacuated.  Upstreams of an evacuated zone, also ones
  * that are published later, get no new flows; their open flows continue.
- * KF_ERR_FULL if KF_DIRECTORY_MAX_EVACUATED zones are evacuated already.
  */
 kf_status_t kf_directory_set_evacuated(
     kf_directory_t *directory, uint64_t zone, bool evacuated);
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -98,7 +98,7 @@
 	if (!is_line_allowed(a, kf_clock_now().mono_us))
 		return;
 	kf_eventlog_write(a->log, KF_LOG_WARN, "item_refused",
-	    "key=%s revision=%llu reason=\"%s\" suppressed=%llu", key,
+	    "key=%.200s revision=%llu reason=\"%s\" suppressed=%llu", key,
 	    (unsigned long long)revision, kf_status_message(),
 	    (unsigned long long)a->refused_suppressed);
 	a->refused_suppressed = 0;
--- a/tests/process/packets-evacuate.sh
+++ b/tests/process/packets-evacuate.sh
@@ -24,6 +24,14 @@
 wait_line v1.log "event=item_refused key=op/evacuate/zone-2"
 run_requests 200
 
+# Items for zones that nobody has, one with a long name.
+for number in $(seq 70); do
+	world put "op/evacuate/none-$number" '{}'
+done
+long=$(printf 'z%.0s' $(seq 180))
+world put "op/evacuate/$long" '{}'
+wait_line v1.log "event=zone_evacuated zone=$long"
+
 world evacuate zone-1 no
 wait_line v1.log "event=zone_returned zone=zone-1"
 world runs
