Hold only items that a VM can use

Any other program that writes to the store took memory in every VM, and room in each listing that VMs pull from each other: a watch covers all keys, and the replica held every item. 60 values of 1 MB, which the store allows, are more than the memory of a small VM.

Cause: what this VM cannot use was left out only when it was applied, behind the replica. Items of no known kind are now dropped before it, and so are values longer than 4 KB under an upstream's key that are no entry; shorter ones are held as before, since a VM that starts would parse each entry twice.

--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -3,12 +3,16 @@
 #include <string.h>
 
 #include "kf/clock.h"
+#include "kf/platform_published.h"
 #include "kf/platform_store.h"
 
 #include "store_sync_internal.h"
 
 enum {
 	EXPIRY_INTERVAL_US = 5000000,
+	/* Entries of upstreams have some hundred bytes.  Longer ones are
+	 * checked before they are held. */
+	LONG_ENTRY_BYTES = 4096,
 };
 
 static void request_list(store_sync_t *s);
@@ -159,11 +163,33 @@
 	    "key=listing reason=\"%s\"", kf_status_message());
 }
 
+/* Returns true for a long value that is no entry of an upstream. */
+static bool
+is_useless_entry(const kf_item_change_t *change)
+{
+	kf_upstream_info_t info;
+
+	return !change->removed && change->len > LONG_ENTRY_BYTES &&
+	    kf_platform_item_kind(change->key) == KF_PUBLISHED_UPSTREAM &&
+	    kf_platform_upstream_decode(
+		change->key, change->value, change->len, &info) != KF_OK;
+}
+
+/*
+ * Applies a change to the replica.  Whatever other programs write to the store
+ * takes no memory here, nor in the messages to other VMs.
+ */
 void
 store_sync_apply_change(
     store_sync_t *s, kf_source_t source, const kf_item_change_t *change)
 {
-	if (kf_replica_apply(s->replica, source, change, s->now_us) != KF_OK)
+	kf_item_change_t held = *change;
+
+	if (kf_platform_item_kind(change->key) == KF_PUBLISHED_OTHER)
+		return;
+	if (is_useless_entry(change))
+		held.len = 0;
+	if (kf_replica_apply(s->replica, source, &held, s->now_us) != KF_OK)
 		applier_refuse(s->applier, change->key, change->revision);
 }
 
--- a/tests/process/packets-published.sh
+++ b/tests/process/packets-published.sh
@@ -26,6 +26,15 @@
 	    fail "no line about $key"
 done
 
+# What others write takes no memory in VMs and in their messages: random text is
+# not compressed.
+junk=$(head -c 8000 /dev/urandom | base64 -w 0)
+world put other/junk "$junk"
+world put servers/i-0000ee "$junk"
+wait_line v1.log "event=item_refused key=servers/i-0000ee"
+bytes=$(curl -s "http://$net.1:7720/changes?after=0&era=0" | wc -c)
+[ "$bytes" -gt 0 ] && [ "$bytes" -lt 4000 ] || fail "$bytes bytes of changes"
+
 # Flows to a removed route are refused at once and none of their requests run.
 world config 8 198.18.0.2:443=certs
 sleep 3
