Let a message between VMs have a value as long as the message

A configuration of more than 1 MB, where a store allows it (ValueBytes), would end all pulls between VMs ("changes cannot be encoded as XDR"): each VM would read the store itself, which limits the calls of all VMs together.

Cause: a limit of ours on one value was one of the whole message. The value's limit is now that of the message, 32 MiB.

Changes.ValueMayBeLarge fails before with that message.

--- a/lib/peering/peering_msg.x
+++ b/lib/peering/peering_msg.x
@@ -5,7 +5,7 @@
 const PEERING_MAX_REPORTS = 8;
 const PEERING_MAX_LEFT = 4;
 const PEERING_MAX_KEY = 800;
-const PEERING_MAX_VALUE = 1048576;
+const PEERING_MAX_VALUE = 33554432;	/* the limit of a whole message */
 const PEERING_MAX_ITEMS = 200000;
 
 /* A VM listed in a beacon. */
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -738,6 +738,36 @@
 	free(data);
 }
 
+/* Guards against one large value, a store may allow more than 1 MB, for which a
+ * VM cannot send any changes to others. */
+TEST(Changes, ValueMayBeLarge)
+{
+	const std::string large(3 << 20, 'x');
+	const std::string key(KF_KEY_MAX_BYTES, 'k');
+	const kf_changes_head_t head = { { 1, 9 }, 1, true };
+	const kf_item_change_t items[] = {
+		{ "a", (const uint8_t *)"1", 1, 7, false },
+		{ key.c_str(), (const uint8_t *)large.data(), large.size(), 8,
+		    false },
+	};
+	std::vector<size_t> taken;
+	size_t len = 0;
+	uint8_t *data = kf_changes_encode(&head, items, 2, &len);
+
+	ASSERT_NE(nullptr, data) << kf_status_message();
+	ASSERT_EQ(KF_OK,
+	    kf_changes_decode(
+		data, len,
+		[](void *, const kf_changes_head_t *) { return true; },
+		[](void *ctx, const kf_item_change_t *i) {
+			static_cast<std::vector<size_t> *>(ctx)->push_back(
+			    i->len);
+		},
+		&taken));
+	EXPECT_EQ((std::vector<size_t>{ 1, large.size() }), taken);
+	free(data);
+}
+
 /*
  * Guards against a start that fails among 300 VMs.  3,000 upstreams are 1 MB as
  * published, which takes 0.8 s on a link of 10 Mbit/s, longer than the timeout
