List the store when a watch has more to tell than an answer may have

A VM that has missed more than 64 MB of changes would ask for them again and again: no change would be in force any more. At the target's size that is what 8,000 upstreams write in 20 s.

Cause: an answer that is too long was a failed call like a lost connection, and the retry asked for the same changes. It now has the outcome of a history that is gone: the store is listed by pages.

process/packets-long-watch fails before ("version of v1: got '5', expected '9'"); HttpClient.AnswerThatIsTooLongIsNamed.

--- a/lib/fwdnet/http_client.c
+++ b/lib/fwdnet/http_client.c
@@ -29,6 +29,7 @@
 	int64_t started_us;
 	int64_t ended_us;
 	bool ended;
+	bool too_long;
 	char error[ERROR_BYTES];
 } request_t;
 
@@ -145,6 +146,7 @@
 	request_t *r = ctx;
 
 	snprintf(r->error, sizeof(r->error), "%s", error_texts[error]);
+	r->too_long = error == EVREQ_HTTP_DATA_TOO_LONG;
 }
 
 static void
@@ -240,9 +242,10 @@
 	};
 	struct evbuffer *body;
 
-	if (r->response == NULL)
+	if (r->response == NULL) {
 		answer.error = r->error;
-	else {
+		answer.too_long = r->too_long;
+	} else {
 		body = evhttp_request_get_input_buffer(r->response);
 		answer.status = evhttp_request_get_response_code(r->response);
 		answer.len = evbuffer_get_length(body);
--- a/lib/fwdnet/include/kf/http_client.h
+++ b/lib/fwdnet/include/kf/http_client.h
@@ -26,6 +26,7 @@
 	const char *body;
 	size_t len;
 	const char *error; /* why there is no response, else NULL */
+	bool too_long;	   /* it is longer than the client takes */
 	int64_t took_us;
 	const void *headers; /* see http_answer_header */
 } http_answer_t;
--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -431,6 +431,12 @@
 	s->now_us = kf_clock_now().mono_us;
 	if (!check_watch_era(s, answer))
 		return;
+	if (answer->too_long) {
+		/* Pages of a listing are short, whatever has changed. */
+		record_store_result(s, KF_SYNC_WATCH, answer, false);
+		store_sync_finish_call(s, KF_SYNC_WATCH, KF_SYNC_HISTORY_GONE);
+		return;
+	}
 	if (answer->status == KF_PLATFORM_HTTP_HISTORY_GONE) {
 		kf_eventlog_write(s->log, KF_LOG_WARN, "history_gone",
 		    "era=%llu revision=%llu",
