Show control characters in log lines as "?"

A key or name in the store with a line break began a line of its own in the logs of all VMs, which could look like any event of a VM.

EventLog.ValuesCannotBeginALine fails before (two lines in place of one).

--- a/lib/eventlog/eventlog.c
+++ b/lib/eventlog/eventlog.c
@@ -2,6 +2,7 @@
 
 #include <apr_thread_mutex.h>
 
+#include <ctype.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <stdio.h>
@@ -153,6 +154,16 @@
 		log->dropped_reported = dropped;
 }
 
+/* Keys and names of the store may have any bytes; a line break in one would
+ * begin a line of its own. */
+static void
+replace_control_characters(char *text)
+{
+	for (; *text != '\0'; text++)
+		if (iscntrl((unsigned char)*text))
+			*text = '?';
+}
+
 void
 kf_eventlog_writev(kf_eventlog_t *log, kf_log_level_t level, const char *event,
     const char *fmt, va_list ap)
@@ -164,6 +175,7 @@
 		return;
 	now = kf_clock_now();
 	vsnprintf(pairs, sizeof(pairs), fmt, ap);
+	replace_control_characters(pairs);
 	snprintf(line, sizeof(line), "ts=%lld.%03lld vm=%s event=%s%s%s",
 	    (long long)(now.wall_ms / 1000), (long long)(now.wall_ms % 1000),
 	    log->vm, event, pairs[0] == '\0' ? "" : " ", pairs);
--- a/lib/eventlog/include/kf/eventlog.h
+++ b/lib/eventlog/include/kf/eventlog.h
@@ -18,8 +18,8 @@
  * DESCRIPTION
  *	Writes one line for each event to standard output, standard error or a
  *	file.  A line for which a pipe has no room is dropped; a log_dropped
- *	line reports the number before the next line that is written.  Any
- *	thread may write.
+ *	line reports the number before the next line that is written.  Control
+ *	characters in values show as "?".  Any thread may write.
  */
 
 typedef enum kf_log_level {
