--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -902,6 +902,30 @@
 	kf_route_table_delete(t);
 }
 
+/* Guards against a name that begins a record of its own in what is shown to
+ * operators, and against one that is compared by the part that is shown. */
+TEST(PlatformPublished, NamesAreShownInPart)
+{
+	const std::string name(100, 's');
+	kf_upstream_info_t info, other;
+
+	ASSERT_EQ(KF_OK,
+	    DecodeUpstream("servers/a\nb-7f3a91c2",
+		EntryWithReplacement("huvo11a", "x\\nrecord=vm\\u001b"),
+		&info));
+	EXPECT_STREQ("a?b-7f3a91c2", info.name);
+	EXPECT_STREQ("x?record=vm?", info.service_name);
+	EXPECT_EQ(kf_name_key("x\nrecord=vm\x1b"), info.service);
+	ASSERT_EQ(KF_OK,
+	    DecodeUpstream("servers/i-7f3a91c2",
+		EntryWithReplacement("huvo11a", name + "1"), &info));
+	ASSERT_EQ(KF_OK,
+	    DecodeUpstream("servers/i-7f3a91c2",
+		EntryWithReplacement("huvo11a", name + "2"), &other));
+	EXPECT_STREQ(info.service_name, other.service_name);
+	EXPECT_NE(info.service, other.service);
+}
+
 /* Guards against keys whose characters change the query string. */
 TEST(PlatformStore, PathsEscapeKeys)
 {
