Find dead upstreams in any number of zones

Callers with open flows at a dead upstream would wait until their deadline if 64 other zones had given a sign of life before that upstream's zone: it was never found dead, and its flows were not reset.

Cause: the zones with evidence stood in a fixed array; those beyond it were left out.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "forwarder_internal.h"
 
 enum {
@@ -8,6 +10,7 @@
 	 * on the supported deployments. */
 	IDLE_RECORD_MAX_US = 60000000,
 	RESET_INTERVAL_US = 100000,
+	FIRST_ZONES = 8,
 };
 
 void
@@ -16,20 +19,37 @@
 	f->dead.after_us = dead_after_us;
 }
 
-/* Returns the entry of a zone; NULL if there are too many zones. */
+static bool
+reserve_zone(dead_state_t *d)
+{
+	size_t cap = d->zone_cap == 0 ? FIRST_ZONES : d->zone_cap * 2;
+	dead_zone_t *grown;
+
+	if (d->zone_count < d->zone_cap)
+		return true;
+	grown = realloc(d->zones, cap * sizeof(*grown));
+	if (grown == NULL)
+		return false;
+	d->zones = grown;
+	d->zone_cap = cap;
+	return true;
+}
+
+/* Returns the entry of a zone, valid until the next call; NULL if memory is
+ * short. */
 static dead_zone_t *
 find_zone(kf_forwarder_t *f, uint64_t zone)
 {
+	dead_state_t *d = &f->dead;
 	size_t i;
 
-	for (i = 0; i < f->dead.zone_count; i++)
-		if (f->dead.zones[i].zone == zone)
-			return &f->dead.zones[i];
-	if (f->dead.zone_count == DEAD_ZONES_MAX)
+	for (i = 0; i < d->zone_count; i++)
+		if (d->zones[i].zone == zone)
+			return &d->zones[i];
+	if (!reserve_zone(d))
 		return NULL;
-	f->dead.zones[i].zone = zone;
-	f->dead.zone_count++;
-	return &f->dead.zones[i];
+	d->zones[d->zone_count] = (dead_zone_t){ .zone = zone };
+	return &d->zones[d->zone_count++];
 }
 
 static void
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -57,6 +57,7 @@
 	kf_directory_delete(f->directory);
 	kf_conntrack_delete(f->flows);
 	kf_pending_syns_clear(&f->pending_syns);
+	free(f->dead.zones);
 	free(f);
 }
 
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -64,9 +64,6 @@
 	LATE_DEFAULT_US = 1000000,
 };
 
-/* Zones in which dead upstreams are detected; those beyond are left out. */
-enum { DEAD_ZONES_MAX = 64 };
-
 /* Evidence that this VM's links to the upstreams of a zone work. */
 typedef struct dead_zone {
 	uint64_t zone;
@@ -77,8 +74,9 @@
 
 typedef struct dead_state {
 	int64_t after_us; /* 0: no detection of dead upstreams */
-	dead_zone_t zones[DEAD_ZONES_MAX];
+	dead_zone_t *zones;
 	size_t zone_count;
+	size_t zone_cap;
 	int64_t alive_us; /* an upstream of any zone was seen alive */
 	size_t dead_count;
 	bool watching;	  /* an upstream is a suspect or dead */
