--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -590,6 +590,22 @@
 	}
 }
 
+/* Guards against a weight near the smallest number, whose scale overflows. */
+TEST(PlatformPublished, WeightsMayBeTiny)
+{
+	kf_route_table_t *t =
+	    DecodeRouteTable(ConfigJson(RouteJson("198.18.0.1", "/443/",
+		"\"Split\":[{\"Service\":\"a\",\"Weight\":1e-310},"
+		"{\"Service\":\"b\",\"Weight\":1e-310},"
+		"{\"Service\":\"c\",\"Weight\":0}]")));
+
+	ASSERT_NE(nullptr, t);
+	EXPECT_EQ("", refused_parts);
+	EXPECT_NEAR(0.5, PartOf(&t->routes[0], "a"), 0.01);
+	EXPECT_NEAR(0.5, PartOf(&t->routes[0], "b"), 0.01);
+	kf_route_table_delete(t);
+}
+
 /* Guards against times, priorities and limits that are refused for being
  * fractions or large, or that keep a route out of force. */
 TEST(PlatformPublished, GoalsMayBeFractionsOrLargeOrUnreadable)
@@ -734,6 +750,8 @@
 		"{\"items\":[" + good + "],\"StoreRevision\":5",
 		"{\"items\":[" + good + "],\"StoreRevision\":5}}",
 		"{\"items\":[" + good + ",{\"Key\":\"b",
+		"{\"items\":[" + good +
+		    ",{\"Key\":\"b\\u0x00\"}],\"StoreRevision\":5}",
 		"{\"items\":[],\"HasMore\":true,\"StoreRevision\":5}",
 		"{\"items\":[{}],\"HasMore\":true,\"StoreRevision\":5}",
 	};
@@ -881,6 +899,14 @@
 	    DecodeUpstream("servers/i-7f3a91c2",
 		EntryWithReplacement("huvo11a", "huvo11a\\u0000"), &info));
 	EXPECT_NE(kf_name_key("huvo11a"), info.service);
+	/* cJSON reads a bad escape as NUL. */
+	for (const char *escape : { "\\uZZZZ", "\\u0x00", "\\u00", "\\u" })
+		EXPECT_EQ(KF_ERR_INVALID,
+		    DecodeUpstream("servers/i-7f3a91c2",
+			EntryWithReplacement(
+			    "huvo11a", std::string("huvo11a") + escape),
+			&info))
+		    << escape;
 	/* A field that is not used, and the text of an escape. */
 	ASSERT_EQ(KF_OK,
 	    DecodeUpstream("servers/i-7f3a91c2",
