--- a/lib/fwdnet/store_sync.c
+++ b/lib/fwdnet/store_sync.c
@@ -15,8 +15,6 @@
 	LONG_ENTRY_BYTES = 4096,
 };
 
-static void request_list(store_sync_t *s);
-
 static double
 jitter(store_sync_t *s)
 {
@@ -82,9 +80,8 @@
 	applier_record_contact(s->applier, s->sync.contact_us);
 }
 
-/* Counts failures; logs the first failure and the first success after it. */
-static void
-record_store_result(
+void
+store_sync_record_result(
     store_sync_t *s, kf_sync_call_t call, const http_answer_t *answer, bool ok)
 {
 	kf_store_position_t at = kf_replica_position(s->replica);
@@ -107,34 +104,34 @@
 	    (unsigned long long)at.revision);
 }
 
-static uint64_t
-era_of(const http_answer_t *answer)
+uint64_t
+store_sync_era_of(const http_answer_t *answer)
 {
 	return kf_platform_store_era(
 	    http_answer_header(answer, KF_PLATFORM_ERA_HEADER));
 }
 
-/* Ends a call whose answer is of an older era than expected: it is late, or
- * comes from a part of the store that is behind. */
-static void
-refuse_old_era(store_sync_t *s, kf_sync_call_t call,
+void
+store_sync_refuse_old_era(store_sync_t *s, kf_sync_call_t call,
     const http_answer_t *answer, uint64_t expected)
 {
 	kf_status_set(KF_ERR_STALE, "answer of era %llu is older than %llu",
-	    (unsigned long long)era_of(answer), (unsigned long long)expected);
-	record_store_result(s, call, answer, false);
+	    (unsigned long long)store_sync_era_of(answer),
+	    (unsigned long long)expected);
+	store_sync_record_result(s, call, answer, false);
 	store_sync_finish_call(s, call, KF_SYNC_FAILED);
 }
 
-/* Ends a call whose answer shows that the store was restored: it is listed. */
-static void
-leave_era(store_sync_t *s, kf_sync_call_t call, const http_answer_t *answer)
+void
+store_sync_leave_era(
+    store_sync_t *s, kf_sync_call_t call, const http_answer_t *answer)
 {
 	kf_store_position_t at = kf_replica_position(s->replica);
 
 	kf_eventlog_write(s->log, KF_LOG_WARN, "store_restored",
 	    "call=%s store_era=%llu era=%llu revision=%llu",
-	    kf_sync_call_name(call), (unsigned long long)era_of(answer),
+	    kf_sync_call_name(call),
+	    (unsigned long long)store_sync_era_of(answer),
 	    (unsigned long long)at.era, (unsigned long long)at.revision);
 	store_sync_finish_call(s, call, KF_SYNC_HISTORY_GONE);
 }
@@ -156,13 +153,6 @@
 	    (unsigned long long)at.revision, source);
 }
 
-static void
-log_listing_lost(store_sync_t *s)
-{
-	kf_eventlog_write(s->log, KF_LOG_ERROR, "item_lost",
-	    "key=listing reason=\"%s\"", kf_status_message());
-}
-
 /* Returns true for a long value that is no entry of an upstream. */
 static bool
 is_useless_entry(const kf_item_change_t *change)
@@ -194,176 +184,23 @@
 }
 
 /* An item of the store that cannot be read; the replica does not hold it. */
-static void
-on_item_refused(void *ctx, const char *key)
+void
+store_sync_on_item_refused(void *ctx, const char *key)
 {
 	store_sync_t *s = ctx;
 
 	applier_refuse(s->applier, key, 0);
 }
 
-static void
-apply_store_change(void *ctx, const kf_item_change_t *change)
+void
+store_sync_apply_store_change(void *ctx, const kf_item_change_t *change)
 {
 	store_sync_apply_change(ctx, KF_SOURCE_STORE, change);
 }
 
-static void
-begin_list_page(void *ctx, uint64_t revision)
-{
-	store_sync_t *s = ctx;
-
-	if (s->list_pages++ == 0) {
-		s->newest_page_revision = revision;
-		if (kf_replica_listing_begin(s->replica, KF_SOURCE_STORE,
-			(kf_store_position_t){ s->list_era, revision }) !=
-		    KF_OK)
-			log_listing_lost(s);
-		return;
-	}
-	if (revision > s->newest_page_revision)
-		s->newest_page_revision = revision;
-	kf_replica_listing_page(s->replica, KF_SOURCE_STORE, revision);
-}
-
-static void
-end_listing(store_sync_t *s)
-{
-	uint64_t era = kf_replica_position(s->replica).era;
-	kf_status_t status =
-	    kf_replica_listing_end(s->replica, KF_SOURCE_STORE, s->now_us);
-
-	store_sync_record_era(s, era, "store");
-	kf_eventlog_write(s->log, KF_LOG_INFO, "listed",
-	    "pages=%u stale=%s oldest_page=%llu newest_page=%llu era=%llu "
-	    "revision=%llu",
-	    s->list_pages, s->stale ? "yes" : "no",
-	    (unsigned long long)kf_replica_listing_revision(
-		s->replica, KF_SOURCE_STORE),
-	    (unsigned long long)s->newest_page_revision,
-	    (unsigned long long)kf_replica_position(s->replica).era,
-	    (unsigned long long)kf_replica_position(s->replica).revision);
-	store_sync_finish_call(s, KF_SYNC_LIST,
-	    status == KF_OK		 ? KF_SYNC_OK
-		: status == KF_ERR_STALE ? KF_SYNC_BEHIND
-					 : KF_SYNC_FAILED);
-}
-
-/*
- * Ends the listing if the page is of another era than the listing or is older
- * than the replica.  A listing that may be stale does not replace items of an
- * older era.
- */
-static bool
-check_page_era(store_sync_t *s, const http_answer_t *answer)
-{
-	kf_store_position_t at = kf_replica_position(s->replica);
-	uint64_t era = era_of(answer), expected = at.era;
-
-	if (s->list_pages > 0 && s->list_era > at.era)
-		expected = s->list_era;
-	if (era < expected) {
-		refuse_old_era(s, KF_SYNC_LIST, answer, expected);
-		return false;
-	}
-	if (s->list_pages > 0 ? era > s->list_era
-			      : era > at.era && at.revision != 0 && s->stale) {
-		leave_era(s, KF_SYNC_LIST, answer);
-		return false;
-	}
-	s->list_era = era;
-	return true;
-}
-
-/*
- * Continues the listing after the last key of a page.  A page that ends where
- * it began would be listed again and again.
- */
-static kf_status_t
-advance_listing(store_sync_t *s, kf_platform_answer_t *page)
-{
-	if (s->after_key != NULL && strcmp(s->after_key, page->last_key) == 0)
-		return kf_status_set(KF_ERR_INVALID,
-		    "page ends with the key '%.60s' after which it begins",
-		    s->after_key);
-	free(s->after_key);
-	s->after_key = page->last_key;
-	page->last_key = NULL;
-	return KF_OK;
-}
-
-static void
-begin_list_part(store_sync_t *s, kf_platform_list_part_t part)
-{
-	s->list_part = part;
-	free(s->after_key);
-	s->after_key = NULL;
-	request_list(s);
-}
-
-static kf_status_t
-apply_list_page(
-    store_sync_t *s, const http_answer_t *answer, kf_platform_answer_t *page)
-{
-	const kf_platform_reader_t reader = {
-		.begin = begin_list_page,
-		.change = apply_store_change,
-		.refused = on_item_refused,
-		.ctx = s,
-	};
-	kf_status_t status;
-
-	if (answer->status != HTTP_OK)
-		return KF_ERR_IO;
-	status =
-	    kf_platform_list_decode(answer->body, answer->len, page, &reader);
-	return status == KF_OK && page->more ? advance_listing(s, page)
-					     : status;
-}
-
-static void
-handle_list_page(store_sync_t *s, const http_answer_t *answer)
-{
-	kf_platform_answer_t page = { 0 };
-	kf_status_t status;
-
-	if (answer->status == HTTP_OK && !check_page_era(s, answer))
-		return;
-	status = apply_list_page(s, answer, &page);
-	kf_platform_answer_free(&page);
-	record_store_result(s, KF_SYNC_LIST, answer, status == KF_OK);
-	if (status != KF_OK) {
-		store_sync_finish_call(s, KF_SYNC_LIST, KF_SYNC_FAILED);
-		return;
-	}
-	if (page.more) {
-		request_list(s);
-		return;
-	}
-	/* Items of another era are applied only when the listing has ended. */
-	if (s->list_era == kf_replica_position(s->replica).era)
-		s->has_upstreams = true;
-	if (s->list_part + 1 < KF_PLATFORM_LIST_PARTS)
-		begin_list_part(s, s->list_part + 1);
-	else
-		end_listing(s);
-}
-
-static void
-on_list(void *ctx, uint32_t tag, const http_answer_t *answer)
-{
-	store_sync_t *s = ctx;
-
-	(void)tag;
-	s->now_us = kf_clock_now().mono_us;
-	applier_begin_batch(s->applier);
-	handle_list_page(s, answer);
-	applier_end_batch(s->applier);
-}
-
-static void
-request(store_sync_t *s, kf_sync_call_t call, kf_addr_t host, const char *path,
-    uint32_t timeout_ms, http_done_fn *done)
+void
+store_sync_request(store_sync_t *s, kf_sync_call_t call, kf_addr_t host,
+    const char *path, uint32_t timeout_ms, http_done_fn *done)
 {
 	s->stats.calls[call]++;
 	if (path != NULL &&
@@ -376,17 +213,6 @@
 	store_sync_finish_call(s, call, KF_SYNC_FAILED);
 }
 
-static void
-request_list(store_sync_t *s)
-{
-	char *path =
-	    kf_platform_list_path(s->list_part, s->after_key, s->stale);
-
-	request(
-	    s, KF_SYNC_LIST, s->store, path, KF_SYNC_LIST_TIMEOUT_MS, on_list);
-	free(path);
-}
-
 /*
  * Ends the watch if its answer is of another era than the replica, or if a pull
  * has moved the replica to another era since it was sent: the answer then
@@ -400,18 +226,18 @@
 	if (s->watch_era != own) {
 		kf_status_set(KF_ERR_STALE, "watch was sent in era %llu",
 		    (unsigned long long)s->watch_era);
-		record_store_result(s, KF_SYNC_WATCH, answer, false);
+		store_sync_record_result(s, KF_SYNC_WATCH, answer, false);
 		store_sync_finish_call(s, KF_SYNC_WATCH, KF_SYNC_FAILED);
 		return false;
 	}
 	if ((answer->status != HTTP_OK &&
 		answer->status != KF_PLATFORM_HTTP_HISTORY_GONE) ||
-	    era_of(answer) == own)
+	    store_sync_era_of(answer) == own)
 		return true;
-	if (era_of(answer) < own)
-		refuse_old_era(s, KF_SYNC_WATCH, answer, own);
+	if (store_sync_era_of(answer) < own)
+		store_sync_refuse_old_era(s, KF_SYNC_WATCH, answer, own);
 	else
-		leave_era(s, KF_SYNC_WATCH, answer);
+		store_sync_leave_era(s, KF_SYNC_WATCH, answer);
 	return false;
 }
 
@@ -420,8 +246,8 @@
 {
 	store_sync_t *s = ctx;
 	const kf_platform_reader_t reader = {
-		.change = apply_store_change,
-		.refused = on_item_refused,
+		.change = store_sync_apply_store_change,
+		.refused = store_sync_on_item_refused,
 		.ctx = s,
 	};
 	kf_platform_answer_t changes = { 0 };
@@ -433,7 +259,7 @@
 		return;
 	if (answer->too_long) {
 		/* Pages of a listing are short, whatever has changed. */
-		record_store_result(s, KF_SYNC_WATCH, answer, false);
+		store_sync_record_result(s, KF_SYNC_WATCH, answer, false);
 		store_sync_finish_call(s, KF_SYNC_WATCH, KF_SYNC_HISTORY_GONE);
 		return;
 	}
@@ -456,7 +282,7 @@
 		kf_platform_answer_free(&changes);
 		applier_end_batch(s->applier);
 	}
-	record_store_result(s, KF_SYNC_WATCH, answer, status == KF_OK);
+	store_sync_record_result(s, KF_SYNC_WATCH, answer, status == KF_OK);
 	if (status == KF_OK)
 		kf_replica_advance(s->replica, changes.revision);
 	store_sync_finish_call(s, KF_SYNC_WATCH,
@@ -471,16 +297,14 @@
 	char path[KF_PLATFORM_PATH_BYTES];
 
 	if (actions->call == KF_SYNC_LIST) {
-		s->stale = actions->stale;
-		s->list_pages = 0;
-		begin_list_part(s, 0);
+		store_sync_begin_listing(s, actions->stale);
 		return;
 	}
 	kf_replica_listing_cancel(s->replica, KF_SOURCE_STORE);
 	s->watch_era = kf_replica_position(s->replica).era;
 	kf_platform_watch_path(
 	    path, kf_replica_position(s->replica).revision, actions->wait_ms);
-	request(
+	store_sync_request(
 	    s, KF_SYNC_WATCH, s->store, path, actions->timeout_ms, on_watch);
 }
 
@@ -551,8 +375,8 @@
 		    (unsigned long long)at.revision,
 		    (unsigned long long)at.era);
 		s->source_ip = peer.ip;
-		request(s, KF_SYNC_PULL, peer, path, KF_SYNC_PULL_TIMEOUT_MS,
-		    store_sync_on_pull);
+		store_sync_request(s, KF_SYNC_PULL, peer, path,
+		    KF_SYNC_PULL_TIMEOUT_MS, store_sync_on_pull);
 	}
 	if (actions.store) {
 		log_own_read(s, view, now_us);
