Decide by contents which entry describes an upstream

Another writer had put a note under servers/note-0000a1 beside each servers/i-0000a1.

Cause: the store knows an entry by its key, the directory an upstream by the number at the key's end. An item of any key with that number removed the upstream if it could not be read, replaced it if it could, and its removal removed it; the last change won. Trace on the old code: "event=upstream key=servers/note-0000a1 change=gone" on all VMs for a note that is written while they run; at a start the listing brings note- after i-, and such lines are at level debug.

Change: kf_upstream_entries holds the entries that have one id apart. The one in use follows from the contents of the usable ones, so that order does not matter: a service that the configuration names, the later start, the one that drains, the higher Seq, the first key. The others are hidden and take over at once when it goes away. Keys that stand under an id name no upstream. A line entries_conflict and two metrics. The limits of log lines of the applier and of the decisions are one pair of files now.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -35,6 +35,7 @@
 	[KF_CHANGE_MISSING] = "missing",
 	[KF_CHANGE_GONE] = "gone",
 	[KF_CHANGE_HELD] = "held",
+	[KF_CHANGE_HIDDEN] = "hidden",
 };
 
 const char *
@@ -87,6 +88,22 @@
 	    &id, d->targets, d->count, sizeof(kf_target_t *), id_compare);
 }
 
+/* Returns the target with this id, or NULL. */
+static kf_target_t *
+find_id(const kf_directory_t *d, uint64_t id)
+{
+	size_t at = index_of_id(d, id);
+
+	return at < d->count && d->targets[at]->info.id == id ? d->targets[at]
+							      : NULL;
+}
+
+const kf_target_t *
+kf_directory_find_id(const kf_directory_t *d, uint64_t id)
+{
+	return find_id(d, id);
+}
+
 static kf_target_t **
 bucket_of(const kf_directory_t *d, uint32_t token)
 {
@@ -479,13 +496,11 @@
 kf_directory_put_backup(kf_directory_t *d, const kf_upstream_info_t *info,
     int64_t now_us, kf_change_t *change)
 {
-	size_t at = index_of_id(d, info->id);
+	const kf_target_t *target = find_id(d, info->id);
 	kf_upstream_info_t known = *info;
-	const kf_target_t *target;
 
-	if (at == d->count || d->targets[at]->info.id != info->id)
+	if (target == NULL)
 		return kf_directory_put(d, info, now_us, change);
-	target = d->targets[at];
 	if (is_newer_than(target, info)) {
 		*change = KF_CHANGE_HELD;
 		return KF_OK;
@@ -500,13 +515,10 @@
 kf_change_t
 kf_directory_remove(kf_directory_t *d, uint64_t id, bool lapsed, int64_t now_us)
 {
-	size_t at = index_of_id(d, id);
-	kf_target_t *target;
+	kf_target_t *target = find_id(d, id);
 
-	if (at == d->count || d->targets[at]->info.id != id ||
-	    d->targets[at]->listing == KF_LISTING_GONE)
+	if (target == NULL || target->listing == KF_LISTING_GONE)
 		return KF_CHANGE_NONE;
-	target = d->targets[at];
 	if (target->listing == KF_LISTING_MISSING && lapsed) {
 		target->unlisted_us = now_us; /* the grace starts again */
 		return KF_CHANGE_NONE;
--- a/lib/forwarder/include/kf/directory.h
+++ b/lib/forwarder/include/kf/directory.h
@@ -102,7 +102,8 @@
 	KF_CHANGE_UPDATED,
 	KF_CHANGE_MISSING,
 	KF_CHANGE_GONE,
-	KF_CHANGE_HELD, /* the known state is newer than the entry */
+	KF_CHANGE_HELD,	  /* the known state is newer than the entry */
+	KF_CHANGE_HIDDEN, /* another entry describes the upstream */
 } kf_change_t;
 
 const char *kf_change_name(kf_change_t change);
@@ -189,6 +190,9 @@
 uint64_t kf_directory_zone(const kf_directory_t *directory);
 
 kf_target_t *kf_directory_find(const kf_directory_t *directory, uint32_t token);
+/* Returns the target with this id, or NULL. */
+const kf_target_t *kf_directory_find_id(
+    const kf_directory_t *directory, uint64_t id);
 kf_pool_t *kf_directory_pool(kf_directory_t *directory, uint64_t service);
 
 size_t kf_directory_pool_count(const kf_directory_t *directory);
--- a/lib/forwarder/include/kf/route_table.h
+++ b/lib/forwarder/include/kf/route_table.h
@@ -90,6 +90,10 @@
 double kf_route_table_cold_per_s(
     const kf_route_table_t *table, uint64_t service);
 
+/* Returns true if the configuration names the service. */
+bool kf_route_table_names_service(
+    const kf_route_table_t *table, uint64_t service);
+
 /* Returns the route of an address, also a removed one, or NULL.  table may be
  * NULL. */
 const kf_route_t *kf_route_table_find(
--- a/lib/forwarder/include/kf/target.h
+++ b/lib/forwarder/include/kf/target.h
@@ -49,6 +49,9 @@
 /* An upstream's published entry. */
 typedef struct kf_upstream_info {
 	uint64_t id;
+	uint64_t entry; /* kf_name_key of the entry's key; several may have one
+			 * id, see kf/upstream_entries.h */
+	uint64_t seq;	/* counts what the upstream has said since its start */
 	char name[KF_UPSTREAM_NAME_BYTES];
 	char service_name[KF_UPSTREAM_NAME_BYTES];
 	char zone_name[KF_UPSTREAM_NAME_BYTES];
@@ -59,7 +62,8 @@
 	int64_t born_ms;      /* start of the incarnation, UTC since 1970 */
 	int64_t cold_left_us; /* remaining cold start */
 	bool draining;
-	bool warm; /* by its start, its cold start ended long ago */
+	bool warm;	  /* by its start, its cold start ended long ago */
+	bool from_backup; /* the store was restored from a backup since */
 } kf_upstream_info_t;
 
 typedef enum kf_listing {
--- a/lib/forwarder/route_table.c
+++ b/lib/forwarder/route_table.c
@@ -209,6 +209,22 @@
 	return 0;
 }
 
+bool
+kf_route_table_names_service(const kf_route_table_t *table, uint64_t service)
+{
+	size_t i;
+	uint32_t j;
+
+	for (i = 0; table != NULL && i < table->service_count; i++)
+		if (table->services[i].service == service)
+			return true;
+	for (i = 0; table != NULL && i < table->count; i++)
+		for (j = 0; j < table->routes[i].share_count; j++)
+			if (table->routes[i].shares[j].service == service)
+				return true;
+	return false;
+}
+
 static int
 share_compare(const void *key, const void *element)
 {
--- /dev/null
+++ b/lib/forwarder/upstream_entries.c
@@ -0,0 +1,299 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "kf/upstream_entries.h"
+
+enum { FIRST_CAP = 8 };
+
+void
+kf_upstream_entries_clear(kf_upstream_entries_t *e)
+{
+	free(e->hidden);
+	*e = (kf_upstream_entries_t){ 0 };
+}
+
+static bool
+comes_first(const kf_upstream_info_t *a, const kf_upstream_info_t *b,
+    const kf_route_table_t *routes)
+{
+	bool a_named = kf_route_table_names_service(routes, a->service);
+	bool b_named = kf_route_table_names_service(routes, b->service);
+	int order;
+
+	if (a_named != b_named)
+		return a_named;
+	if (a->born_ms != b->born_ms)
+		return a->born_ms > b->born_ms;
+	if (a->draining != b->draining)
+		return a->draining;
+	if (a->seq != b->seq)
+		return a->seq > b->seq;
+	order = strcmp(a->name, b->name);
+	return order != 0 ? order < 0 : a->entry < b->entry;
+}
+
+/* Returns the index of an entry, or the number of hidden ones. */
+static size_t
+index_of(const kf_upstream_entries_t *e, uint64_t id, uint64_t entry)
+{
+	size_t i;
+
+	for (i = 0; i < e->count &&
+	     (e->hidden[i].info.id != id || e->hidden[i].info.entry != entry);
+	     i++)
+		;
+	return i;
+}
+
+/* Returns the index of the first of an upstream's hidden entries, or the number
+ * of hidden ones. */
+static size_t
+index_of_first(
+    const kf_upstream_entries_t *e, uint64_t id, const kf_route_table_t *routes)
+{
+	size_t i, first = e->count;
+
+	for (i = 0; i < e->count; i++)
+		if (e->hidden[i].info.id == id &&
+		    (first == e->count ||
+			comes_first(&e->hidden[i].info, &e->hidden[first].info,
+			    routes)))
+			first = i;
+	return first;
+}
+
+/* Returns the entry that describes an upstream, or NULL. */
+static const kf_target_t *
+shown_entry(const kf_directory_t *d, uint64_t id)
+{
+	const kf_target_t *target = kf_directory_find_id(d, id);
+
+	return target != NULL && target->listing == KF_LISTED ? target : NULL;
+}
+
+/* Makes room for one more, so that hide cannot fail. */
+static kf_status_t
+reserve(kf_upstream_entries_t *e)
+{
+	size_t cap = e->cap == 0 ? FIRST_CAP : e->cap * 2;
+	kf_hidden_entry_t *grown;
+
+	if (e->count < e->cap)
+		return KF_OK;
+	grown = realloc(e->hidden, cap * sizeof(*grown));
+	if (grown == NULL)
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "no memory for a hidden entry");
+	e->hidden = grown;
+	e->cap = cap;
+	return KF_OK;
+}
+
+static void
+hide(kf_upstream_entries_t *e, const kf_upstream_info_t *info, int64_t now_us)
+{
+	e->hidden[e->count++] = (kf_hidden_entry_t){
+		.info = *info,
+		.received_us = now_us,
+	};
+}
+
+/* Returns the entry of a target with what is left of its cold start. */
+static kf_upstream_info_t
+shown_info(const kf_target_t *target, int64_t now_us)
+{
+	kf_upstream_info_t info = target->info;
+
+	info.cold_left_us =
+	    target->cold_end_us > now_us ? target->cold_end_us - now_us : 0;
+	return info;
+}
+
+/* Takes a hidden entry out, with what is left of its cold start. */
+static kf_upstream_info_t
+take(kf_upstream_entries_t *e, size_t at, int64_t now_us)
+{
+	kf_hidden_entry_t taken = e->hidden[at];
+	int64_t age_us = now_us - taken.received_us;
+
+	e->hidden[at] = e->hidden[--e->count];
+	taken.info.cold_left_us = taken.info.cold_left_us > age_us
+	    ? taken.info.cold_left_us - age_us
+	    : 0;
+	return taken.info;
+}
+
+static kf_status_t
+show(kf_directory_t *d, const kf_upstream_info_t *info, int64_t now_us,
+    kf_change_t *change)
+{
+	return info->from_backup
+	    ? kf_directory_put_backup(d, info, now_us, change)
+	    : kf_directory_put(d, info, now_us, change);
+}
+
+static void
+note_conflict(kf_entry_conflict_t *conflict, const kf_upstream_info_t *shown,
+    const kf_upstream_info_t *other)
+{
+	conflict->found = true;
+	conflict->id = shown->id;
+	memcpy(conflict->shown, shown->name, sizeof(conflict->shown));
+	memcpy(conflict->other, other->name, sizeof(conflict->other));
+}
+
+/*
+ * Shows the hidden entry at an index in place of another one, which becomes
+ * hidden.  Returns false, and nothing changes, if it does not hold against what
+ * is known of the upstream.
+ */
+static bool
+exchange(kf_upstream_entries_t *e, kf_directory_t *d, size_t at,
+    const kf_upstream_info_t *shown, int64_t now_us,
+    kf_entry_conflict_t *conflict)
+{
+	kf_upstream_info_t info = take(e, at, now_us);
+	kf_change_t change = KF_CHANGE_NONE;
+
+	if (show(d, &info, now_us, &change) != KF_OK ||
+	    change == KF_CHANGE_HELD) {
+		hide(e, &info, now_us);
+		return false;
+	}
+	hide(e, shown, now_us);
+	e->conflicts++;
+	note_conflict(conflict, &info, shown);
+	return true;
+}
+
+/*
+ * Shows a new form of the entry that describes an upstream.  If it no longer
+ * comes first, a hidden one takes its place.
+ */
+static kf_status_t
+update_shown(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, const kf_upstream_info_t *info,
+    int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
+{
+	size_t first = index_of_first(e, info->id, routes);
+
+	if (first == e->count ||
+	    comes_first(info, &e->hidden[first].info, routes) ||
+	    !exchange(e, d, first, info, now_us, conflict))
+		return show(d, info, now_us, change);
+	*change = KF_CHANGE_HIDDEN;
+	return KF_OK;
+}
+
+/* Adds an entry while another one describes the upstream. */
+static kf_status_t
+add_beside(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, const kf_target_t *target,
+    const kf_upstream_info_t *info, bool was_hidden, int64_t now_us,
+    kf_change_t *change, kf_entry_conflict_t *conflict)
+{
+	kf_upstream_info_t shown = shown_info(target, now_us);
+
+	if (reserve(e) != KF_OK)
+		return KF_ERR_NO_MEMORY;
+	hide(e, info, now_us);
+	if (comes_first(info, &shown, routes) &&
+	    exchange(e, d, e->count - 1, &shown, now_us, conflict)) {
+		*change = KF_CHANGE_UPDATED;
+		return KF_OK;
+	}
+	*change = KF_CHANGE_HIDDEN;
+	if (was_hidden)
+		return KF_OK;
+	e->conflicts++;
+	note_conflict(conflict, &shown, info);
+	return KF_OK;
+}
+
+kf_status_t
+kf_upstream_entries_put(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, const kf_upstream_info_t *info,
+    int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
+{
+	const kf_target_t *shown = shown_entry(d, info->id);
+	size_t at = index_of(e, info->id, info->entry);
+	bool was_hidden = at < e->count;
+
+	*conflict = (kf_entry_conflict_t){ 0 };
+	*change = KF_CHANGE_NONE;
+	if (was_hidden)
+		(void)take(e, at, now_us);
+	return shown == NULL || shown->info.entry == info->entry
+	    ? update_shown(e, d, routes, info, now_us, change, conflict)
+	    : add_beside(e, d, routes, shown, info, was_hidden, now_us, change,
+		  conflict);
+}
+
+/*
+ * Lets the first hidden entry take the place of one that is removed.  Returns
+ * false if there is none that holds against what is known of the upstream.
+ */
+static bool
+replace_removed(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, const kf_upstream_info_t *removed,
+    int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
+{
+	kf_upstream_info_t next;
+	size_t first;
+
+	while ((first = index_of_first(e, removed->id, routes)) < e->count) {
+		next = take(e, first, now_us);
+		if (show(d, &next, now_us, change) != KF_OK ||
+		    *change == KF_CHANGE_HELD)
+			continue;
+		note_conflict(conflict, &next, removed);
+		return true;
+	}
+	return false;
+}
+
+kf_change_t
+kf_upstream_entries_remove(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, uint64_t id, uint64_t entry, bool lapsed,
+    int64_t now_us, kf_entry_conflict_t *conflict)
+{
+	const kf_target_t *target = kf_directory_find_id(d, id);
+	size_t at = index_of(e, id, entry);
+	kf_change_t change = KF_CHANGE_NONE;
+	kf_upstream_info_t removed;
+
+	*conflict = (kf_entry_conflict_t){ 0 };
+	if (at < e->count)
+		(void)take(e, at, now_us);
+	if (target == NULL || target->info.entry != entry)
+		return KF_CHANGE_NONE;
+	removed = target->info;
+	if (target->listing == KF_LISTED &&
+	    replace_removed(e, d, routes, &removed, now_us, &change, conflict))
+		return change;
+	return kf_directory_remove(d, id, lapsed, now_us);
+}
+
+bool
+kf_upstream_entries_reorder(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, int64_t now_us,
+    kf_entry_conflict_t *conflict)
+{
+	size_t i;
+
+	*conflict = (kf_entry_conflict_t){ 0 };
+	for (i = 0; i < e->count; i++) {
+		uint64_t id = e->hidden[i].info.id;
+		size_t first = index_of_first(e, id, routes);
+		const kf_target_t *target = shown_entry(d, id);
+		kf_upstream_info_t shown;
+
+		if (target == NULL ||
+		    !comes_first(&e->hidden[first].info, &target->info, routes))
+			continue;
+		shown = shown_info(target, now_us);
+		if (exchange(e, d, first, &shown, now_us, conflict))
+			return true;
+	}
+	return false;
+}
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -13,11 +13,37 @@
 	/* Lines about the parts of one configuration; the line config has their
 	 * number. */
 	MAX_PART_LINES = 8,
-	/* Lines about items that cannot be used. */
-	MAX_REFUSED_LINES = 10,
-	REFUSED_WINDOW_US = 10000000,
+	/* Lines about items that cannot be used, and about entries with one id,
+	 * which may be written again every second. */
+	MAX_ITEM_LINES = 10,
+	ITEM_LINES_MS = 10000,
 };
 
+void
+applier_init(applier_t *a, packet_thread_t *packets, kf_eventlog_t *log)
+{
+	const line_limit_t limit = {
+		.max_lines = MAX_ITEM_LINES,
+		.window_ms = ITEM_LINES_MS,
+	};
+
+	*a = (applier_t){
+		.packets = packets,
+		.log = log,
+		.contact_us = INT64_MIN,
+		.outage_end_us = INT64_MIN,
+		.first_contact_us = INT64_MIN,
+		.refused_lines = limit,
+		.conflict_lines = limit,
+	};
+}
+
+void
+applier_clear(applier_t *a)
+{
+	kf_upstream_entries_clear(&a->entries);
+}
+
 void
 applier_record_contact(applier_t *a, int64_t contact_us)
 {
@@ -72,36 +98,17 @@
 		    kf_change_name(change), (unsigned long long)item->revision);
 }
 
-/*
- * An item that cannot be used may be written again every second, at every VM.
- * Above a number of lines in some seconds only their count is logged.
- */
-static bool
-is_line_allowed(applier_t *a, int64_t now_us)
-{
-	if (now_us - a->refused_window_us >= REFUSED_WINDOW_US) {
-		a->refused_window_us = now_us;
-		a->refused_lines = 0;
-	}
-	if (a->refused_lines >= MAX_REFUSED_LINES) {
-		a->refused_suppressed++;
-		return false;
-	}
-	a->refused_lines++;
-	return true;
-}
-
 void
 applier_refuse(applier_t *a, const char *key, uint64_t revision)
 {
 	a->refused++;
-	if (!is_line_allowed(a, kf_clock_now().mono_us))
+	if (!line_limit_allows(
+		&a->refused_lines, kf_clock_now().mono_us / 1000))
 		return;
 	kf_eventlog_write(a->log, KF_LOG_WARN, "item_refused",
 	    "key=%.200s revision=%llu reason=\"%s\" suppressed=%llu", key,
 	    (unsigned long long)revision, kf_status_message(),
-	    (unsigned long long)a->refused_suppressed);
-	a->refused_suppressed = 0;
+	    (unsigned long long)line_limit_take_suppressed(&a->refused_lines));
 }
 
 static void
@@ -110,10 +117,25 @@
 	applier_refuse(a, item->key, item->revision);
 }
 
+static void
+log_conflict(applier_t *a, const kf_entry_conflict_t *conflict)
+{
+	if (!conflict->found ||
+	    !line_limit_allows(
+		&a->conflict_lines, kf_clock_now().mono_us / 1000))
+		return;
+	kf_eventlog_write(a->log, KF_LOG_WARN, "entries_conflict",
+	    "id=%llx used=%s other=%s hidden=%zu suppressed=%llu",
+	    (unsigned long long)conflict->id, conflict->shown, conflict->other,
+	    a->entries.count,
+	    (unsigned long long)line_limit_take_suppressed(&a->conflict_lines));
+}
+
 static void
 remove_upstream(
     applier_t *a, const kf_item_t *item, bool lapsed, int64_t now_us)
 {
+	kf_entry_conflict_t conflict;
 	kf_forwarder_t *forwarder;
 	kf_change_t change;
 	uint64_t id;
@@ -121,19 +143,21 @@
 	if (kf_platform_upstream_id(item->key, &id) != KF_OK)
 		return; /* never an upstream; logged when it was added */
 	forwarder = packet_thread_lock(a->packets);
-	change = kf_directory_remove(
-	    kf_forwarder_directory(forwarder), id, lapsed, now_us);
+	change = kf_upstream_entries_remove(&a->entries,
+	    kf_forwarder_directory(forwarder), a->routes, id,
+	    kf_platform_upstream_entry(item->key), lapsed, now_us, &conflict);
 	packet_thread_unlock(a->packets);
 	log_upstream(a, item, change);
+	log_conflict(a, &conflict);
 }
 
 static void
 put_upstream(applier_t *a, const kf_item_t *item, int64_t now_us)
 {
 	kf_change_t change = KF_CHANGE_NONE;
+	kf_entry_conflict_t conflict;
 	kf_upstream_info_t info;
 	kf_forwarder_t *forwarder;
-	kf_directory_t *directory;
 	kf_status_t status;
 
 	if (kf_platform_upstream_decode(
@@ -146,15 +170,35 @@
 	 * clocks. */
 	info.warm =
 	    !a->loaded && kf_upstream_is_warm(&info, kf_clock_now().wall_ms);
+	info.from_backup = item->from_backup;
 	forwarder = packet_thread_lock(a->packets);
-	directory = kf_forwarder_directory(forwarder);
-	status = item->from_backup
-	    ? kf_directory_put_backup(directory, &info, now_us, &change)
-	    : kf_directory_put(directory, &info, now_us, &change);
+	status = kf_upstream_entries_put(&a->entries,
+	    kf_forwarder_directory(forwarder), a->routes, &info, now_us,
+	    &change, &conflict);
 	packet_thread_unlock(a->packets);
 	if (status != KF_OK)
 		log_refused(a, item);
 	log_upstream(a, item, change);
+	log_conflict(a, &conflict);
+}
+
+/* A configuration that names other services may change which entries are
+ * used. */
+static void
+reorder_entries(applier_t *a, int64_t now_us)
+{
+	kf_entry_conflict_t conflict;
+	kf_forwarder_t *forwarder;
+	bool changed;
+
+	do {
+		forwarder = packet_thread_lock(a->packets);
+		changed = kf_upstream_entries_reorder(&a->entries,
+		    kf_forwarder_directory(forwarder), a->routes, now_us,
+		    &conflict);
+		packet_thread_unlock(a->packets);
+		log_conflict(a, &conflict);
+	} while (changed);
 }
 
 static void
@@ -169,7 +213,7 @@
 }
 
 static void
-put_routes(applier_t *a, const kf_item_t *item)
+put_routes(applier_t *a, const kf_item_t *item, int64_t now_us)
 {
 	kf_route_table_t *table;
 	kf_forwarder_t *forwarder;
@@ -188,6 +232,7 @@
 		return;
 	}
 	a->routes = table;
+	reorder_entries(a, now_us);
 	kf_eventlog_write(a->log, KF_LOG_INFO, "config",
 	    "version=%llu routes=%zu parts_refused=%zu revision=%llu",
 	    (unsigned long long)table->version, table->count,
@@ -271,7 +316,7 @@
 	case KF_PUBLISHED_ROUTES:
 		/* A removed configuration stays in use. */
 		if (!item->removed)
-			put_routes(a, item);
+			put_routes(a, item, now_us);
 		break;
 	case KF_PUBLISHED_EVACUATION:
 		if (!item->lost)
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -3,7 +3,9 @@
 
 #include "kf/eventlog.h"
 #include "kf/replica.h"
+#include "kf/upstream_entries.h"
 
+#include "line_limit.h"
 #include "packet_thread.h"
 
 /*
@@ -32,14 +34,19 @@
 	int64_t outage_end_us; /* of the last store outage; INT64_MIN: none */
 	int64_t first_contact_us; /* INT64_MIN: none yet */
 	uint64_t refused; /* items that could not be decoded or applied */
-	/* Lines about them in the current window. */
-	int64_t refused_window_us;
-	uint32_t refused_lines;
-	uint64_t refused_suppressed; /* since the last line */
+	line_limit_t refused_lines;
+	kf_upstream_entries_t entries;
+	line_limit_t conflict_lines;
 	bool loaded;	     /* the first batch of items has been applied */
 	uint32_t part_lines; /* logged of the configuration being decoded */
 } applier_t;
 
+void applier_init(
+    applier_t *applier, packet_thread_t *packets, kf_eventlog_t *log);
+
+/* Frees what the applier holds. */
+void applier_clear(applier_t *applier);
+
 /*
  * Begin and end a batch of changes.  Changes of upstreams take effect together
  * at the end of the batch, so that their index is built only once.
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -156,6 +156,8 @@
 		.config_parts_refused =
 		    applier_config_parts_refused(&l->applier),
 		.items_refused = l->applier.refused,
+		.entries_hidden = l->applier.entries.count,
+		.entry_conflicts = l->applier.entries.conflicts,
 		.log_dropped = kf_eventlog_dropped(l->log),
 		.contact_age_ms = kf_age_ms(l->view.contact_us, l->now_us),
 		.vm_count = l->view.vm_count,
@@ -314,13 +316,7 @@
 	l->packets = packets;
 	l->forward_log = forward_log;
 	l->log = log;
-	l->applier = (applier_t){
-		.packets = packets,
-		.log = log,
-		.contact_us = INT64_MIN,
-		.outage_end_us = INT64_MIN,
-		.first_contact_us = INT64_MIN,
-	};
+	applier_init(&l->applier, packets, log);
 	l->signal_fd = -1;
 	l->beacon_fd = -1;
 	l->now_us = kf_clock_now().mono_us;
@@ -345,6 +341,7 @@
 	upstream_probe_delete(l->probe);
 	io_loop_delete(l->io);
 	kf_peering_delete(l->peering);
+	applier_clear(&l->applier);
 	if (l->beacon_fd >= 0)
 		close(l->beacon_fd);
 	if (l->signal_fd >= 0)
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -12,7 +12,7 @@
 {
 	*l = (forward_log_t){
 		.log = log,
-		.limit_per_s = limit_per_s,
+		.limit = { .max_lines = limit_per_s, .window_ms = 1000 },
 		.sample = sample,
 		.contact_us = INT64_MIN,
 	};
@@ -36,30 +36,14 @@
 		r->copies == 0 && r->tries <= 1);
 }
 
-/* Returns true and counts the line if the limit per second is not reached. */
-static bool
-is_allowed(forward_log_t *l, kf_time_t now)
-{
-	if (l->second != now.wall_ms / 1000) {
-		l->second = now.wall_ms / 1000;
-		l->written = 0;
-	}
-	if (l->written >= l->limit_per_s) {
-		l->suppressed++;
-		return false;
-	}
-	l->written++;
-	return true;
-}
-
 static void
 report_suppressed(forward_log_t *l)
 {
-	if (l->suppressed == 0)
-		return;
-	kf_eventlog_write(l->log, KF_LOG_INFO, "suppressed", "lines=%llu",
-	    (unsigned long long)l->suppressed);
-	l->suppressed = 0;
+	uint64_t lines = line_limit_take_suppressed(&l->limit);
+
+	if (lines > 0)
+		kf_eventlog_write(l->log, KF_LOG_INFO, "suppressed",
+		    "lines=%llu", (unsigned long long)lines);
 }
 
 static void
@@ -119,7 +103,7 @@
 	if (!kf_eventlog_enabled(l->log, KF_LOG_INFO))
 		return;
 	now = kf_clock_now();
-	if (!is_allowed(l, now))
+	if (!line_limit_allows(&l->limit, now.mono_us / 1000))
 		return;
 	report_suppressed(l);
 	if (r->client.port == 0 && r->target != NULL)
--- a/lib/fwdnet/forward_log.h
+++ b/lib/fwdnet/forward_log.h
@@ -6,6 +6,7 @@
 #include "kf/replica.h"
 
 #include "histogram.h"
+#include "line_limit.h"
 
 /*
  * NAME
@@ -21,11 +22,8 @@
 
 typedef struct forward_log {
 	kf_eventlog_t *log;
-	uint32_t limit_per_s;
+	line_limit_t limit;
 	uint32_t sample;
-	int64_t second;
-	uint32_t written;
-	uint64_t suppressed;
 	/* State of the replica, logged per flow; set by the control thread. */
 	kf_store_position_t position;
 	int64_t contact_us; /* latest known contact of any VM with the store */
--- a/lib/fwdnet/forward_metrics.c
+++ b/lib/fwdnet/forward_metrics.c
@@ -95,6 +95,12 @@
 	write_value(out, "items_refused_total", "counter",
 	    "items of the store that could not be decoded",
 	    (long long)m->items_refused);
+	write_value(out, "entries_hidden", "gauge",
+	    "entries not used because another one has their upstream's id",
+	    (long long)m->entries_hidden);
+	write_value(out, "entry_conflicts_total", "counter",
+	    "times that an entry was hidden by another one",
+	    (long long)m->entry_conflicts);
 	write_value(out, "zones_evacuated", "gauge",
 	    "zones whose upstreams get no new flows",
 	    (long long)m->packets.zones_evacuated);
--- a/lib/fwdnet/forward_metrics.h
+++ b/lib/fwdnet/forward_metrics.h
@@ -17,6 +17,8 @@
 	uint64_t config_version;
 	size_t config_parts_refused;
 	uint64_t items_refused;
+	size_t entries_hidden;
+	uint64_t entry_conflicts;
 	uint64_t log_dropped;
 	int64_t contact_age_ms; /* -1: no contact yet */
 	uint32_t vm_count;
