Reset flows of a dead upstream on recent evidence only

Cause: "dead" had no age. The probes after 1 s and 2 s fail, the next is 5 s later, and every packet that could have shown more was answered with a reset.

Change: a flow is reset only if the last failed probe was sent 1.5 s ago at most, and less than the new setting bounds.stability_ms, which the deploy file passes. A packet that would be reset asks for a probe, one a second at most: while such packets come each is reset at once, as before; the first after a pause is forwarded and reset when its probe has failed. The same for flows on record, and for dead upstreams whose entry is gone, which had no probes any more. Probes of dead upstreams reach nobody, so that no connection is added but the one that ends the death. flow_reset has the age of its evidence.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -19,6 +19,12 @@
 	f->dead.after_us = dead_after_us;
 }
 
+void
+kf_forwarder_set_stability(kf_forwarder_t *f, int64_t stability_us)
+{
+	f->stability_us = stability_us;
+}
+
 static bool
 reserve_zone(dead_state_t *d)
 {
@@ -98,6 +104,19 @@
 	return target->dead.liveness == KF_LIVENESS_DEAD && !is_exempt(target);
 }
 
+/* Returns true if there is recent evidence to reset flows of an upstream.  Asks
+ * for it otherwise, and when it will be too old for the next flow. */
+static bool
+is_certain(const kf_forwarder_t *f, kf_target_t *target, int64_t now_us)
+{
+	int64_t max_age_us = f->stability_us < KF_DEAD_EVIDENCE_US
+	    ? f->stability_us
+	    : KF_DEAD_EVIDENCE_US;
+
+	kf_dead_upstream_want_probe(&target->dead);
+	return kf_dead_upstream_may_reset(&target->dead, max_age_us, now_us);
+}
+
 void
 dead_note_unanswered(kf_forwarder_t *f, kf_target_t *target, int64_t since_us,
     bool reported, int64_t now_us)
@@ -183,6 +202,8 @@
 
 	record.verdict = KF_MAY_HAVE_RUN;
 	record.reason = KF_REASON_UPSTREAM_LOST;
+	record.evidence_age_us =
+	    target->dead.replaced ? 0 : now_us - target->dead.evidence_us;
 	f->callbacks.reset(f->callbacks.ctx, packet);
 	forwarder_record(f, &record);
 }
@@ -214,6 +235,8 @@
 	flow = kf_conntrack_find(f->flows, packet->client, packet->address);
 	if (flow != NULL && flow->state == KF_FLOW_OPENING)
 		return false; /* the packet shows that the upstream answered */
+	if (!is_certain(f, target, now_us))
+		return false;
 	if (flow == NULL || flow->token != packet->token) {
 		reset_unknown_flow(f, packet, target, now_us);
 		return true;
@@ -281,7 +304,8 @@
 
 		next = kf_conntrack_next(f->flows, flow);
 		if (target == NULL || !is_dead(target) ||
-		    !may_reset(f, flow, target, now_us))
+		    !may_reset(f, flow, target, now_us) ||
+		    !is_certain(f, target, now_us))
 			continue;
 		reset_flow(f, flow, &packet, target, now_us);
 		flow_close(f, flow);
@@ -351,13 +375,17 @@
 	}
 }
 
-/* Returns true for a dead upstream that has left.  If it starts again, it
- * publishes a new entry. */
+/*
+ * A dead upstream that has left publishes a new entry if it starts again, and
+ * is probed only to reset flows: it may live, cut off from the store.
+ */
 static bool
-is_dead_and_left(const kf_target_t *target)
+is_probe_due(const kf_target_t *target, int64_t now_us)
 {
-	return target->dead.liveness == KF_LIVENESS_DEAD &&
-	    kf_target_has_left(target);
+	if (target->dead.liveness == KF_LIVENESS_DEAD &&
+	    kf_target_has_left(target))
+		return kf_dead_upstream_wanted_probe_due(&target->dead, now_us);
+	return kf_dead_upstream_probe_due(&target->dead, now_us);
 }
 
 /* Notes whether the probe of a suspect needs a control: its failure counts only
@@ -416,8 +444,7 @@
 		watched += target->dead.liveness != KF_LIVENESS_ALIVE;
 		check_control(f, target, now_us);
 		/* One place is left for the control. */
-		if (count + 1 >= max || is_dead_and_left(target) ||
-		    !kf_dead_upstream_probe_due(&target->dead, now_us))
+		if (count + 1 >= max || !is_probe_due(target, now_us))
 			continue;
 		add_probe(f, target, probes, &count, now_us);
 	}
@@ -446,9 +473,11 @@
     kf_forwarder_t *f, uint32_t token, bool accepted, int64_t now_us)
 {
 	kf_target_t *target = kf_directory_find(f->directory, token);
+	bool was_dead;
 
 	if (target == NULL)
 		return false;
+	was_dead = target->dead.liveness == KF_LIVENESS_DEAD;
 	if (is_exempt(target) && !target->dead.replaced)
 		target->dead.liveness = KF_LIVENESS_ALIVE;
 	if (accepted) {
@@ -460,9 +489,11 @@
 	if (!kf_dead_upstream_probe_failed(
 		&target->dead, links_us(f, target), f->dead.after_us, now_us))
 		return false;
-	f->dead.dead_count++;
 	f->dead.reset_us = 0;
-	record_liveness(f, target, KF_FORWARD_DEAD);
+	if (!was_dead) {
+		f->dead.dead_count++;
+		record_liveness(f, target, KF_FORWARD_DEAD);
+	}
 	return true;
 }
 
--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -3,6 +3,12 @@
 /* Interval after a probe that tests the links; 4 per second at most. */
 enum { CONTROL_INTERVAL_US = 250000 };
 
+static bool
+is_recent(int64_t event_us, int64_t age_us, int64_t now_us)
+{
+	return event_us != 0 && now_us - event_us < age_us;
+}
+
 bool
 kf_dead_upstream_replaced(kf_dead_upstream_t *d)
 {
@@ -13,6 +19,28 @@
 	return !was_dead;
 }
 
+bool
+kf_dead_upstream_may_reset(
+    const kf_dead_upstream_t *d, int64_t max_age_us, int64_t now_us)
+{
+	return d->liveness == KF_LIVENESS_DEAD &&
+	    (d->replaced || is_recent(d->evidence_us, max_age_us, now_us));
+}
+
+void
+kf_dead_upstream_want_probe(kf_dead_upstream_t *d)
+{
+	d->probe_wanted = true;
+}
+
+bool
+kf_dead_upstream_wanted_probe_due(const kf_dead_upstream_t *d, int64_t now_us)
+{
+	return d->liveness == KF_LIVENESS_DEAD && d->probe_wanted &&
+	    !d->probing && !d->replaced &&
+	    now_us - d->probe_sent_us >= KF_DEAD_CHECK_US;
+}
+
 bool
 kf_dead_upstream_alive(kf_dead_upstream_t *d, int64_t now_us)
 {
@@ -36,12 +64,6 @@
 	return kf_dead_upstream_alive(d, now_us);
 }
 
-static bool
-is_recent(int64_t event_us, int64_t age_us, int64_t now_us)
-{
-	return event_us != 0 && now_us - event_us < age_us;
-}
-
 void
 kf_dead_upstream_unanswered(
     kf_dead_upstream_t *d, int64_t since_us, bool reported, int64_t now_us)
@@ -61,8 +83,9 @@
 bool
 kf_dead_upstream_probe_due(const kf_dead_upstream_t *d, int64_t now_us)
 {
-	return d->liveness != KF_LIVENESS_ALIVE && !d->probing &&
-	    !d->replaced && now_us >= d->next_probe_us;
+	return kf_dead_upstream_wanted_probe_due(d, now_us) ||
+	    (d->liveness != KF_LIVENESS_ALIVE && !d->probing && !d->replaced &&
+		now_us >= d->next_probe_us);
 }
 
 bool
@@ -101,34 +124,32 @@
 kf_dead_upstream_probe_sent(kf_dead_upstream_t *d, int64_t now_us)
 {
 	d->probing = true;
+	d->probe_wanted = false;
 	d->probe_sent_us = now_us;
 	d->checks += d->liveness == KF_LIVENESS_DEAD;
 	d->next_probe_us = now_us + probe_interval_us(d);
 }
 
-bool
-kf_dead_upstream_probe_failed(kf_dead_upstream_t *d, int64_t links_us,
-    int64_t dead_after_us, int64_t now_us)
+/* A timer that ran early, or a VM that was suspended meanwhile, does not show
+ * that the upstream had the time to answer. */
+static bool
+had_time_to_answer(const kf_dead_upstream_t *d, int64_t now_us)
 {
 	int64_t took_us = now_us - d->probe_sent_us;
 
-	if (!d->probing)
-		return false;
-	d->probing = false;
-	if (d->liveness == KF_LIVENESS_ALIVE)
-		d->control_failed_us = now_us;
-	if (d->liveness != KF_LIVENESS_SUSPECT)
-		return false;
-	/* A timer that ran early, or a VM that was suspended meanwhile, does
-	 * not show that the upstream had the time to answer. */
-	if (took_us < KF_DEAD_PROBE_TIMEOUT_US * 9 / 10 ||
-	    took_us > KF_DEAD_PROBE_TIMEOUT_US * 5) {
-		d->failed_probes = 0;
-		return false;
-	}
+	return took_us >= KF_DEAD_PROBE_TIMEOUT_US * 9 / 10 &&
+	    took_us <= KF_DEAD_PROBE_TIMEOUT_US * 5;
+}
+
+/* Counts a failed probe of a suspect; returns true if it is dead. */
+static bool
+suspect_probe_failed(kf_dead_upstream_t *d, int64_t links_us,
+    int64_t dead_after_us, int64_t now_us)
+{
 	/* The probe was sent before the upstream became a suspect, or its
 	 * failure may be due to the links. */
-	if (d->probe_sent_us < d->silent_since_us ||
+	if (!had_time_to_answer(d, now_us) ||
+	    d->probe_sent_us < d->silent_since_us ||
 	    links_us < d->probe_sent_us) {
 		d->failed_probes = 0;
 		return false;
@@ -139,5 +160,28 @@
 		return false;
 	d->liveness = KF_LIVENESS_DEAD;
 	d->next_probe_us = d->probe_sent_us + KF_DEAD_CHECK_US;
+	d->evidence_us = d->probe_sent_us;
 	return true;
 }
+
+bool
+kf_dead_upstream_probe_failed(kf_dead_upstream_t *d, int64_t links_us,
+    int64_t dead_after_us, int64_t now_us)
+{
+	if (!d->probing)
+		return false;
+	d->probing = false;
+	switch (d->liveness) {
+	case KF_LIVENESS_SUSPECT:
+		return suspect_probe_failed(d, links_us, dead_after_us, now_us);
+	case KF_LIVENESS_DEAD:
+		/* Its links, or those of the VM, have not been well since. */
+		if (!had_time_to_answer(d, now_us))
+			return false;
+		d->evidence_us = d->probe_sent_us;
+		return true;
+	default:
+		d->control_failed_us = now_us;
+		return false;
+	}
+}
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -37,6 +37,7 @@
 	f->callbacks = *callbacks;
 	f->position = (kf_position_t){ .vm_count = 1 };
 	f->due_us = INT64_MAX;
+	f->stability_us = INT64_MAX;
 	f->store_view = (kf_store_view_t){ INT64_MIN, INT64_MIN };
 	f->directory = kf_directory_new(zone);
 	f->flows = kf_conntrack_new();
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -104,6 +104,7 @@
 	uint32_t failed[KF_FORWARDER_MAX_FAILED]; /* tokens, not taken yet */
 	size_t failed_count;
 	dead_state_t dead;
+	int64_t stability_us; /* maximum age of evidence; see dead_flows.c */
 	kf_isolation_t isolation;
 	bool isolation_logged;
 	kf_forwarder_stats_t stats;
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -27,6 +27,13 @@
  *	that KF_DEAD_CONTROL_DELAY_US after the probe, another upstream is
  *	probed as a control.  Any sign of life ends it.
  *
+ *	The links of an upstream may fail for seconds while it lives, and other
+ *	VMs open flows to it as soon as they work again.  Packets of these flows
+ *	look like those of flows from before, so a flow is reset only on recent
+ *	evidence: a probe that was sent KF_DEAD_EVIDENCE_US ago at most.  A
+ *	packet that would be reset asks for a probe, so that the evidence stays
+ *	recent while there are such packets, and others do not cause probes.
+ *
  *	One state for each upstream; a zeroed one is valid.  No I/O.
  */
 
@@ -48,6 +55,9 @@
 	KF_DEAD_CHECK_US = 1000000,
 	KF_DEAD_FIRST_CHECKS = 2,
 	KF_DEAD_LATER_CHECK_US = 5000000,
+	/* Maximum age of the evidence on which a flow is reset: an interval of
+	 * KF_DEAD_CHECK_US, the time of a probe, and a late timer. */
+	KF_DEAD_EVIDENCE_US = 1500000,
 	/* Time for which an upstream that has accepted a probe is not suspected
 	 * again: it is slow, or overloaded. */
 	KF_DEAD_QUIET_US = 3000000,
@@ -68,6 +78,7 @@
 	kf_upstream_liveness_t liveness;
 	bool probing;		 /* the result of a probe is due */
 	bool replaced;		 /* another upstream has its address */
+	bool probe_wanted;	 /* a flow is to be reset if it is still dead */
 	uint32_t checks;	 /* probes since it was found dead */
 	uint32_t failed_probes;	 /* consecutive, while the links worked */
 	int64_t silent_since_us; /* of a suspect */
@@ -76,6 +87,8 @@
 	int64_t probe_sent_us;
 	int64_t next_probe_us;
 	int64_t control_failed_us; /* last failed probe of a non-suspect */
+	/* Sending of the last probe that has shown that it is dead. */
+	int64_t evidence_us;
 } kf_dead_upstream_t;
 
 /*
@@ -85,6 +98,20 @@
  */
 bool kf_dead_upstream_replaced(kf_dead_upstream_t *upstream);
 
+/*
+ * Returns true if flows of the dead upstream may be reset: it is replaced, or
+ * the evidence is not older than max_age_us.
+ */
+bool kf_dead_upstream_may_reset(
+    const kf_dead_upstream_t *upstream, int64_t max_age_us, int64_t now_us);
+
+/* Asks for a probe, KF_DEAD_CHECK_US after the one before at the earliest. */
+void kf_dead_upstream_want_probe(kf_dead_upstream_t *upstream);
+
+/* Returns true if a probe that was asked for is due. */
+bool kf_dead_upstream_wanted_probe_due(
+    const kf_dead_upstream_t *upstream, int64_t now_us);
+
 /* Records a sign of life; returns true if the upstream was dead. */
 bool kf_dead_upstream_alive(kf_dead_upstream_t *upstream, int64_t now_us);
 
@@ -116,7 +143,7 @@
 /*
  * Records a failed probe.  links_us is the time of the last evidence that the
  * VM's links to the zone work; dead_after_us is the minimum time without an
- * answer.  Returns true if the upstream is now confirmed dead.
+ * answer.  Returns true if the upstream is now confirmed dead, or still is.
  */
 bool kf_dead_upstream_probe_failed(kf_dead_upstream_t *upstream,
     int64_t links_us, int64_t dead_after_us, int64_t now_us);
--- a/lib/forwarder/include/kf/forwarder.h
+++ b/lib/forwarder/include/kf/forwarder.h
@@ -75,7 +75,8 @@
 	double load;
 	int64_t since_us; /* since the flow's SYN, or since its request */
 	uint32_t answer_bytes;
-	uint32_t usual_bytes; /* of the route's answers */
+	uint32_t usual_bytes;	 /* of the route's answers */
+	int64_t evidence_age_us; /* of what a reset rests on */
 	kf_verdict_t verdict;
 	kf_reason_t reason;
 } kf_forward_record_t;
@@ -200,6 +201,11 @@
 void kf_forwarder_set_dead_after(
     kf_forwarder_t *forwarder, int64_t dead_after_us);
 
+/* Sets the age from which on evidence does not justify a reset, however short
+ * the intervals between probes: the bound stability_ms. */
+void kf_forwarder_set_stability(
+    kf_forwarder_t *forwarder, int64_t stability_us);
+
 typedef struct kf_probe {
 	uint32_t token;
 	kf_addr_t address; /* for a TCP connection */
@@ -213,8 +219,8 @@
 /* Ends a probe that this VM could not make. */
 void kf_forwarder_probe_cancelled(kf_forwarder_t *forwarder, uint32_t token);
 
-/* Returns true if an upstream is confirmed dead; its flows are reset by the
- * next kf_forwarder_tick. */
+/* Returns true if an upstream is confirmed dead, or still is; its flows are
+ * reset by the next kf_forwarder_tick. */
 bool kf_forwarder_probe_result(
     kf_forwarder_t *forwarder, uint32_t token, bool accepted, int64_t now_us);
 
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -257,6 +257,17 @@
 	kf_peering_avoid_source(l->peering, ip, l->now_us);
 }
 
+/* Passes the age that evidence for resets may have; 0: not known. */
+static void
+set_stability(control_loop_t *l)
+{
+	int64_t ms = l->watch.settings.stability_ms;
+
+	kf_forwarder_set_stability(
+	    packet_thread_lock(l->packets), ms == 0 ? INT64_MAX : ms * 1000);
+	packet_thread_unlock(l->packets);
+}
+
 static kf_status_t
 loop_open(control_loop_t *l)
 {
@@ -294,6 +305,7 @@
 	    upstream_probe_new(l->io, l->packets, s->dead_after_ms * 1000);
 	if (l->probe == NULL)
 		return KF_ERR_NO_MEMORY;
+	set_stability(l);
 	set_seeds(l);
 	l->ready_server =
 	    http_server_new(l->io, s->ready_address, serve_ready, l);
@@ -534,6 +546,7 @@
 	store_sync_set_store(l->sync, l->watch.settings.store_address);
 	store_sync_set_bound(
 	    l->sync, kf_forwarder_shortest_bound_us(&l->watch.settings));
+	set_stability(l);
 	set_seeds(l);
 }
 
--- a/lib/fwdnet/forward_log.c
+++ b/lib/fwdnet/forward_log.c
@@ -61,7 +61,7 @@
 {
 	int64_t contact_us = __atomic_load_n(&l->contact_us, __ATOMIC_RELAXED);
 	char client[KF_ADDR_TEXT_BYTES], address[KF_ADDR_TEXT_BYTES];
-	char choice[PAIRS_BYTES / 2] = "", answer[PAIRS_BYTES / 8] = "";
+	char choice[PAIRS_BYTES / 2] = "", details[PAIRS_BYTES / 8] = "";
 
 	if (r->target != NULL)
 		snprintf(choice, sizeof(choice),
@@ -69,9 +69,14 @@
 		    r->target->info.name, r->target->open, r->target->opening,
 		    r->eligible, r->load);
 	if (r->event == KF_FORWARD_SHORT)
-		snprintf(answer, sizeof(answer),
+		snprintf(details, sizeof(details),
 		    " answer_bytes=%u usual_bytes=%u", r->answer_bytes,
 		    r->usual_bytes);
+	else if (r->event == KF_FORWARD_RESET && r->target != NULL)
+		snprintf(details, sizeof(details),
+		    " evidence=%s evidence_age_ms=%lld",
+		    r->target->dead.replaced ? "replaced" : "probe",
+		    (long long)r->evidence_age_us / 1000);
 	kf_eventlog_write(l->log, KF_LOG_INFO, kf_forward_event_name(r->event),
 	    "flow=%016llx client=%s address=%s route=%s priority=%u copies=%u "
 	    "tries=%u since_us=%lld%s%s verdict=%s reason=%s era=%llu "
@@ -81,8 +86,8 @@
 	    kf_addr_format(r->address, address),
 	    r->route == NULL ? "-" : r->route->name,
 	    r->route == NULL ? 0 : r->route->priority, r->copies, r->tries,
-	    (long long)r->since_us, choice, answer, kf_verdict_name(r->verdict),
-	    kf_reason_name(r->reason),
+	    (long long)r->since_us, choice, details,
+	    kf_verdict_name(r->verdict), kf_reason_name(r->reason),
 	    (unsigned long long)__atomic_load_n(
 		&l->position.era, __ATOMIC_RELAXED),
 	    (unsigned long long)__atomic_load_n(
--- a/lib/fwdnet/settings_watch.c
+++ b/lib/fwdnet/settings_watch.c
@@ -72,6 +72,7 @@
 	w->settings.drain_bound_ms = read.drain_bound_ms;
 	w->settings.apply_bound_ms = read.apply_bound_ms;
 	w->settings.evacuate_bound_ms = read.evacuate_bound_ms;
+	w->settings.stability_ms = read.stability_ms;
 	w->settings.zone_balance = read.zone_balance;
 	w->settings.last_resort = read.last_resort;
 	w->settings.transfer_us_per_kb = read.transfer_us_per_kb;
--- a/lib/settings/forwarder_settings.c
+++ b/lib/settings/forwarder_settings.c
@@ -110,6 +110,10 @@
 	    .max = BOUND_MAX_MS, .default_value = "0",
 	    .text = "time within which an evacuated zone gets no new flows; "
 		    "0: none is evacuated" },
+	{ "bounds", "stability_ms", KF_FIELD_I64, MEMBER_OFFSET(stability_ms),
+	    .unit = "ms", .min = 0, .max = BOUND_MAX_MS, .default_value = "0",
+	    .text = "time after a failure from which on no open flow may be "
+		    "reset because of it; 0: not known" },
 	{ "zones", "balance", KF_FIELD_CHOICE, MEMBER_OFFSET(zone_balance),
 	    .choices = switches, .default_value = "on",
 	    .text = "whether new flows leave a zone with too few upstreams "
--- a/lib/settings/include/kf/forwarder_settings.h
+++ b/lib/settings/include/kf/forwarder_settings.h
@@ -43,6 +43,7 @@
 	int64_t drain_bound_ms;
 	int64_t apply_bound_ms;
 	int64_t evacuate_bound_ms; /* 0: no zones are evacuated */
+	int64_t stability_ms;	   /* 0: not known */
 	double cold_excess;	   /* 0: cold upstreams are not limited */
 	double cold_slack;	   /* openings a second */
 
--- a/tests/unit/forwarder_settings_test.cc
+++ b/tests/unit/forwarder_settings_test.cc
@@ -107,7 +107,10 @@
 	kf_forwarder_settings_t s;
 
 	EXPECT_EQ(KF_OK,
-	    Override({ "bounds.drain_ms=6000", "bounds.apply_ms=" }, &s));
+	    Override({ "bounds.drain_ms=6000",
+			 "bounds.apply_ms=", "bounds.stability_ms=4000" },
+		&s));
+	EXPECT_EQ(4000, s.stability_ms);
 	EXPECT_EQ(6000, s.drain_bound_ms);
 	EXPECT_EQ(3000, s.apply_bound_ms);
 	EXPECT_EQ(KF_OK, Override({ "vm.name=other" }, &s));
