Take an unknown token for gone on recent data of the store only

Callers would see: a VM that has lost the store resets flows of an upstream that it does not know, though the upstream has published its entry since and other VMs have opened flows to it.

What the VM knows had to be complete as of a later time than the token's first packet, and was never too old.

Change: it must also be complete as of 2.5 s ago at most, the time without contact that counts as an outage elsewhere, and less than stability_ms.

Measured: golden forwarder/unknown_token, with a VM that has had no contact for 2.6 s, failed on (the flow was reset) and passes.

--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -229,9 +229,13 @@
 handle_unknown_token(kf_forwarder_t *f, const kf_packet_t *packet,
     const kf_route_t *route, int64_t now_us)
 {
+	int64_t max_age_us = f->stability_us < KF_UNKNOWN_TOKENS_MAX_AGE_US
+	    ? f->stability_us
+	    : KF_UNKNOWN_TOKENS_MAX_AGE_US;
+
 	if (route != NULL && route->idempotent && !packet->rst &&
-	    kf_unknown_tokens_is_gone(
-		&f->unknown_tokens, packet->token, &f->store_view, now_us))
+	    kf_unknown_tokens_is_gone(&f->unknown_tokens, packet->token,
+		&f->store_view, max_age_us, now_us))
 		forwarder_refuse(f, packet, KF_REASON_UPSTREAM_LOST);
 	else
 		forwarder_drop(f, packet, KF_REASON_TOKEN_BAD);
--- a/lib/forwarder/include/kf/unknown_tokens.h
+++ b/lib/forwarder/include/kf/unknown_tokens.h
@@ -22,6 +22,9 @@
  *	packet.  Once what this VM knows is complete as of a later time and the
  *	token is still unknown, the entry is no longer in the store.
  *
+ *	The upstream may have published its entry since, so what this VM knows
+ *	must also be recent.
+ *
  *	Entries may also lapse in an outage of the store while their upstreams
  *	live.  A token is therefore gone only if the store was in contact
  *	without an outage for KF_UNKNOWN_TOKENS_CALM_US.
@@ -31,6 +34,9 @@
 	KF_UNKNOWN_TOKENS_MAX = 128,
 	/* Upstreams publish lapsed entries again within 2 s after an outage. */
 	KF_UNKNOWN_TOKENS_CALM_US = 2500000,
+	/* Maximum age of what this VM knows: a longer time without contact with
+	 * the store is an outage. */
+	KF_UNKNOWN_TOKENS_MAX_AGE_US = 2500000,
 	/* A token that was not seen for this time is new again. */
 	KF_UNKNOWN_TOKENS_KEEP_US = 30000000,
 };
@@ -55,10 +61,11 @@
 
 /*
  * Records a packet with an unknown token.  Returns true if the entry of the
- * token's upstream is known to have left the store.
+ * token's upstream is known to have left the store, as of max_age_us ago at
+ * most.
  */
 bool kf_unknown_tokens_is_gone(kf_unknown_tokens_t *tokens, uint32_t token,
-    const kf_store_view_t *view, int64_t now_us);
+    const kf_store_view_t *view, int64_t max_age_us, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/lib/forwarder/unknown_tokens.c
+++ b/lib/forwarder/unknown_tokens.c
@@ -27,7 +27,7 @@
 
 bool
 kf_unknown_tokens_is_gone(kf_unknown_tokens_t *t, uint32_t token,
-    const kf_store_view_t *view, int64_t now_us)
+    const kf_store_view_t *view, int64_t max_age_us, int64_t now_us)
 {
 	kf_unknown_token_t *entry = find(t, token);
 
@@ -39,6 +39,7 @@
 	return view->confirmed_us != INT64_MIN &&
 	    view->stable_since_us != INT64_MIN &&
 	    view->confirmed_us > entry->first_seen_us &&
+	    now_us - view->confirmed_us < max_age_us &&
 	    view->confirmed_us - view->stable_since_us >=
 	    KF_UNKNOWN_TOKENS_CALM_US;
 }
