End the death of a replaced upstream when its replacement has gone, too

Callers would see: all flows of an upstream reset for up to 90 s, though it lives. Its entry is missing and another one with a later start had its address: one of another writer, or of a process whose clock was ahead.

Replaced was for good, whatever became of the entry on which it rested.

Change: it holds as long as that entry is listed. Afterwards the upstream is dead without evidence, so that the first packet asks for a probe.

Measured: golden forwarder/dead_moved ("Another upstream had its address for some time only") failed on, and passes.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -401,19 +401,27 @@
 		zone->control_due = true;
 }
 
-/* Marks replaced upstreams as dead and has their flows reset. */
+/* Marks replaced upstreams as dead and has their flows reset.  One is no longer
+ * replaced if the entry of the other one is gone, too. */
 static void
-end_replaced(kf_forwarder_t *f)
+update_replaced(kf_forwarder_t *f)
 {
+	bool replaced;
 	size_t i;
 
 	for (i = 0; i < kf_directory_count(f->directory); i++) {
 		kf_target_t *target = kf_directory_find(
 		    f->directory, kf_directory_at(f->directory, i)->token);
 
-		if (target == NULL || target->dead.replaced ||
-		    !kf_directory_is_replaced(f->directory, target))
+		if (target == NULL)
+			continue;
+		replaced = kf_directory_is_replaced(f->directory, target);
+		if (replaced == target->dead.replaced)
+			continue;
+		if (!replaced) {
+			kf_dead_upstream_not_replaced(&target->dead);
 			continue;
+		}
 		if (kf_dead_upstream_replaced(&target->dead))
 			record_liveness(f, target, KF_FORWARD_DEAD);
 		f->dead.watching = true;
@@ -429,7 +437,7 @@
 
 	outlier_run_due(f, now_us);
 	if (f->dead.after_us > 0 && kf_directory_take_changed(f->directory))
-		end_replaced(f);
+		update_replaced(f);
 	if (!f->dead.watching)
 		return 0;
 	for (i = 0; i < kf_directory_count(f->directory); i++) {
--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -19,6 +19,13 @@
 	return !was_dead;
 }
 
+void
+kf_dead_upstream_not_replaced(kf_dead_upstream_t *d)
+{
+	d->replaced = false;
+	d->evidence_us = 0;
+}
+
 bool
 kf_dead_upstream_may_reset(
     const kf_dead_upstream_t *d, int64_t max_age_us, int64_t now_us)
--- a/lib/forwarder/include/kf/dead_upstream.h
+++ b/lib/forwarder/include/kf/dead_upstream.h
@@ -98,6 +98,12 @@
  */
 bool kf_dead_upstream_replaced(kf_dead_upstream_t *upstream);
 
+/*
+ * Records that its address is no longer that of another upstream.  It is dead
+ * until a probe is accepted, without evidence to reset flows.
+ */
+void kf_dead_upstream_not_replaced(kf_dead_upstream_t *upstream);
+
 /*
  * Returns true if flows of the dead upstream may be reset: it is replaced, or
  * the evidence is not older than max_age_us.
