Forget what is known of an upstream when its address changes

Callers would see: no new flows to an upstream, and resets of its open ones, for up to a second after an entry of another writer that hid it has gone away.

Cause: health and liveness belong to the process at an address, and were kept when another entry with the same id and start took its place.

Change: an entry with another address resets them. Hidden entries are sorted by id, so that a writer that copies all entries does not make a start quadratic.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -463,7 +463,10 @@
 		return kf_status_set(
 		    KF_ERR_NO_MEMORY, "no memory for upstream %s", info->name);
 	*change = classify_change(target, info);
+	/* What is known of a process at another address does not hold for this
+	 * one. */
 	if (*change == KF_CHANGE_RESTARTED || target->info.id == 0 ||
+	    !kf_addr_equal(target->info.address, info->address) ||
 	    (*change == KF_CHANGE_ADDED &&
 		(target->dead.replaced ||
 		    target->info.born_ms != info->born_ms)))
--- a/lib/forwarder/include/kf/upstream_entries.h
+++ b/lib/forwarder/include/kf/upstream_entries.h
@@ -40,7 +40,7 @@
 
 /* Zeroed: no entries. */
 typedef struct kf_upstream_entries {
-	kf_hidden_entry_t *hidden;
+	kf_hidden_entry_t **hidden; /* sorted by id */
 	size_t count;
 	size_t cap;
 	uint64_t conflicts; /* entries that were hidden, in all */
--- a/lib/forwarder/upstream_entries.c
+++ b/lib/forwarder/upstream_entries.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kf/search.h"
 #include "kf/upstream_entries.h"
 
 enum { FIRST_CAP = 8 };
@@ -8,6 +9,10 @@
 void
 kf_upstream_entries_clear(kf_upstream_entries_t *e)
 {
+	size_t i;
+
+	for (i = 0; i < e->count; i++)
+		free(e->hidden[i]);
 	free(e->hidden);
 	*e = (kf_upstream_entries_t){ 0 };
 }
@@ -32,17 +37,40 @@
 	return order != 0 ? order < 0 : a->entry < b->entry;
 }
 
+static int
+id_compare(const void *key, const void *element)
+{
+	uint64_t id = *(const uint64_t *)key;
+	uint64_t other = (*(kf_hidden_entry_t *const *)element)->info.id;
+
+	return (id > other) - (id < other);
+}
+
+/* Returns the index of the hidden entries with an id, or where they would be.
+ */
+static size_t
+index_of_id(const kf_upstream_entries_t *e, uint64_t id)
+{
+	return kf_lower_bound(
+	    &id, e->hidden, e->count, sizeof(kf_hidden_entry_t *), id_compare);
+}
+
+static bool
+has_id_at(const kf_upstream_entries_t *e, size_t i, uint64_t id)
+{
+	return i < e->count && e->hidden[i]->info.id == id;
+}
+
 /* Returns the index of an entry, or the number of hidden ones. */
 static size_t
 index_of(const kf_upstream_entries_t *e, uint64_t id, uint64_t entry)
 {
 	size_t i;
 
-	for (i = 0; i < e->count &&
-	     (e->hidden[i].info.id != id || e->hidden[i].info.entry != entry);
-	     i++)
-		;
-	return i;
+	for (i = index_of_id(e, id); has_id_at(e, i, id); i++)
+		if (e->hidden[i]->info.entry == entry)
+			return i;
+	return e->count;
 }
 
 /* Returns the index of the first of an upstream's hidden entries, or the number
@@ -51,13 +79,12 @@
 index_of_first(
     const kf_upstream_entries_t *e, uint64_t id, const kf_route_table_t *routes)
 {
-	size_t i, first = e->count;
+	size_t i = index_of_id(e, id);
+	size_t first = has_id_at(e, i, id) ? i : e->count;
 
-	for (i = 0; i < e->count; i++)
-		if (e->hidden[i].info.id == id &&
-		    (first == e->count ||
-			comes_first(&e->hidden[i].info, &e->hidden[first].info,
-			    routes)))
+	for (; has_id_at(e, i, id); i++)
+		if (comes_first(
+			&e->hidden[i]->info, &e->hidden[first]->info, routes))
 			first = i;
 	return first;
 }
@@ -71,31 +98,39 @@
 	return target != NULL && target->listing == KF_LISTED ? target : NULL;
 }
 
-/* Makes room for one more, so that hide cannot fail. */
 static kf_status_t
 reserve(kf_upstream_entries_t *e)
 {
 	size_t cap = e->cap == 0 ? FIRST_CAP : e->cap * 2;
-	kf_hidden_entry_t *grown;
+	kf_hidden_entry_t **grown;
 
 	if (e->count < e->cap)
 		return KF_OK;
-	grown = realloc(e->hidden, cap * sizeof(*grown));
+	grown = realloc(e->hidden, cap * sizeof(kf_hidden_entry_t *));
 	if (grown == NULL)
-		return kf_status_set(
-		    KF_ERR_NO_MEMORY, "no memory for a hidden entry");
+		return KF_ERR_NO_MEMORY;
 	e->hidden = grown;
 	e->cap = cap;
 	return KF_OK;
 }
 
-static void
+static kf_status_t
 hide(kf_upstream_entries_t *e, const kf_upstream_info_t *info, int64_t now_us)
 {
-	e->hidden[e->count++] = (kf_hidden_entry_t){
-		.info = *info,
-		.received_us = now_us,
-	};
+	kf_hidden_entry_t *entry = malloc(sizeof(*entry));
+	size_t at = index_of_id(e, info->id);
+
+	if (entry == NULL || reserve(e) != KF_OK) {
+		free(entry);
+		return kf_status_set(
+		    KF_ERR_NO_MEMORY, "no memory for a hidden entry");
+	}
+	*entry = (kf_hidden_entry_t){ .info = *info, .received_us = now_us };
+	memmove(e->hidden + at + 1, e->hidden + at,
+	    (e->count - at) * sizeof(kf_hidden_entry_t *));
+	e->hidden[at] = entry;
+	e->count++;
+	return KF_OK;
 }
 
 /* Returns the entry of a target with what is left of its cold start. */
@@ -109,18 +144,26 @@
 	return info;
 }
 
+static void
+drop(kf_upstream_entries_t *e, size_t at)
+{
+	free(e->hidden[at]);
+	e->count--;
+	memmove(e->hidden + at, e->hidden + at + 1,
+	    (e->count - at) * sizeof(kf_hidden_entry_t *));
+}
+
 /* Takes a hidden entry out, with what is left of its cold start. */
 static kf_upstream_info_t
 take(kf_upstream_entries_t *e, size_t at, int64_t now_us)
 {
-	kf_hidden_entry_t taken = e->hidden[at];
-	int64_t age_us = now_us - taken.received_us;
-
-	e->hidden[at] = e->hidden[--e->count];
-	taken.info.cold_left_us = taken.info.cold_left_us > age_us
-	    ? taken.info.cold_left_us - age_us
-	    : 0;
-	return taken.info;
+	kf_upstream_info_t info = e->hidden[at]->info;
+	int64_t age_us = now_us - e->hidden[at]->received_us;
+
+	drop(e, at);
+	info.cold_left_us =
+	    info.cold_left_us > age_us ? info.cold_left_us - age_us : 0;
+	return info;
 }
 
 static kf_status_t
@@ -145,25 +188,30 @@
 /*
  * Shows the hidden entry at an index in place of another one, which becomes
  * hidden.  Returns false, and nothing changes, if it does not hold against what
- * is known of the upstream.
+ * is known of the upstream, or memory is short.
  */
 static bool
 exchange(kf_upstream_entries_t *e, kf_directory_t *d, size_t at,
     const kf_upstream_info_t *shown, int64_t now_us,
     kf_entry_conflict_t *conflict)
 {
-	kf_upstream_info_t info = take(e, at, now_us);
+	uint64_t id = shown->id, entry = e->hidden[at]->info.entry;
 	kf_change_t change = KF_CHANGE_NONE;
+	kf_upstream_info_t info;
 
-	if (show(d, &info, now_us, &change) != KF_OK ||
-	    change == KF_CHANGE_HELD) {
-		hide(e, &info, now_us);
+	if (hide(e, shown, now_us) != KF_OK)
 		return false;
+	info = take(e, index_of(e, id, entry), now_us);
+	if (show(d, &info, now_us, &change) == KF_OK &&
+	    change != KF_CHANGE_HELD) {
+		e->conflicts++;
+		note_conflict(conflict, &info, shown);
+		return true;
 	}
-	hide(e, shown, now_us);
-	e->conflicts++;
-	note_conflict(conflict, &info, shown);
-	return true;
+	/* The memory of the one taken out is enough for it. */
+	(void)hide(e, &info, now_us);
+	drop(e, index_of(e, id, shown->entry));
+	return false;
 }
 
 /*
@@ -178,7 +226,7 @@
 	size_t first = index_of_first(e, info->id, routes);
 
 	if (first == e->count ||
-	    comes_first(info, &e->hidden[first].info, routes) ||
+	    comes_first(info, &e->hidden[first]->info, routes) ||
 	    !exchange(e, d, first, info, now_us, conflict))
 		return show(d, info, now_us, change);
 	*change = KF_CHANGE_HIDDEN;
@@ -194,11 +242,11 @@
 {
 	kf_upstream_info_t shown = shown_info(target, now_us);
 
-	if (reserve(e) != KF_OK)
+	if (hide(e, info, now_us) != KF_OK)
 		return KF_ERR_NO_MEMORY;
-	hide(e, info, now_us);
 	if (comes_first(info, &shown, routes) &&
-	    exchange(e, d, e->count - 1, &shown, now_us, conflict)) {
+	    exchange(e, d, index_of(e, info->id, info->entry), &shown, now_us,
+		conflict)) {
 		*change = KF_CHANGE_UPDATED;
 		return KF_OK;
 	}
@@ -222,7 +270,7 @@
 	*conflict = (kf_entry_conflict_t){ 0 };
 	*change = KF_CHANGE_NONE;
 	if (was_hidden)
-		(void)take(e, at, now_us);
+		drop(e, at);
 	return shown == NULL || shown->info.entry == info->entry
 	    ? update_shown(e, d, routes, info, now_us, change, conflict)
 	    : add_beside(e, d, routes, shown, info, was_hidden, now_us, change,
@@ -264,7 +312,7 @@
 
 	*conflict = (kf_entry_conflict_t){ 0 };
 	if (at < e->count)
-		(void)take(e, at, now_us);
+		drop(e, at);
 	if (target == NULL || target->info.entry != entry)
 		return KF_CHANGE_NONE;
 	removed = target->info;
@@ -283,13 +331,14 @@
 
 	*conflict = (kf_entry_conflict_t){ 0 };
 	for (i = 0; i < e->count; i++) {
-		uint64_t id = e->hidden[i].info.id;
+		uint64_t id = e->hidden[i]->info.id;
 		size_t first = index_of_first(e, id, routes);
 		const kf_target_t *target = shown_entry(d, id);
 		kf_upstream_info_t shown;
 
 		if (target == NULL ||
-		    !comes_first(&e->hidden[first].info, &target->info, routes))
+		    !comes_first(
+			&e->hidden[first]->info, &target->info, routes))
 			continue;
 		shown = shown_info(target, now_us);
 		if (exchange(e, d, first, &shown, now_us, conflict))
--- a/tests/unit/upstream_entries_test.cc
+++ b/tests/unit/upstream_entries_test.cc
@@ -112,6 +112,13 @@
 	{
 		return kf_directory_find_id(directory_, id);
 	}
+	void MarkDead(uint64_t id)
+	{
+		kf_target_t *target =
+		    kf_directory_find(directory_, kf_token_of(id));
+
+		ASSERT_TRUE(kf_dead_upstream_replaced(&target->dead));
+	}
 	/* Name of the entry that describes an upstream; "" if it is not
 	 * listed. */
 	std::string Used(uint64_t id) const
@@ -391,6 +398,51 @@
 	EXPECT_EQ(end_us, vm.Find(0xa1)->cold_end_us);
 }
 
+/* Guards against an upstream that counts as dead because the entry that hid it
+ * had the address of a process that is. */
+TEST(UpstreamEntries, LivenessBelongsToTheAddress)
+{
+	Entry draining;
+	Vm vm;
+
+	draining.state = "draining";
+	draining.address = "127.0.0.1:81";
+	vm.Put("servers/i-0000a1", Text({}));
+	vm.Put("servers/note-0000a1", Text(draining));
+	vm.MarkDead(0xa1);
+	vm.Remove("servers/note-0000a1");
+	EXPECT_EQ("i-0000a1", vm.Used(0xa1));
+	EXPECT_EQ(KF_LIVENESS_ALIVE, vm.Find(0xa1)->dead.liveness);
+}
+
+/* Guards against entries that are left or lost where many are hidden. */
+TEST(UpstreamEntries, ManyEntriesMayBeHidden)
+{
+	Entry copy;
+	char key[64];
+	Vm vm;
+
+	copy.born = 0;
+	for (unsigned i = 1; i <= 2000; i++) {
+		snprintf(key, sizeof(key), "servers/i-%x", i * 7919 % 10007);
+		vm.Put(key, Text({}));
+		snprintf(key, sizeof(key), "servers/copy-%x", i * 7919 % 10007);
+		vm.Put(key, Text(copy));
+		ASSERT_EQ(i, vm.entries()->count);
+	}
+	for (unsigned i = 1; i <= 2000; i++) {
+		snprintf(
+		    key, sizeof(key), "servers/copy-%x", i * 104729 % 10007);
+		vm.Remove(key);
+	}
+	for (unsigned i = 1; i <= 2000; i++) {
+		snprintf(key, sizeof(key), "servers/copy-%x", i * 7919 % 10007);
+		vm.Remove(key);
+	}
+	EXPECT_EQ(0u, vm.entries()->count);
+	EXPECT_EQ(2000u, vm.Listed().size());
+}
+
 /* Guards against a backup of the store that shows another key's older state of
  * an upstream that drains or has left. */
 TEST(UpstreamEntries, BackupDoesNotBringBackWhatHasLeft)
