Let a lapsed entry hold its place before hidden ones

Callers would see, in an outage of the store: packets of open flows sent to the address of an old entry of another key while the upstream's own entry has lapsed for up to 2 s.

Cause: a hidden entry took over at once, also from one that lapses. What it names may have ended long before, and the upstream may live.

Change: a lapsed entry holds its place for the time in which upstreams publish theirs again (2.5 s).

--- a/lib/forwarder/include/kf/upstream_entries.h
+++ b/lib/forwarder/include/kf/upstream_entries.h
@@ -18,7 +18,9 @@
  *	same number.  Of the entries with one id, one describes the upstream and
  *	is passed to the directory; the others are hidden, and one of them takes
  *	its place as soon as it goes away.  An entry that cannot be used is
- *	passed as removed, so that it hides none.
+ *	passed as removed, so that it hides none.  One that lapses holds its
+ *	place for KF_TARGET_MISSING_GRACE_US: the process that another entry
+ *	names may have ended long before.
  *
  *	Which entry it is follows from the entries and the services that the
  *	configuration names, and not from the order in which they came:  the
@@ -80,6 +82,14 @@
     kf_directory_t *directory, const kf_route_table_t *routes, int64_t now_us,
     kf_entry_conflict_t *conflict);
 
+/*
+ * Lets a hidden entry take the place of one that has lapsed and has not come
+ * back.  Returns false if there is none, so that it is called until then.
+ */
+bool kf_upstream_entries_end_lapse(kf_upstream_entries_t *entries,
+    kf_directory_t *directory, const kf_route_table_t *routes, int64_t now_us,
+    kf_entry_conflict_t *conflict);
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/forwarder/upstream_entries.c
+++ b/lib/forwarder/upstream_entries.c
@@ -89,13 +89,20 @@
 	return first;
 }
 
-/* Returns the entry that describes an upstream, or NULL. */
+/* Returns the target of the entry that describes an upstream, or NULL.  One
+ * that has lapsed holds its place for a while, as its upstream publishes it
+ * again. */
 static const kf_target_t *
-shown_entry(const kf_directory_t *d, uint64_t id)
+shown_entry(const kf_directory_t *d, uint64_t id, int64_t now_us)
 {
 	const kf_target_t *target = kf_directory_find_id(d, id);
 
-	return target != NULL && target->listing == KF_LISTED ? target : NULL;
+	if (target == NULL || target->listing == KF_LISTED)
+		return target;
+	return target->lapsed &&
+		now_us - target->unlisted_us < KF_TARGET_MISSING_GRACE_US
+	    ? target
+	    : NULL;
 }
 
 static kf_status_t
@@ -187,30 +194,31 @@
 
 /*
  * Shows the hidden entry at an index in place of another one, which becomes
- * hidden.  Returns false, and nothing changes, if it does not hold against what
- * is known of the upstream, or memory is short.
+ * hidden unless it has lapsed.  Returns false, and nothing changes, if it does
+ * not hold against what is known of the upstream, or memory is short.
  */
 static bool
 exchange(kf_upstream_entries_t *e, kf_directory_t *d, size_t at,
-    const kf_upstream_info_t *shown, int64_t now_us,
+    const kf_upstream_info_t *shown, bool lapsed, int64_t now_us,
     kf_entry_conflict_t *conflict)
 {
 	uint64_t id = shown->id, entry = e->hidden[at]->info.entry;
 	kf_change_t change = KF_CHANGE_NONE;
 	kf_upstream_info_t info;
 
-	if (hide(e, shown, now_us) != KF_OK)
+	if (!lapsed && hide(e, shown, now_us) != KF_OK)
 		return false;
 	info = take(e, index_of(e, id, entry), now_us);
 	if (show(d, &info, now_us, &change) == KF_OK &&
 	    change != KF_CHANGE_HELD) {
-		e->conflicts++;
+		e->conflicts += !lapsed;
 		note_conflict(conflict, &info, shown);
 		return true;
 	}
 	/* The memory of the one taken out is enough for it. */
 	(void)hide(e, &info, now_us);
-	drop(e, index_of(e, id, shown->entry));
+	if (!lapsed)
+		drop(e, index_of(e, id, shown->entry));
 	return false;
 }
 
@@ -227,7 +235,7 @@
 
 	if (first == e->count ||
 	    comes_first(info, &e->hidden[first]->info, routes) ||
-	    !exchange(e, d, first, info, now_us, conflict))
+	    !exchange(e, d, first, info, false, now_us, conflict))
 		return show(d, info, now_us, change);
 	*change = KF_CHANGE_HIDDEN;
 	return KF_OK;
@@ -241,12 +249,13 @@
     kf_change_t *change, kf_entry_conflict_t *conflict)
 {
 	kf_upstream_info_t shown = shown_info(target, now_us);
+	bool lapsed = target->listing != KF_LISTED;
 
 	if (hide(e, info, now_us) != KF_OK)
 		return KF_ERR_NO_MEMORY;
 	if (comes_first(info, &shown, routes) &&
-	    exchange(e, d, index_of(e, info->id, info->entry), &shown, now_us,
-		conflict)) {
+	    exchange(e, d, index_of(e, info->id, info->entry), &shown, lapsed,
+		now_us, conflict)) {
 		*change = KF_CHANGE_UPDATED;
 		return KF_OK;
 	}
@@ -263,7 +272,7 @@
     const kf_route_table_t *routes, const kf_upstream_info_t *info,
     int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
 {
-	const kf_target_t *shown = shown_entry(d, info->id);
+	const kf_target_t *shown = shown_entry(d, info->id, now_us);
 	size_t at = index_of(e, info->id, info->entry);
 	bool was_hidden = at < e->count;
 
@@ -316,7 +325,7 @@
 	if (target == NULL || target->info.entry != entry)
 		return KF_CHANGE_NONE;
 	removed = target->info;
-	if (target->listing == KF_LISTED &&
+	if (!lapsed &&
 	    replace_removed(e, d, routes, &removed, now_us, &change, conflict))
 		return change;
 	return kf_directory_remove(d, id, lapsed, now_us);
@@ -333,7 +342,7 @@
 	for (i = 0; i < e->count; i++) {
 		uint64_t id = e->hidden[i]->info.id;
 		size_t first = index_of_first(e, id, routes);
-		const kf_target_t *target = shown_entry(d, id);
+		const kf_target_t *target = shown_entry(d, id, now_us);
 		kf_upstream_info_t shown;
 
 		if (target == NULL ||
@@ -341,8 +350,34 @@
 			&e->hidden[first]->info, &target->info, routes))
 			continue;
 		shown = shown_info(target, now_us);
-		if (exchange(e, d, first, &shown, now_us, conflict))
+		if (exchange(e, d, first, &shown, target->listing != KF_LISTED,
+			now_us, conflict))
 			return true;
 	}
 	return false;
 }
+
+bool
+kf_upstream_entries_end_lapse(kf_upstream_entries_t *e, kf_directory_t *d,
+    const kf_route_table_t *routes, int64_t now_us,
+    kf_entry_conflict_t *conflict)
+{
+	kf_upstream_info_t lapsed;
+	const kf_target_t *target;
+	kf_change_t change;
+	size_t i;
+
+	*conflict = (kf_entry_conflict_t){ 0 };
+	for (i = 0; i < e->count; i++) {
+		lapsed = e->hidden[i]->info;
+		if (shown_entry(d, lapsed.id, now_us) != NULL)
+			continue;
+		target = kf_directory_find_id(d, lapsed.id);
+		if (target != NULL)
+			lapsed = target->info;
+		(void)replace_removed(
+		    e, d, routes, &lapsed, now_us, &change, conflict);
+		return true;
+	}
+	return false;
+}
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -182,10 +182,14 @@
 	log_conflict(a, &conflict);
 }
 
-/* A configuration that names other services may change which entries are
- * used. */
+typedef bool change_entries_fn(kf_upstream_entries_t *entries,
+    kf_directory_t *directory, const kf_route_table_t *routes, int64_t now_us,
+    kf_entry_conflict_t *conflict);
+
+/* Calls a function that changes which entries are used until it returns
+ * false. */
 static void
-reorder_entries(applier_t *a, int64_t now_us)
+change_entries(applier_t *a, change_entries_fn *change, int64_t now_us)
 {
 	kf_entry_conflict_t conflict;
 	kf_forwarder_t *forwarder;
@@ -193,14 +197,20 @@
 
 	do {
 		forwarder = packet_thread_lock(a->packets);
-		changed = kf_upstream_entries_reorder(&a->entries,
-		    kf_forwarder_directory(forwarder), a->routes, now_us,
-		    &conflict);
+		changed = change(&a->entries, kf_forwarder_directory(forwarder),
+		    a->routes, now_us, &conflict);
 		packet_thread_unlock(a->packets);
 		log_conflict(a, &conflict);
 	} while (changed);
 }
 
+void
+applier_end_lapses(applier_t *a, int64_t now_us)
+{
+	if (a->entries.count > 0)
+		change_entries(a, kf_upstream_entries_end_lapse, now_us);
+}
+
 static void
 on_part_refused(void *ctx, const char *part, const char *name)
 {
@@ -232,7 +242,7 @@
 		return;
 	}
 	a->routes = table;
-	reorder_entries(a, now_us);
+	change_entries(a, kf_upstream_entries_reorder, now_us);
 	kf_eventlog_write(a->log, KF_LOG_INFO, "config",
 	    "version=%llu routes=%zu parts_refused=%zu revision=%llu",
 	    (unsigned long long)table->version, table->count,
--- a/lib/fwdnet/applier.h
+++ b/lib/fwdnet/applier.h
@@ -57,6 +57,10 @@
 /* Applies a changed item; a kf_replica callback, ctx is the applier_t. */
 void applier_apply(void *ctx, const kf_item_t *item, int64_t now_us);
 
+/* Uses other entries in place of those that have lapsed; to be called each
+ * second or so. */
+void applier_end_lapses(applier_t *applier, int64_t now_us);
+
 /* Counts and logs an item that cannot be used; kf_status_message has the
  * reason. */
 void applier_refuse(applier_t *applier, const char *key, uint64_t revision);
--- a/lib/fwdnet/control_loop.c
+++ b/lib/fwdnet/control_loop.c
@@ -442,6 +442,7 @@
 		    view.rank);
 	}
 	log_lost_vms(l);
+	applier_end_lapses(&l->applier, l->now_us);
 	if (view.contact_us != l->view.contact_us)
 		applier_set_confirmed(&l->applier, view.contact_us);
 	l->view = view;
