--- a/lib/forwarder/dead_upstream.c
+++ b/lib/forwarder/dead_upstream.c
@@ -58,6 +58,7 @@
 	d->liveness = KF_LIVENESS_ALIVE;
 	d->failed_probes = 0;
 	d->checks = 0;
+	d->probe_wanted = false;
 	d->alive_us = now_us;
 	return was_dead;
 }
--- a/tests/unit/dead_upstream_test.cc
+++ b/tests/unit/dead_upstream_test.cc
@@ -139,6 +139,40 @@
 	EXPECT_GE(now_us_ - start_us, 9900000);
 }
 
+/* Guards against flows reset on old evidence, and against evidence that is not
+ * recent although packets ask for it all the time. */
+TEST_F(DeadUpstream, EvidenceIsRecentWhileItIsAskedFor)
+{
+	Suspect();
+	FailProbe();
+	FailProbe();
+	for (int64_t end_us = now_us_ + 20000000; now_us_ < end_us;) {
+		kf_dead_upstream_want_probe(&d_);
+		EXPECT_TRUE(kf_dead_upstream_may_reset(
+		    &d_, KF_DEAD_EVIDENCE_US, now_us_));
+		EXPECT_TRUE(FailProbe());
+		EXPECT_GE(now_us_ - d_.evidence_us, KF_DEAD_PROBE_TIMEOUT_US);
+	}
+	/* Nobody asks: the first two probes are long past. */
+	now_us_ = d_.probe_sent_us + KF_DEAD_EVIDENCE_US;
+	EXPECT_FALSE(
+	    kf_dead_upstream_may_reset(&d_, KF_DEAD_EVIDENCE_US, now_us_));
+	EXPECT_FALSE(kf_dead_upstream_probe_due(&d_, now_us_));
+	/* A probe during which the VM was suspended shows nothing. */
+	kf_dead_upstream_want_probe(&d_);
+	ASSERT_TRUE(kf_dead_upstream_probe_due(&d_, now_us_));
+	kf_dead_upstream_probe_sent(&d_, now_us_);
+	now_us_ += 900000;
+	EXPECT_FALSE(kf_dead_upstream_probe_failed(&d_, 0, 0, now_us_));
+	EXPECT_FALSE(
+	    kf_dead_upstream_may_reset(&d_, KF_DEAD_EVIDENCE_US, now_us_));
+	/* A shorter limit holds, too. */
+	kf_dead_upstream_want_probe(&d_);
+	EXPECT_TRUE(FailProbe());
+	EXPECT_TRUE(kf_dead_upstream_may_reset(&d_, 200000, now_us_));
+	EXPECT_FALSE(kf_dead_upstream_may_reset(&d_, 50000, now_us_));
+}
+
 /* Guards against a probe that another upstream at the same address accepts and
  * that counts for the former one. */
 TEST_F(DeadUpstream, ReplacedOneStaysDead)
