Try a refused probe again before its result counts

Cause: a probe that is refused fails only when its 100 ms are over, so that other upstreams can show that the links work. The evidence is then 100 ms old, though a refusal comes at once and could be newer.

Change: a refused connection is tried once more 80 ms after the first, so that the evidence of a refusal is 20 ms old. A silent upstream is probed as before.

--- a/lib/fwdnet/upstream_probe.c
+++ b/lib/fwdnet/upstream_probe.c
@@ -16,13 +16,20 @@
  * flows, which clients with goals of 250 to 400 ms wait for. */
 enum { POLL_INTERVAL_US = 20000 };
 
+/* A refused connection is tried once more this long after the first: the result
+ * is due later, and the upstream may accept connections by then. */
+enum { REFUSED_RETRY_US = 80000 };
+
 typedef struct connection {
 	upstream_probe_t *probe;
-	uint32_t token;
+	kf_probe_t target;
+	int64_t started_us;
+	bool retried;
 	int fd; /* -1: refused, or not in use */
 	bool in_use;
 	bool cancelled; /* could not be made */
 	struct event *writable;
+	struct event *retry;
 	struct event *timeout;
 } connection_t;
 
@@ -52,11 +59,12 @@
 	bool dead;
 
 	connection_close(c);
+	event_del(c->retry);
 	event_del(c->timeout);
 	c->in_use = false;
 	forwarder = packet_thread_lock(p->packets);
 	dead = kf_forwarder_probe_result(
-	    forwarder, c->token, accepted, kf_clock_now().mono_us);
+	    forwarder, c->target.token, accepted, kf_clock_now().mono_us);
 	packet_thread_unlock(p->packets);
 	if (dead)
 		packet_thread_wake(p->packets);
@@ -68,7 +76,7 @@
 {
 	c->in_use = false;
 	kf_forwarder_probe_cancelled(
-	    packet_thread_lock(c->probe->packets), c->token);
+	    packet_thread_lock(c->probe->packets), c->target.token);
 	packet_thread_unlock(c->probe->packets);
 }
 
@@ -84,6 +92,19 @@
 	    error == 0;
 }
 
+static void
+retry_later(connection_t *c)
+{
+	int64_t left_us =
+	    c->started_us + REFUSED_RETRY_US - kf_clock_now().mono_us;
+	const struct timeval delay = { .tv_usec = left_us > 0 ? left_us : 0 };
+
+	if (c->retried)
+		return;
+	c->retried = true;
+	event_add(c->retry, &delay);
+}
+
 /*
  * A refused connection is reported as failed when its time is over, like one
  * without an answer: until then other upstreams can show that the links work.
@@ -94,10 +115,12 @@
 	connection_t *c = ctx;
 
 	(void)events;
-	if (is_accepted(fd))
+	if (is_accepted(fd)) {
 		connection_end(c, true);
-	else
-		connection_close(c);
+		return;
+	}
+	connection_close(c);
+	retry_later(c);
 }
 
 /* After a pause of the process the connection may be accepted already. */
@@ -115,16 +138,10 @@
 }
 
 static void
-connection_begin(connection_t *c, const kf_probe_t *probe)
+connection_open(connection_t *c)
 {
-	const struct timeval timeout = { .tv_usec = KF_DEAD_PROBE_TIMEOUT_US };
-	struct sockaddr_in to = kf_sockaddr(probe->address);
+	struct sockaddr_in to = kf_sockaddr(c->target.address);
 
-	c->token = probe->token;
-	c->in_use = true;
-	c->cancelled = false;
-	event_base_update_cache_time(c->probe->base);
-	event_add(c->timeout, &timeout);
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (c->fd >= 0 &&
 	    (connect(c->fd, (struct sockaddr *)&to, sizeof(to)) == 0 ||
@@ -139,6 +156,31 @@
 	 * the upstream. */
 	c->cancelled = errno != ECONNREFUSED;
 	connection_close(c);
+	if (!c->cancelled)
+		retry_later(c);
+}
+
+static void
+on_retry(evutil_socket_t fd, short events, void *ctx)
+{
+	(void)fd;
+	(void)events;
+	connection_open(ctx);
+}
+
+static void
+connection_begin(connection_t *c, const kf_probe_t *probe)
+{
+	const struct timeval timeout = { .tv_usec = KF_DEAD_PROBE_TIMEOUT_US };
+
+	c->target = *probe;
+	c->started_us = kf_clock_now().mono_us;
+	c->retried = false;
+	c->in_use = true;
+	c->cancelled = false;
+	event_base_update_cache_time(c->probe->base);
+	event_add(c->timeout, &timeout);
+	connection_open(c);
 }
 
 static connection_t *
@@ -191,8 +233,9 @@
 
 		c->probe = p;
 		c->fd = -1;
+		c->retry = evtimer_new(p->base, on_retry, c);
 		c->timeout = evtimer_new(p->base, on_timeout, c);
-		if (c->timeout == NULL)
+		if (c->retry == NULL || c->timeout == NULL)
 			return false;
 	}
 	p->poll_timer = event_new(p->base, -1, EV_PERSIST, on_poll, p);
@@ -233,10 +276,13 @@
 	for (i = 0; i < UPSTREAM_PROBE_MAX; i++) {
 		connection_t *c = &p->connections[i];
 
-		if (c->timeout == NULL)
+		if (c->probe == NULL)
 			continue;
 		connection_close(c);
-		event_free(c->timeout);
+		if (c->retry != NULL)
+			event_free(c->retry);
+		if (c->timeout != NULL)
+			event_free(c->timeout);
 	}
 	if (p->poll_timer != NULL)
 		event_free(p->poll_timer);
