Keep the directory and the routes with the entries

Cause: a newcomer's reading: nine parameters for a function, four of them the same in every call.

Change: kf_upstream_entries_t has the directory that gets the entries that are used, and the routes in force. No behaviour changes.

--- a/lib/forwarder/include/kf/upstream_entries.h
+++ b/lib/forwarder/include/kf/upstream_entries.h
@@ -40,9 +40,10 @@
 	int64_t received_us; /* time that info.cold_left_us refers to */
 } kf_hidden_entry_t;
 
-/* Zeroed: no entries. */
 typedef struct kf_upstream_entries {
-	kf_hidden_entry_t **hidden; /* sorted by id */
+	kf_directory_t *directory;	/* gets the ones that are used */
+	const kf_route_table_t *routes; /* in force, or NULL */
+	kf_hidden_entry_t **hidden;	/* sorted by id */
 	size_t count;
 	size_t cap;
 	uint64_t conflicts; /* entries that were hidden, in all */
@@ -56,39 +57,32 @@
 	char other[KF_UPSTREAM_NAME_BYTES];
 } kf_entry_conflict_t;
 
+/* Forgets all entries and frees the memory.  Initialise with a directory. */
 void kf_upstream_entries_clear(kf_upstream_entries_t *entries);
 
-/*
- * Adds or updates an entry.  The change is KF_CHANGE_HIDDEN if another one
- * describes the upstream.  routes is the configuration in force, or NULL.
- */
+/* Adds or updates an entry.  The change is KF_CHANGE_HIDDEN if another one
+ * describes the upstream. */
 kf_status_t kf_upstream_entries_put(kf_upstream_entries_t *entries,
-    kf_directory_t *directory, const kf_route_table_t *routes,
     const kf_upstream_info_t *info, int64_t now_us, kf_change_t *change,
     kf_entry_conflict_t *conflict);
 
 /* Removes an entry, the kf_name_key of whose key is entry; lapsed as in
  * kf_directory_remove. */
 kf_change_t kf_upstream_entries_remove(kf_upstream_entries_t *entries,
-    kf_directory_t *directory, const kf_route_table_t *routes, uint64_t id,
-    uint64_t entry, bool lapsed, int64_t now_us, kf_entry_conflict_t *conflict);
+    uint64_t id, uint64_t entry, bool lapsed, int64_t now_us,
+    kf_entry_conflict_t *conflict);
 
 /*
- * Lets a hidden entry take the place of another one if the configuration, which
- * has changed, puts it first.  Returns false if there is none, so that it is
- * called until then.
+ * Lets a hidden entry take the place of another one if the routes, which have
+ * changed, put it first.  Returns false if there is none, so that it is called
+ * until then.
  */
-bool kf_upstream_entries_reorder(kf_upstream_entries_t *entries,
-    kf_directory_t *directory, const kf_route_table_t *routes, int64_t now_us,
+bool kf_upstream_entries_reorder(kf_upstream_entries_t *entries, int64_t now_us,
     kf_entry_conflict_t *conflict);
 
-/*
- * Lets a hidden entry take the place of one that has lapsed and has not come
- * back.  Returns false if there is none, so that it is called until then.
- */
+/* The same for one that has lapsed and has not come back. */
 bool kf_upstream_entries_end_lapse(kf_upstream_entries_t *entries,
-    kf_directory_t *directory, const kf_route_table_t *routes, int64_t now_us,
-    kf_entry_conflict_t *conflict);
+    int64_t now_us, kf_entry_conflict_t *conflict);
 
 #ifdef __cplusplus
 }
--- a/lib/forwarder/upstream_entries.c
+++ b/lib/forwarder/upstream_entries.c
@@ -14,15 +14,15 @@
 	for (i = 0; i < e->count; i++)
 		free(e->hidden[i]);
 	free(e->hidden);
-	*e = (kf_upstream_entries_t){ 0 };
+	*e = (kf_upstream_entries_t){ .directory = e->directory };
 }
 
 static bool
-comes_first(const kf_upstream_info_t *a, const kf_upstream_info_t *b,
-    const kf_route_table_t *routes)
+comes_first(const kf_upstream_entries_t *e, const kf_upstream_info_t *a,
+    const kf_upstream_info_t *b)
 {
-	bool a_named = kf_route_table_names_service(routes, a->service);
-	bool b_named = kf_route_table_names_service(routes, b->service);
+	bool a_named = kf_route_table_names_service(e->routes, a->service);
+	bool b_named = kf_route_table_names_service(e->routes, b->service);
 	int order;
 
 	if (a_named != b_named)
@@ -76,15 +76,14 @@
 /* Returns the index of the first of an upstream's hidden entries, or the number
  * of hidden ones. */
 static size_t
-index_of_first(
-    const kf_upstream_entries_t *e, uint64_t id, const kf_route_table_t *routes)
+index_of_first(const kf_upstream_entries_t *e, uint64_t id)
 {
 	size_t i = index_of_id(e, id);
 	size_t first = has_id_at(e, i, id) ? i : e->count;
 
 	for (; has_id_at(e, i, id); i++)
 		if (comes_first(
-			&e->hidden[i]->info, &e->hidden[first]->info, routes))
+			e, &e->hidden[i]->info, &e->hidden[first]->info))
 			first = i;
 	return first;
 }
@@ -93,9 +92,9 @@
  * that has lapsed holds its place for a while, as its upstream publishes it
  * again. */
 static const kf_target_t *
-shown_entry(const kf_directory_t *d, uint64_t id, int64_t now_us)
+shown_entry(const kf_upstream_entries_t *e, uint64_t id, int64_t now_us)
 {
-	const kf_target_t *target = kf_directory_find_id(d, id);
+	const kf_target_t *target = kf_directory_find_id(e->directory, id);
 
 	if (target == NULL || target->listing == KF_LISTED)
 		return target;
@@ -174,12 +173,12 @@
 }
 
 static kf_status_t
-show(kf_directory_t *d, const kf_upstream_info_t *info, int64_t now_us,
+show(kf_upstream_entries_t *e, const kf_upstream_info_t *info, int64_t now_us,
     kf_change_t *change)
 {
 	return info->from_backup
-	    ? kf_directory_put_backup(d, info, now_us, change)
-	    : kf_directory_put(d, info, now_us, change);
+	    ? kf_directory_put_backup(e->directory, info, now_us, change)
+	    : kf_directory_put(e->directory, info, now_us, change);
 }
 
 static void
@@ -198,9 +197,8 @@
  * not hold against what is known of the upstream, or memory is short.
  */
 static bool
-exchange(kf_upstream_entries_t *e, kf_directory_t *d, size_t at,
-    const kf_upstream_info_t *shown, bool lapsed, int64_t now_us,
-    kf_entry_conflict_t *conflict)
+exchange(kf_upstream_entries_t *e, size_t at, const kf_upstream_info_t *shown,
+    bool lapsed, int64_t now_us, kf_entry_conflict_t *conflict)
 {
 	uint64_t id = shown->id, entry = e->hidden[at]->info.entry;
 	kf_change_t change = KF_CHANGE_NONE;
@@ -209,7 +207,7 @@
 	if (!lapsed && hide(e, shown, now_us) != KF_OK)
 		return false;
 	info = take(e, index_of(e, id, entry), now_us);
-	if (show(d, &info, now_us, &change) == KF_OK &&
+	if (show(e, &info, now_us, &change) == KF_OK &&
 	    change != KF_CHANGE_HELD) {
 		e->conflicts += !lapsed;
 		note_conflict(conflict, &info, shown);
@@ -227,24 +225,22 @@
  * comes first, a hidden one takes its place.
  */
 static kf_status_t
-update_shown(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, const kf_upstream_info_t *info,
+update_shown(kf_upstream_entries_t *e, const kf_upstream_info_t *info,
     int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
 {
-	size_t first = index_of_first(e, info->id, routes);
+	size_t first = index_of_first(e, info->id);
 
 	if (first == e->count ||
-	    comes_first(info, &e->hidden[first]->info, routes) ||
-	    !exchange(e, d, first, info, false, now_us, conflict))
-		return show(d, info, now_us, change);
+	    comes_first(e, info, &e->hidden[first]->info) ||
+	    !exchange(e, first, info, false, now_us, conflict))
+		return show(e, info, now_us, change);
 	*change = KF_CHANGE_HIDDEN;
 	return KF_OK;
 }
 
 /* Adds an entry while another one describes the upstream. */
 static kf_status_t
-add_beside(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, const kf_target_t *target,
+add_beside(kf_upstream_entries_t *e, const kf_target_t *target,
     const kf_upstream_info_t *info, bool was_hidden, int64_t now_us,
     kf_change_t *change, kf_entry_conflict_t *conflict)
 {
@@ -253,8 +249,8 @@
 
 	if (hide(e, info, now_us) != KF_OK)
 		return KF_ERR_NO_MEMORY;
-	if (comes_first(info, &shown, routes) &&
-	    exchange(e, d, index_of(e, info->id, info->entry), &shown, lapsed,
+	if (comes_first(e, info, &shown) &&
+	    exchange(e, index_of(e, info->id, info->entry), &shown, lapsed,
 		now_us, conflict)) {
 		*change = KF_CHANGE_UPDATED;
 		return KF_OK;
@@ -268,11 +264,11 @@
 }
 
 kf_status_t
-kf_upstream_entries_put(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, const kf_upstream_info_t *info,
-    int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
+kf_upstream_entries_put(kf_upstream_entries_t *e,
+    const kf_upstream_info_t *info, int64_t now_us, kf_change_t *change,
+    kf_entry_conflict_t *conflict)
 {
-	const kf_target_t *shown = shown_entry(d, info->id, now_us);
+	const kf_target_t *shown = shown_entry(e, info->id, now_us);
 	size_t at = index_of(e, info->id, info->entry);
 	bool was_hidden = at < e->count;
 
@@ -281,9 +277,8 @@
 	if (was_hidden)
 		drop(e, at);
 	return shown == NULL || shown->info.entry == info->entry
-	    ? update_shown(e, d, routes, info, now_us, change, conflict)
-	    : add_beside(e, d, routes, shown, info, was_hidden, now_us, change,
-		  conflict);
+	    ? update_shown(e, info, now_us, change, conflict)
+	    : add_beside(e, shown, info, was_hidden, now_us, change, conflict);
 }
 
 /*
@@ -291,16 +286,15 @@
  * false if there is none that holds against what is known of the upstream.
  */
 static bool
-replace_removed(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, const kf_upstream_info_t *removed,
+replace_removed(kf_upstream_entries_t *e, const kf_upstream_info_t *removed,
     int64_t now_us, kf_change_t *change, kf_entry_conflict_t *conflict)
 {
 	kf_upstream_info_t next;
 	size_t first;
 
-	while ((first = index_of_first(e, removed->id, routes)) < e->count) {
+	while ((first = index_of_first(e, removed->id)) < e->count) {
 		next = take(e, first, now_us);
-		if (show(d, &next, now_us, change) != KF_OK ||
+		if (show(e, &next, now_us, change) != KF_OK ||
 		    *change == KF_CHANGE_HELD)
 			continue;
 		note_conflict(conflict, &next, removed);
@@ -310,11 +304,10 @@
 }
 
 kf_change_t
-kf_upstream_entries_remove(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, uint64_t id, uint64_t entry, bool lapsed,
-    int64_t now_us, kf_entry_conflict_t *conflict)
+kf_upstream_entries_remove(kf_upstream_entries_t *e, uint64_t id,
+    uint64_t entry, bool lapsed, int64_t now_us, kf_entry_conflict_t *conflict)
 {
-	const kf_target_t *target = kf_directory_find_id(d, id);
+	const kf_target_t *target = kf_directory_find_id(e->directory, id);
 	size_t at = index_of(e, id, entry);
 	kf_change_t change = KF_CHANGE_NONE;
 	kf_upstream_info_t removed;
@@ -325,32 +318,29 @@
 	if (target == NULL || target->info.entry != entry)
 		return KF_CHANGE_NONE;
 	removed = target->info;
-	if (!lapsed &&
-	    replace_removed(e, d, routes, &removed, now_us, &change, conflict))
+	if (!lapsed && replace_removed(e, &removed, now_us, &change, conflict))
 		return change;
-	return kf_directory_remove(d, id, lapsed, now_us);
+	return kf_directory_remove(e->directory, id, lapsed, now_us);
 }
 
 bool
-kf_upstream_entries_reorder(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, int64_t now_us,
-    kf_entry_conflict_t *conflict)
+kf_upstream_entries_reorder(
+    kf_upstream_entries_t *e, int64_t now_us, kf_entry_conflict_t *conflict)
 {
 	size_t i;
 
 	*conflict = (kf_entry_conflict_t){ 0 };
 	for (i = 0; i < e->count; i++) {
 		uint64_t id = e->hidden[i]->info.id;
-		size_t first = index_of_first(e, id, routes);
-		const kf_target_t *target = shown_entry(d, id, now_us);
+		size_t first = index_of_first(e, id);
+		const kf_target_t *target = shown_entry(e, id, now_us);
 		kf_upstream_info_t shown;
 
 		if (target == NULL ||
-		    !comes_first(
-			&e->hidden[first]->info, &target->info, routes))
+		    !comes_first(e, &e->hidden[first]->info, &target->info))
 			continue;
 		shown = shown_info(target, now_us);
-		if (exchange(e, d, first, &shown, target->listing != KF_LISTED,
+		if (exchange(e, first, &shown, target->listing != KF_LISTED,
 			now_us, conflict))
 			return true;
 	}
@@ -358,9 +348,8 @@
 }
 
 bool
-kf_upstream_entries_end_lapse(kf_upstream_entries_t *e, kf_directory_t *d,
-    const kf_route_table_t *routes, int64_t now_us,
-    kf_entry_conflict_t *conflict)
+kf_upstream_entries_end_lapse(
+    kf_upstream_entries_t *e, int64_t now_us, kf_entry_conflict_t *conflict)
 {
 	kf_upstream_info_t lapsed;
 	const kf_target_t *target;
@@ -370,13 +359,12 @@
 	*conflict = (kf_entry_conflict_t){ 0 };
 	for (i = 0; i < e->count; i++) {
 		lapsed = e->hidden[i]->info;
-		if (shown_entry(d, lapsed.id, now_us) != NULL)
+		if (shown_entry(e, lapsed.id, now_us) != NULL)
 			continue;
-		target = kf_directory_find_id(d, lapsed.id);
+		target = kf_directory_find_id(e->directory, lapsed.id);
 		if (target != NULL)
 			lapsed = target->info;
-		(void)replace_removed(
-		    e, d, routes, &lapsed, now_us, &change, conflict);
+		(void)replace_removed(e, &lapsed, now_us, &change, conflict);
 		return true;
 	}
 	return false;
--- a/lib/fwdnet/applier.c
+++ b/lib/fwdnet/applier.c
@@ -33,9 +33,12 @@
 		.contact_us = INT64_MIN,
 		.outage_end_us = INT64_MIN,
 		.first_contact_us = INT64_MIN,
+		.entries.directory =
+		    kf_forwarder_directory(packet_thread_lock(packets)),
 		.refused_lines = limit,
 		.conflict_lines = limit,
 	};
+	packet_thread_unlock(packets);
 }
 
 void
@@ -136,15 +139,13 @@
     applier_t *a, const kf_item_t *item, bool lapsed, int64_t now_us)
 {
 	kf_entry_conflict_t conflict;
-	kf_forwarder_t *forwarder;
 	kf_change_t change;
 	uint64_t id;
 
 	if (kf_platform_upstream_id(item->key, &id) != KF_OK)
 		return; /* never an upstream; logged when it was added */
-	forwarder = packet_thread_lock(a->packets);
-	change = kf_upstream_entries_remove(&a->entries,
-	    kf_forwarder_directory(forwarder), a->routes, id,
+	packet_thread_lock(a->packets);
+	change = kf_upstream_entries_remove(&a->entries, id,
 	    kf_platform_upstream_entry(item->key), lapsed, now_us, &conflict);
 	packet_thread_unlock(a->packets);
 	log_upstream(a, item, change);
@@ -157,7 +158,6 @@
 	kf_change_t change = KF_CHANGE_NONE;
 	kf_entry_conflict_t conflict;
 	kf_upstream_info_t info;
-	kf_forwarder_t *forwarder;
 	kf_status_t status;
 
 	if (kf_platform_upstream_decode(
@@ -171,10 +171,9 @@
 	info.warm =
 	    !a->loaded && kf_upstream_is_warm(&info, kf_clock_now().wall_ms);
 	info.from_backup = item->from_backup;
-	forwarder = packet_thread_lock(a->packets);
-	status = kf_upstream_entries_put(&a->entries,
-	    kf_forwarder_directory(forwarder), a->routes, &info, now_us,
-	    &change, &conflict);
+	packet_thread_lock(a->packets);
+	status = kf_upstream_entries_put(
+	    &a->entries, &info, now_us, &change, &conflict);
 	packet_thread_unlock(a->packets);
 	if (status != KF_OK)
 		log_refused(a, item);
@@ -182,8 +181,7 @@
 	log_conflict(a, &conflict);
 }
 
-typedef bool change_entries_fn(kf_upstream_entries_t *entries,
-    kf_directory_t *directory, const kf_route_table_t *routes, int64_t now_us,
+typedef bool change_entries_fn(kf_upstream_entries_t *entries, int64_t now_us,
     kf_entry_conflict_t *conflict);
 
 /* Calls a function that changes which entries are used until it returns
@@ -192,13 +190,11 @@
 change_entries(applier_t *a, change_entries_fn *change, int64_t now_us)
 {
 	kf_entry_conflict_t conflict;
-	kf_forwarder_t *forwarder;
 	bool changed;
 
 	do {
-		forwarder = packet_thread_lock(a->packets);
-		changed = change(&a->entries, kf_forwarder_directory(forwarder),
-		    a->routes, now_us, &conflict);
+		packet_thread_lock(a->packets);
+		changed = change(&a->entries, now_us, &conflict);
 		packet_thread_unlock(a->packets);
 		log_conflict(a, &conflict);
 	} while (changed);
@@ -242,6 +238,7 @@
 		return;
 	}
 	a->routes = table;
+	a->entries.routes = table;
 	change_entries(a, kf_upstream_entries_reorder, now_us);
 	kf_eventlog_write(a->log, KF_LOG_INFO, "config",
 	    "version=%llu routes=%zu parts_refused=%zu revision=%llu",
--- a/tests/unit/upstream_entries_test.cc
+++ b/tests/unit/upstream_entries_test.cc
@@ -47,6 +47,7 @@
       public:
 	Vm() : directory_(kf_directory_new(0)), entries_()
 	{
+		entries_.directory = directory_;
 		replica_ = kf_replica_new(OnChanged, this);
 	}
 	~Vm()
@@ -69,8 +70,9 @@
 		kf_route_table_delete(routes_);
 		routes_ = kf_route_table_new(1, 0, nullptr, 0, nullptr);
 		kf_route_table_set_services(routes_, list.data(), list.size());
-		while (kf_upstream_entries_reorder(
-		    &entries_, directory_, routes_, now_us, &conflict))
+		entries_.routes = routes_;
+		while (
+		    kf_upstream_entries_reorder(&entries_, now_us, &conflict))
 			;
 	}
 	void Put(const std::string &key, const std::string &value)
@@ -153,8 +155,8 @@
 
 		now_us += us;
 		kf_directory_expire(directory_, now_us);
-		while (kf_upstream_entries_end_lapse(
-		    &entries_, directory_, routes_, now_us, &conflict))
+		while (
+		    kf_upstream_entries_end_lapse(&entries_, now_us, &conflict))
 			;
 	}
 
@@ -177,11 +179,11 @@
 			item->key, item->value, item->len, &info) == KF_OK) {
 			info.from_backup = item->from_backup;
 			ASSERT_EQ(KF_OK,
-			    kf_upstream_entries_put(&entries_, directory_,
-				routes_, &info, now_us, &change, &conflict));
+			    kf_upstream_entries_put(
+				&entries_, &info, now_us, &change, &conflict));
 		} else if (kf_platform_upstream_id(item->key, &id) == KF_OK)
-			kf_upstream_entries_remove(&entries_, directory_,
-			    routes_, id, kf_platform_upstream_entry(item->key),
+			kf_upstream_entries_remove(&entries_, id,
+			    kf_platform_upstream_entry(item->key),
 			    item->removed && (lapsed_ || item->lost), now_us,
 			    &conflict);
 	}
