Take the removal of a drained upstream's lapsed entry as its end

Callers would see: requests on flows of an upstream that has drained and left wait until their deadline, and a hidden entry with its id unused for 2.5 s more.

Cause: an upstream that drains counts as gone when its entry lapses, and the removal of what is gone was ignored, so that it never counted as having left.

Change: such a removal ends the lapse.

--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -520,7 +520,8 @@
 {
 	kf_target_t *target = find_id(d, id);
 
-	if (target == NULL || target->listing == KF_LISTING_GONE)
+	if (target == NULL ||
+	    (target->listing == KF_LISTING_GONE && (lapsed || !target->lapsed)))
 		return KF_CHANGE_NONE;
 	if (target->listing == KF_LISTING_MISSING && lapsed) {
 		target->unlisted_us = now_us; /* the grace starts again */
--- a/tests/unit/upstream_entries_test.cc
+++ b/tests/unit/upstream_entries_test.cc
@@ -487,6 +487,24 @@
 	EXPECT_EQ("i-a1", vm.Used(0xa1));
 }
 
+/* Guards against a lapsed entry that holds its place after it has been removed,
+ * as its upstream drained and was unlisted before. */
+TEST(UpstreamEntries, RemovalEndsTheLapseOfADrainingUpstream)
+{
+	Entry draining, earlier;
+	Vm vm;
+
+	draining.state = "draining";
+	earlier.born = 0;
+	vm.Put("servers/i-0000a1", Text(draining));
+	vm.Remove("servers/i-0000a1", true);
+	EXPECT_FALSE(kf_target_has_left(vm.Find(0xa1)));
+	vm.Put("servers/i-0000a1", "{}");
+	EXPECT_TRUE(kf_target_has_left(vm.Find(0xa1)));
+	vm.Put("servers/i-a1", Text(earlier));
+	EXPECT_EQ("i-a1", vm.Used(0xa1));
+}
+
 /* Guards against a cold start that begins anew when an entry is used again. */
 TEST(UpstreamEntries, ColdStartGoesOnWhileAnEntryIsHidden)
 {
