--- a/lib/forwarder/directory.c
+++ b/lib/forwarder/directory.c
@@ -4,13 +4,13 @@
 #include "kf/directory.h"
 #include "kf/search.h"
 
-enum { MIN_BUCKETS = 64, MIN_EVACUATED = 8 };
+#include "zone_set.h"
+
+enum { MIN_BUCKETS = 64 };
 
 struct kf_directory {
 	uint64_t zone;
-	uint64_t *evacuated; /* zones */
-	size_t evacuated_count;
-	size_t evacuated_cap;
+	zone_set_t evacuated;
 	kf_cold_view_t cold_view;
 	kf_target_t **targets; /* sorted by id */
 	size_t count;
@@ -68,7 +68,7 @@
 	free(d->buckets);
 	free(d->pools);
 	free(d->pool_targets);
-	free(d->evacuated);
+	zone_set_clear(&d->evacuated);
 	free(d);
 }
 
@@ -303,17 +303,6 @@
 	return target;
 }
 
-/* Returns the index of a zone among the evacuated ones, or their number. */
-static size_t
-evacuated_index(const kf_directory_t *d, uint64_t zone)
-{
-	size_t i;
-
-	for (i = 0; i < d->evacuated_count && d->evacuated[i] != zone; i++)
-		;
-	return i;
-}
-
 static void
 set_evacuated(const kf_directory_t *d, kf_target_t *target, bool evacuated)
 {
@@ -325,7 +314,7 @@
 bool
 kf_directory_own_zone_evacuated(const kf_directory_t *d)
 {
-	return evacuated_index(d, d->zone) < d->evacuated_count;
+	return zone_set_has(&d->evacuated, d->zone);
 }
 
 bool
@@ -346,36 +335,15 @@
 		set_evacuated(d, d->targets[i], d->targets[i]->evacuated);
 }
 
-static kf_status_t
-add_evacuated(kf_directory_t *d, uint64_t zone)
-{
-	uint64_t *grown;
-	size_t cap;
-
-	if (d->evacuated_count == d->evacuated_cap) {
-		cap = d->evacuated_cap == 0 ? MIN_EVACUATED
-					    : d->evacuated_cap * 2;
-		grown = realloc(d->evacuated, cap * sizeof(*grown));
-		if (grown == NULL)
-			return kf_status_set(KF_ERR_NO_MEMORY,
-			    "no memory for an evacuated zone");
-		d->evacuated = grown;
-		d->evacuated_cap = cap;
-	}
-	d->evacuated[d->evacuated_count++] = zone;
-	return KF_OK;
-}
-
 kf_status_t
 kf_directory_set_evacuated(kf_directory_t *d, uint64_t zone, bool evacuated)
 {
-	size_t i, at = evacuated_index(d, zone);
+	size_t i;
 
-	if (evacuated && at == d->evacuated_count &&
-	    add_evacuated(d, zone) != KF_OK)
+	if (evacuated && zone_set_add(&d->evacuated, zone) != KF_OK)
 		return KF_ERR_NO_MEMORY;
-	if (!evacuated && at < d->evacuated_count)
-		d->evacuated[at] = d->evacuated[--d->evacuated_count];
+	if (!evacuated)
+		zone_set_remove(&d->evacuated, zone);
 	for (i = 0; i < d->count; i++)
 		if (d->targets[i]->info.zone == zone)
 			set_evacuated(d, d->targets[i], evacuated);
@@ -385,7 +353,7 @@
 size_t
 kf_directory_evacuated_count(const kf_directory_t *d)
 {
-	return d->evacuated_count;
+	return d->evacuated.count;
 }
 
 void
@@ -472,8 +440,7 @@
 		    target->info.born_ms != info->born_ms)))
 		kf_target_reset(target);
 	target->info = *info;
-	set_evacuated(
-	    d, target, evacuated_index(d, info->zone) < d->evacuated_count);
+	set_evacuated(d, target, zone_set_has(&d->evacuated, info->zone));
 	target->listing = KF_LISTED;
 	target->lapsed = false;
 	target->cold_end_us = now_us + info->cold_left_us;
