Share the limit on the age of evidence

Cause: the shorter of the stability time and a constant was taken in two places.

Change: forwarder_evidence_age_us. No behaviour changes.

Measured: the golden, dead upstream, property and entries tests of the forwarder passed, lint clean.

--- a/lib/forwarder/dead_flows.c
+++ b/lib/forwarder/dead_flows.c
@@ -109,12 +109,9 @@
 static bool
 is_certain(const kf_forwarder_t *f, kf_target_t *target, int64_t now_us)
 {
-	int64_t max_age_us = f->stability_us < KF_DEAD_EVIDENCE_US
-	    ? f->stability_us
-	    : KF_DEAD_EVIDENCE_US;
-
 	kf_dead_upstream_want_probe(&target->dead);
-	return kf_dead_upstream_may_reset(&target->dead, max_age_us, now_us);
+	return kf_dead_upstream_may_reset(&target->dead,
+	    forwarder_evidence_age_us(f, KF_DEAD_EVIDENCE_US), now_us);
 }
 
 void
--- a/lib/forwarder/forwarder.c
+++ b/lib/forwarder/forwarder.c
@@ -106,6 +106,12 @@
 	f->store_view = *view;
 }
 
+int64_t
+forwarder_evidence_age_us(const kf_forwarder_t *f, int64_t limit_us)
+{
+	return f->stability_us < limit_us ? f->stability_us : limit_us;
+}
+
 void
 forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record)
 {
@@ -229,9 +235,8 @@
 handle_unknown_token(kf_forwarder_t *f, const kf_packet_t *packet,
     const kf_route_t *route, int64_t now_us)
 {
-	int64_t max_age_us = f->stability_us < KF_UNKNOWN_TOKENS_MAX_AGE_US
-	    ? f->stability_us
-	    : KF_UNKNOWN_TOKENS_MAX_AGE_US;
+	int64_t max_age_us =
+	    forwarder_evidence_age_us(f, KF_UNKNOWN_TOKENS_MAX_AGE_US);
 
 	if (route != NULL && route->idempotent && !packet->rst &&
 	    kf_unknown_tokens_is_gone(&f->unknown_tokens, packet->token,
--- a/lib/forwarder/forwarder_internal.h
+++ b/lib/forwarder/forwarder_internal.h
@@ -112,6 +112,9 @@
 
 /* Updates whether evacuated upstreams of the own zone may get new flows. */
 void forwarder_check_isolation(kf_forwarder_t *f, int64_t now_us);
+/* Returns the maximum age of evidence for a reset: limit_us, or the stability
+ * time if that is shorter. */
+int64_t forwarder_evidence_age_us(const kf_forwarder_t *f, int64_t limit_us);
 /* Counts the event and passes the record to the callback. */
 void forwarder_record(kf_forwarder_t *f, const kf_forward_record_t *record);
 /* Fills in the fields that all records about a flow have. */
